--- /dev/null
+++ b/core/config/document.go
@@ -0,0 +1,54 @@
+package config
+
+// Document is one accepted configuration. It is immutable.
+type Document struct {
+	revision uint64
+	fields   Fields
+	digest   string
+}
+
+// NewDocument returns a Document of the given revision. The digest covers the fields only.
+func NewDocument(revision uint64, fields Fields) Document {
+	return Document{revision: revision, fields: fields, digest: digestOf(fields)}
+}
+
+// Revision returns the revision that compare-and-swap gave the document; it starts at 1.
+func (d Document) Revision() uint64 { return d.revision }
+
+// Digest returns the SHA-256 digest of the fields in hex.
+func (d Document) Digest() string { return d.digest }
+
+// SheetNumber returns the number of the sheet that the document came from.
+func (d Document) SheetNumber() int { return d.fields.SheetNumber }
+
+// Fields returns the document's parts, which callers must not change.
+func (d Document) Fields() Fields { return d.fields }
+
+// Settings returns the choices for the whole system.
+func (d Document) Settings() Settings { return d.fields.Settings }
+
+// Workspaces returns all workspaces, which callers must not change.
+func (d Document) Workspaces() []Workspace { return d.fields.Workspaces }
+
+// Models returns all models, which callers must not change.
+func (d Document) Models() []Model { return d.fields.Models }
+
+// Model returns the model with the given name.
+func (d Document) Model(name string) (Model, bool) {
+	for _, m := range d.fields.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service returns the service with the given name.
+func (d Document) Service(name string) (Service, bool) {
+	for _, s := range d.fields.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/core/generation/spec.go
@@ -0,0 +1,58 @@
+// Package generation keeps the token stream of one request whole across attempts on several engines.
+package generation
+
+import "strings"
+
+// Spec names the exact weights that produce a generation: model, version, adapter and the adapter's version.
+type Spec struct {
+	model          string
+	version        string
+	adapter        string
+	adapterVersion string
+}
+
+// NewSpec returns a Spec. Adapter and its version are empty for the bare model.
+func NewSpec(model, version, adapter, adapterVersion string) Spec {
+	return Spec{model: model, version: version, adapter: adapter, adapterVersion: adapterVersion}
+}
+
+// ParseSpec reads the form model@version or model@version+adapter@version.
+func ParseSpec(text string) (Spec, error) {
+	base, extra, hasAdapter := strings.Cut(text, "+")
+	model, version, ok := strings.Cut(base, "@")
+	if !ok || model == "" || version == "" {
+		return Spec{}, MalformedSpecError{Text: text}
+	}
+	if !hasAdapter {
+		return NewSpec(model, version, "", ""), nil
+	}
+	adapter, adapterVersion, ok := strings.Cut(extra, "@")
+	if !ok || adapter == "" || adapterVersion == "" {
+		return Spec{}, MalformedSpecError{Text: text}
+	}
+	return NewSpec(model, version, adapter, adapterVersion), nil
+}
+
+// Model returns the model's name.
+func (s Spec) Model() string { return s.model }
+
+// Version returns the model's version.
+func (s Spec) Version() string { return s.version }
+
+// Adapter returns the adapter's name or an empty string.
+func (s Spec) Adapter() string { return s.adapter }
+
+// AdapterVersion returns the adapter's version or an empty string.
+func (s Spec) AdapterVersion() string { return s.adapterVersion }
+
+// IsZero tells whether no engine has reported a spec yet.
+func (s Spec) IsZero() bool { return s == Spec{} }
+
+// String returns the form that ParseSpec reads.
+func (s Spec) String() string {
+	text := s.model + "@" + s.version
+	if s.adapter != "" {
+		text += "+" + s.adapter + "@" + s.adapterVersion
+	}
+	return text
+}
--- /dev/null
+++ b/core/kv/entry.go
@@ -0,0 +1,26 @@
+package kv
+
+// Entry is one key with its value and revision.
+type Entry struct {
+	key      string
+	value    []byte
+	revision uint64
+	deleted  bool
+}
+
+// NewEntry returns an Entry. A deleted entry appears only in the result of a watch.
+func NewEntry(key string, value []byte, revision uint64, deleted bool) Entry {
+	return Entry{key: key, value: value, revision: revision, deleted: deleted}
+}
+
+// Key returns the full key.
+func (e Entry) Key() string { return e.key }
+
+// Value returns the stored bytes, which callers must not change.
+func (e Entry) Value() []byte { return e.value }
+
+// Revision returns the store's revision of the last write to the key.
+func (e Entry) Revision() uint64 { return e.revision }
+
+// Deleted tells whether the entry was removed.
+func (e Entry) Deleted() bool { return e.deleted }
--- /dev/null
+++ b/core/kv/error.go
@@ -0,0 +1,75 @@
+package kv
+
+import (
+	"fmt"
+
+	"radishhollow/core/failure"
+)
+
+// NotFoundError reports a key that does not exist.
+type NotFoundError struct{ Key string }
+
+// Error implements error.
+func (e NotFoundError) Error() string { return fmt.Sprintf("key %q does not exist", e.Key) }
+
+// Code implements failure.Failure.
+func (e NotFoundError) Code() string { return "key-not-found" }
+
+// Outcome implements failure.Failure.
+func (e NotFoundError) Outcome() failure.Outcome { return failure.NotRun }
+
+// ConflictError reports a compare-and-swap that found another revision.
+type ConflictError struct {
+	Key     string
+	Want    uint64
+	Current uint64
+}
+
+// Error implements error.
+func (e ConflictError) Error() string {
+	return fmt.Sprintf("key %q is at revision %d, not %d", e.Key, e.Current, e.Want)
+}
+
+// Code implements failure.Failure.
+func (e ConflictError) Code() string { return "key-conflict" }
+
+// Outcome implements failure.Failure.
+func (e ConflictError) Outcome() failure.Outcome { return failure.NotRun }
+
+// LeaseLostError reports a lease that has ended.
+type LeaseLostError struct{ Lease string }
+
+// Error implements error.
+func (e LeaseLostError) Error() string { return fmt.Sprintf("lease %q has ended", e.Lease) }
+
+// Code implements failure.Failure.
+func (e LeaseLostError) Code() string { return "lease-lost" }
+
+// Outcome implements failure.Failure.
+func (e LeaseLostError) Outcome() failure.Outcome { return failure.NotRun }
+
+// UnavailableError reports a call that got no answer. Written is true where a write may have taken effect.
+type UnavailableError struct {
+	Call    string
+	Written bool
+	Cause   error
+}
+
+// Error implements error.
+func (e UnavailableError) Error() string {
+	return fmt.Sprintf("key-value service: %s: %v", e.Call, e.Cause)
+}
+
+// Unwrap returns the transport's error.
+func (e UnavailableError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Failure.
+func (e UnavailableError) Code() string { return "platform-unavailable" }
+
+// Outcome implements failure.Failure. It speaks of the write to the store, never of a caller's request.
+func (e UnavailableError) Outcome() failure.Outcome {
+	if e.Written {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
--- /dev/null
+++ b/core/route/choice.go
@@ -0,0 +1,30 @@
+package route
+
+// Choice is the endpoint picked for one attempt. Its Release must be called once when the attempt ends.
+type Choice struct {
+	address     string
+	incarnation string
+	place       string
+	release     func()
+}
+
+// NewChoice returns a Choice; release may be nil.
+func NewChoice(address, incarnation, place string, release func()) Choice {
+	return Choice{address: address, incarnation: incarnation, place: place, release: release}
+}
+
+// Address returns the endpoint's IP address and port.
+func (c Choice) Address() string { return c.address }
+
+// Incarnation returns the endpoint's incarnation.
+func (c Choice) Incarnation() string { return c.incarnation }
+
+// Place returns the endpoint's place.
+func (c Choice) Place() string { return c.place }
+
+// Release returns the load that the choice reserved.
+func (c Choice) Release() {
+	if c.release != nil {
+		c.release()
+	}
+}
--- /dev/null
+++ b/core/route/endpoint.go
@@ -0,0 +1,46 @@
+package route
+
+import "time"
+
+// State is what an endpoint or the platform's list says about its readiness for work.
+type State string
+
+// States of an endpoint.
+const (
+	StateReady   State = "ready"
+	StateLoading State = "loading"
+	StateLeaving State = "leaving"
+)
+
+// Listing is one row of the platform's instance list.
+type Listing struct {
+	Address     string
+	Incarnation string
+	Place       string
+	Kind        Kind
+	Name        string
+	Leaving     bool
+}
+
+// Report is one load report of an endpoint.
+type Report struct {
+	Address              string
+	Incarnation          string
+	State                State
+	Place                string
+	Sequence             uint64
+	Running              int
+	Waiting              int
+	Slots                int
+	CacheBlocksUsed      int
+	CacheBlocks          int
+	WaitingPrefillTokens int
+	// PrefillRate is in tokens per second.
+	PrefillRate float64
+	TokenGap    time.Duration
+	Role        string
+	// Fence is the highest fencing token that the engine has seen.
+	Fence uint64
+	// Specs lists every loaded model and adapter in the form of generation.Spec.
+	Specs []string
+}
--- /dev/null
+++ b/io/telemetry/name.go
@@ -0,0 +1,29 @@
+package telemetry
+
+// Names of histograms, each with a workspace label.
+const (
+	TimeToFirstToken = "time_to_first_token"
+	TokenGap         = "token_gap"
+	ResumeLatency    = "resume_latency"
+	QueueWait        = "queue_wait"
+	BookingTime      = "booking_time"
+)
+
+// Names of counters, each with a class label.
+const (
+	Requests          = "requests"           // class is the outcome or error code
+	Attempts          = "attempts"           // class is first, resume or attach
+	DroppedTokens     = "dropped_tokens"     // class is duplicate, crossed or superseded
+	EngineLosses      = "engine_losses"      // class is connection, silence or crossed
+	SpuriousFailovers = "spurious_failovers" // class is silence
+	PrefillTokens     = "prefill_tokens"     // class is first or resume
+	Claims            = "claims"             // class is created, replayed, conflict or failed
+	Bookings          = "bookings"           // class is the outcome
+	Revisions         = "revisions"          // class is watch, poll, peer or refused
+	Exchanges         = "exchanges"          // class is ok or failed
+	KeyValueCalls     = "key_value_calls"    // class is the call
+	ControlBytes      = "control_bytes"      // class is sent or received
+	Orders            = "orders"             // class is the order's kind or refused
+	Rejections        = "rejections"         // class is the error code
+	Restarts          = "restarts"           // class is the component
+)
