--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -1,7 +1,10 @@
 // Package cmd is the command line of radishhollow.
 package cmd
 
-import "io"
+import (
+	"fmt"
+	"io"
+)
 
 // Exit codes of every command.
 const (
@@ -10,7 +13,43 @@
 	ExitUsage  = 2
 )
 
+// command is one entry of the command line.
+type command struct {
+	name string
+	help string
+	run  func(args []string, stdout, stderr io.Writer) int
+}
+
+func commands() []command {
+	return []command{
+		{name: "version", help: "print the version", run: RunVersion},
+	}
+}
+
 // Run executes the command line and returns its exit code.
-func Run(_ []string, _, _ io.Writer) int {
+func Run(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		usage(stderr)
+		return ExitUsage
+	}
+	if args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
+		usage(stdout)
+		return ExitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(args[1:], stdout, stderr)
+		}
+	}
+	_, _ = fmt.Fprintf(stderr, "radishhollow: unknown command %q; run `radishhollow --help` for the list\n", args[0])
 	return ExitUsage
 }
+
+func usage(w io.Writer) {
+	_, _ = fmt.Fprint(w, "radishhollow keeps long generations whole and runs bookings at most once.\n\n",
+		"Usage: radishhollow COMMAND [OPTIONS]\n\nCommands:\n")
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.help)
+	}
+	_, _ = fmt.Fprint(w, "\nEach command has --help. Exit codes: 0 success, 1 failure, 2 usage.\n")
+}
