feat: add the stand-in of a model engine

Cause: the engine client, failover and their tests need an engine that speaks the wire format and can fail on demand. Change: completions, attach, cancel, load reports, cache events and orders over a time model of continuous batching, with faults, counters and a check that detects missing, repeated or spliced tokens.

--- /dev/null
+++ b/standin/engine/order_test.go
@@ -0,0 +1,101 @@
+package engine_test
+
+import (
+	"bufio"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/standin/engine"
+)
+
+type load struct {
+	Fence  uint64         `json:"fence"`
+	Models []engine.Model `json:"models"`
+}
+
+// Guards against an engine that obeys a lease holder whose lease has passed to another.
+func TestFence(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		url := start(t, func(s *engine.Server) { s.CheckFence = check })
+		order := func(fence int, version string) int {
+			return call(t, http.MethodPost, url+"/v1/orders", map[string]any{
+				"kind": "load-model", "model": "briefing", "version": version, "fence": fence,
+			}).StatusCode
+		}
+		require.Equal(t, http.StatusAccepted, order(7, "2"))
+		want, version := http.StatusAccepted, "3"
+		if check {
+			want, version = http.StatusConflict, "2"
+		}
+		require.Equal(t, want, order(6, "3"))
+		require.Eventually(t, func() bool {
+			l := get[load](t, url+"/v1/load")
+			return l.Fence == 7 && l.Models[0].Version == version
+		}, 5*time.Second, 10*time.Millisecond)
+	}
+}
+
+// Guards against a replaced model whose running streams still claim the old spec.
+func TestReplacedDuringOutput(t *testing.T) {
+	url := start(t, nil)
+	prompt := engine.Tokenize("write a brief")
+	lines := complete(t, url, "g", prompt, 0, 1, 100, 0)
+	_, _ = next(t, lines)
+	call(t, http.MethodPost, url+"/v1/orders", map[string]any{
+		"kind": "load-model", "model": "briefing", "version": "2", "fence": 1,
+	})
+	last := ""
+	for {
+		c, ok := next(t, lines)
+		if !ok {
+			break
+		}
+		last = c.Fingerprint
+	}
+	require.Equal(t, "briefing@2", last)
+}
+
+// Guards against a cache that ignores its limit or gives no benefit, which would void figures on extra engine work.
+func TestPrefixCache(t *testing.T) {
+	url := start(t, func(s *engine.Server) { s.CacheBlocks = 4 })
+	prompt := make([]uint32, 3*engine.BlockTokens+2)
+	for i := range prompt {
+		prompt[i] = uint32(i + 1)
+	}
+	_, _ = collect(t, complete(t, url, "a", prompt, 0, 1, 1, 0))
+	_, _ = collect(t, complete(t, url, "b", prompt, 0, 1, 1, 0))
+	stats := get[engine.Stats](t, url+"/stats")
+	require.Equal(t, 3*engine.BlockTokens, stats.CachedPrefillTokens)
+	require.Equal(t, len(prompt)+2, stats.PrefilledTokens)
+	prompt[0] = 99
+	_, _ = collect(t, complete(t, url, "c", prompt, 0, 1, 1, 0))
+	kinds := map[string]int{}
+	for _, e := range get[struct {
+		Events []struct{ Kind string }
+	}](t, url+"/v1/cache-events?after=0").Events {
+		kinds[e.Kind]++
+	}
+	require.Equal(t, map[string]int{"stored": 6, "evicted": 2}, kinds)
+}
+
+// Guards against a stream that ends with its connection, or that outlives the detach hold.
+func TestDetachHold(t *testing.T) {
+	url := start(t, func(s *engine.Server) { s.DetachHold = 300 * time.Millisecond })
+	prompt := engine.Tokenize("write a brief")
+	resp := call(t, http.MethodPost, url+"/v1/completions", map[string]any{
+		"model": "briefing", "prompt": prompt, "max_tokens": 2000, "request_id": "g", "attempt": 1,
+	})
+	_, ok := next(t, bufio.NewScanner(resp.Body))
+	require.True(t, ok)
+	require.NoError(t, resp.Body.Close())
+	time.Sleep(50 * time.Millisecond)
+	again := call(t, http.MethodGet, url+"/v1/streams/g?attempt=2&offset=0", nil)
+	require.Equal(t, http.StatusOK, again.StatusCode)
+	require.NoError(t, again.Body.Close())
+	require.Eventually(t, func() bool {
+		return call(t, http.MethodDelete, url+"/v1/streams/g?attempt=1", nil).StatusCode == http.StatusNotFound
+	}, 5*time.Second, 50*time.Millisecond)
+}
--- /dev/null
+++ b/standin/engine/tokenize.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"radishhollow/standin"
+)
+
+// message is one turn of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Tokenize returns one id per word. The ids of output text differ from the ids that produced it, as with a real
+// tokenizer, so that a caller that re-encodes text is detected.
+func Tokenize(text string) []uint32 {
+	words := strings.Fields(text)
+	ids := make([]uint32, len(words))
+	for i, word := range words {
+		ids[i] = uint32(xxhash.Sum64String(word)%(firstBase-1)) + 1
+	}
+	return ids
+}
+
+// tokenizeChat puts a marker with the role before each message and one for the assistant at the end.
+func tokenizeChat(messages []message) []uint32 {
+	var ids []uint32
+	for _, m := range messages {
+		ids = append(ids, Tokenize("<|"+m.Role+"|>")...)
+		ids = append(ids, Tokenize(m.Content)...)
+	}
+	return append(ids, Tokenize("<|assistant|>")...)
+}
+
+func (s *Server) handleTokenize(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Model    string    `json:"model"`
+		Prompt   string    `json:"prompt"`
+		Messages []message `json:"messages"`
+	}
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	ids := Tokenize(body.Prompt)
+	if body.Messages != nil {
+		ids = tokenizeChat(body.Messages)
+	}
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"tokens": ids, "count": len(ids)})
+}
