feat: add the stand-ins of the platform and of a plain service

Cause: leases, idempotency records and bookings need a platform and a service that lose answers and count their calls. Change: key-value service with compare-and-swap, leases and watches, lagging instance list and weight store; a service runner that counts runs by key; faults for both.

--- /dev/null
+++ b/standin/platform/lease.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"radishhollow/standin"
+)
+
+// lease is a time to live that keys depend on.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	timer    *time.Timer
+}
+
+func (l *lease) ended() bool { return !time.Now().Before(l.deadline) }
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMS int `json:"ttl-ms"`
+	}
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	if body.TTLMS <= 0 {
+		standin.WriteError(w, http.StatusBadRequest, "malformed-request")
+		return
+	}
+	id, ttl := uuid.NewString(), time.Duration(body.TTLMS)*time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[id] = &lease{ttl: ttl, deadline: time.Now().Add(ttl), timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+	standin.WriteJSON(w, http.StatusOK, map[string]string{"lease": id})
+}
+
+func (s *Server) handleRenew(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[r.PathValue("id")]
+	if !ok || l.ended() {
+		standin.WriteError(w, http.StatusNotFound, "lease-lost")
+		return
+	}
+	l.deadline = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleRevoke(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.PathValue("id")
+	if _, ok := s.leases[id]; !ok {
+		standin.WriteError(w, http.StatusNotFound, "lease-lost")
+		return
+	}
+	s.end(id)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// expire ends a lease unless a renewal came first.
+func (s *Server) expire(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.leases[id]; ok && l.ended() {
+		s.end(id)
+	}
+}
+
+// end removes a lease and deletes its keys.
+func (s *Server) end(id string) {
+	s.leases[id].timer.Stop()
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.lease == id && !it.Deleted {
+			s.write(item{Key: key, Deleted: true})
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,115 @@
+// Package platform is a stand-in of the platform: key-value service with leases and watches, instance list and weight
+// store, with faults and counts of calls.
+package platform
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"radishhollow/standin"
+)
+
+// Server is the platform. Exported fields are set before Run.
+type Server struct {
+	Listen string
+	// InstanceLag is the age at which a change of the instance list becomes visible.
+	InstanceLag time.Duration
+	// WeightLoadsPerMinute limits the weight store; WeightBurst loads may come at once.
+	WeightLoadsPerMinute float64
+	WeightBurst          int
+	// ReadsPerSecond and WritesPerSecond limit the key-value service; above them it answers 429.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// Ready gets the bound address.
+	Ready func(address string)
+
+	weights *rate.Limiter
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+
+	mu       sync.Mutex
+	revision uint64
+	// items keeps deleted keys too, so that a watch reports them.
+	items  map[string]*item
+	leases map[string]*lease
+	// changed is closed and replaced at each change of a key.
+	changed   chan struct{}
+	instances []listing
+	sequence  uint64
+	faults    Faults
+	frozenAt  time.Time
+	calls     map[string]int
+}
+
+// New returns a Server with defaults.
+func New() *Server {
+	return &Server{
+		Listen:               "127.0.0.1:0",
+		InstanceLag:          time.Second,
+		WeightLoadsPerMinute: 60,
+		WeightBurst:          4,
+		ReadsPerSecond:       2000,
+		WritesPerSecond:      500,
+		items:                map[string]*item{},
+		leases:               map[string]*lease{},
+		changed:              make(chan struct{}),
+		calls:                map[string]int{},
+	}
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.weights = rate.NewLimiter(rate.Limit(s.WeightLoadsPerMinute/60), s.WeightBurst)
+	// A burst of one second's calls is allowed.
+	s.reads = rate.NewLimiter(rate.Limit(s.ReadsPerSecond), int(s.ReadsPerSecond))
+	s.writes = rate.NewLimiter(rate.Limit(s.WritesPerSecond), int(s.WritesPerSecond))
+	err := standin.Serve(ctx, s.Listen, s.handler(), s.Ready)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	return err
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern, kind string, limit *rate.Limiter, write bool, handler http.HandlerFunc) {
+		mux.Handle(pattern, s.call(kind, limit, write, handler))
+	}
+	handle("GET /kv", "list", s.reads, false, s.handleList)
+	handle("GET /kv/{key...}", "get", s.reads, false, s.handleGet)
+	handle("PUT /kv/{key...}", "put", s.writes, true, s.handlePut)
+	handle("DELETE /kv/{key...}", "delete", s.writes, true, s.handleDelete)
+	handle("GET /watch", "watch", s.reads, false, s.handleWatch)
+	handle("POST /leases", "grant", s.writes, true, s.handleGrant)
+	handle("POST /leases/{id}/renew", "renew", s.writes, true, s.handleRenew)
+	handle("DELETE /leases/{id}", "revoke", s.writes, true, s.handleRevoke)
+	handle("GET /instances", "instances", nil, false, s.handleInstances)
+	handle("PUT /instances", "put-instance", nil, true, s.handlePutInstance)
+	handle("DELETE /instances", "delete-instance", nil, true, s.handleDeleteInstance)
+	handle("GET /weights/{model}/{version}", "weights", nil, false, s.handleWeights)
+	mux.HandleFunc("POST /faults", s.handleFaults)
+	mux.HandleFunc("GET /calls", s.handleCalls)
+	return mux
+}
+
+func (s *Server) handleCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	calls := maps.Clone(s.calls)
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, calls)
+}
+
+func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
+	if !s.weights.Allow() {
+		standin.WriteError(w, http.StatusTooManyRequests, "rate-limited")
+		return
+	}
+	_, _ = w.Write([]byte(r.PathValue("model") + "@" + r.PathValue("version")))
+}
--- /dev/null
+++ b/standin/platform/server_test.go
@@ -0,0 +1,139 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/standin"
+	"radishhollow/standin/platform"
+)
+
+func start(t *testing.T, change func(*platform.Server)) string {
+	s := platform.New()
+	if change != nil {
+		change(s)
+	}
+	ready := make(chan string, 1)
+	s.Ready = func(address string) { ready <- address }
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return "http://" + <-ready
+}
+
+// call returns the status and the decoded answer; the status is 0 where the connection broke.
+func call(t *testing.T, method, url string, body any) (int, map[string]any) {
+	data, _ := json.Marshal(body)
+	req, _ := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(data))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := map[string]any{}
+	_ = json.NewDecoder(resp.Body).Decode(&answer)
+	return resp.StatusCode, answer
+}
+
+func put(t *testing.T, url, key, value, lease string, ifRevision int) (int, map[string]any) {
+	return call(t, http.MethodPut, url+"/kv/"+key, map[string]any{
+		"value": []byte(value), "if-revision": ifRevision, "lease": lease,
+	})
+}
+
+func status(code int, _ map[string]any) int { return code }
+
+// Guards against two writers that both win a compare-and-swap on one revision.
+func TestCompareAndSwap(t *testing.T) {
+	url := start(t, nil)
+	code, answer := put(t, url, "claims/a/b", "one", "", 0)
+	require.Equal(t, http.StatusOK, code)
+	require.EqualValues(t, 1, answer["revision"])
+	code, answer = put(t, url, "claims/a/b", "two", "", 0)
+	require.Equal(t, http.StatusConflict, code)
+	require.EqualValues(t, 1, answer["revision"])
+	wins := make(chan int, 8)
+	for i := range 8 {
+		go func() {
+			code, _ := put(t, url, "claims/a/b", fmt.Sprint(i), "", 1)
+			wins <- code
+		}()
+	}
+	won := 0
+	for range 8 {
+		if <-wins == http.StatusOK {
+			won++
+		}
+	}
+	require.Equal(t, 1, won)
+	require.Equal(t, http.StatusConflict, status(call(t, http.MethodDelete, url+"/kv/claims/a/b?if-revision=1", nil)))
+	require.Equal(t, http.StatusOK, status(call(t, http.MethodDelete, url+"/kv/claims/a/b?if-revision=2", nil)))
+	require.Equal(t, http.StatusNotFound, status(call(t, http.MethodGet, url+"/kv/claims/a/b", nil)))
+	_, calls := call(t, http.MethodGet, url+"/calls", nil)
+	require.EqualValues(t, 10, calls["put"])
+	require.EqualValues(t, 2, calls["delete"])
+}
+
+// Guards against keys that outlive their lease, leases that come back, and watches that miss the end of a lease.
+func TestLeaseExpiry(t *testing.T) {
+	url := start(t, nil)
+	_, answer := call(t, http.MethodPost, url+"/leases", map[string]any{"ttl-ms": 300})
+	lease := answer["lease"].(string)
+	require.Equal(t, http.StatusOK, status(put(t, url, "members/a", "x", lease, 0)))
+	time.Sleep(200 * time.Millisecond)
+	require.Equal(t, http.StatusNoContent, status(call(t, http.MethodPost, url+"/leases/"+lease+"/renew", nil)))
+	time.Sleep(200 * time.Millisecond)
+	require.Equal(t, http.StatusOK, status(call(t, http.MethodGet, url+"/kv/members/a", nil)))
+	_, answer = call(t, http.MethodGet, url+"/watch?prefix=members/&after=1&wait-ms=5000", nil)
+	require.Len(t, answer["items"], 1)
+	require.Equal(t, true, answer["items"].([]any)[0].(map[string]any)["deleted"])
+	require.Equal(t, http.StatusNotFound, status(call(t, http.MethodPost, url+"/leases/"+lease+"/renew", nil)))
+	require.Equal(t, http.StatusNotFound, status(put(t, url, "members/a", "x", lease, 0)))
+}
+
+// Guards against a lost answer without the write, or an outage in which writes take effect.
+func TestFaults(t *testing.T) {
+	url := start(t, nil)
+	call(t, http.MethodPost, url+"/faults", map[string]any{"lose-answers": 1})
+	require.Zero(t, status(put(t, url, "k", "lost", "", 0)))
+	require.Equal(t, http.StatusOK, status(call(t, http.MethodGet, url+"/kv/k", nil)))
+	call(t, http.MethodPost, url+"/faults", map[string]any{"down": true})
+	require.Zero(t, status(put(t, url, "k", "down", "", 1)))
+	call(t, http.MethodPost, url+"/faults", map[string]any{})
+	_, answer := call(t, http.MethodGet, url+"/kv/k", nil)
+	require.EqualValues(t, 1, answer["revision"])
+	require.Equal(t, "bG9zdA==", answer["value"])
+}
+
+// Guards against an instance list without its lag, and one that moves while the state is frozen.
+func TestInstanceLag(t *testing.T) {
+	url := start(t, func(s *platform.Server) { s.InstanceLag = 200 * time.Millisecond })
+	rows := func() int {
+		_, answer := call(t, http.MethodGet, url+"/instances", nil)
+		return len(answer["instances"].([]any))
+	}
+	register := func(address string) {
+		row := standin.Instance{Address: address, Kind: "model", Name: "briefing", State: "live"}
+		require.NoError(t, standin.Register(t.Context(), url[len("http://"):], row))
+	}
+	register("127.0.0.1:1")
+	require.Zero(t, rows())
+	require.Eventually(t, func() bool { return rows() == 1 }, 5*time.Second, 20*time.Millisecond)
+	call(t, http.MethodPost, url+"/faults", map[string]any{"freeze-state": true})
+	register("127.0.0.1:2")
+	time.Sleep(400 * time.Millisecond)
+	require.Equal(t, 1, rows())
+	call(t, http.MethodPost, url+"/faults", map[string]any{})
+	require.Equal(t, 2, rows())
+}
--- /dev/null
+++ b/standin/service/server.go
@@ -0,0 +1,146 @@
+// Package service is a stand-in of a plain service runner that counts each run and injects faults.
+package service
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"radishhollow/standin"
+)
+
+// Server is one service runner. Exported fields are set before Run.
+type Server struct {
+	Listen string
+	Place  string
+	// RunTime is the time that each run takes.
+	RunTime time.Duration
+	// Slots bounds the runs at a time; above it requests are refused before running.
+	Slots int
+	// Ready gets the bound address.
+	Ready func(address string)
+
+	incarnation string
+	mu          sync.Mutex
+	runs        map[string]int
+	running     int
+	leaving     bool
+	faults      []Fault
+}
+
+// New returns a Server with defaults.
+func New() *Server {
+	return &Server{
+		Listen:      "127.0.0.1:0",
+		RunTime:     5 * time.Millisecond,
+		Slots:       64,
+		incarnation: uuid.NewString(),
+		runs:        map[string]int{},
+	}
+}
+
+// Incarnation returns the id of this run of the runner.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	return standin.Serve(ctx, s.Listen, s.handler(), s.Ready)
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", s.handleFaults)
+	mux.HandleFunc("GET /runs", s.handleRuns)
+	mux.HandleFunc("GET /load", s.handleLoad)
+	mux.HandleFunc("/", s.handleCall)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Endpoint-Incarnation", s.incarnation)
+		w.Header().Set("Endpoint-State", s.state())
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) state() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return "leaving"
+	}
+	return "ready"
+}
+
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	state := s.state()
+	s.mu.Lock()
+	running := s.running
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{
+		"incarnation": s.incarnation, "state": state, "place": s.Place, "running": running, "slots": s.Slots,
+	})
+}
+
+func (s *Server) handleRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"runs": s.runs})
+}
+
+func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
+	fault := s.takeFault()
+	if fault.before(w, r) {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// The request did not arrive whole, so it does not run.
+		standin.Cut()
+	}
+	if !s.acquire() {
+		standin.Refuse(w, http.StatusTooManyRequests, "overloaded")
+		return
+	}
+	defer s.release()
+	key, n := s.count(r)
+	time.Sleep(s.RunTime)
+	if fault.after(w) {
+		return
+	}
+	sum := sha256.Sum256(body)
+	standin.WriteJSON(w, http.StatusOK, map[string]any{
+		"method": r.Method, "path": r.URL.RequestURI(), "key": key, "run": n, "body-digest": hex.EncodeToString(sum[:]),
+	})
+}
+
+func (s *Server) acquire() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.running >= s.Slots {
+		return false
+	}
+	s.running++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// count adds a run to the key of the request; runs without a key share the empty key.
+func (s *Server) count(r *http.Request) (string, int) {
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		key = r.Header.Get("Test-Id")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[key]++
+	return key, s.runs[key]
+}
