--- /dev/null
+++ b/core/generation/canceler.go
@@ -0,0 +1,76 @@
+package generation
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Limits of Canceler.
+const (
+	// maxPendingCancels bounds memory; a cancel that is not sent is covered by the engine's detach hold.
+	maxPendingCancels = 4096
+	cancelTimeout     = 2 * time.Second
+)
+
+// Canceler sends cancel calls in the background, so that no caller waits for a lost engine.
+type Canceler struct {
+	Send func(ctx context.Context, address, generation string, attempt int) error
+
+	mu      sync.Mutex
+	pending int
+	closed  bool
+	stop    chan struct{}
+	group   sync.WaitGroup
+}
+
+// Cancel sends the cancel call for exactly this attempt after the delay. Close drops calls that are still delayed.
+func (c *Canceler) Cancel(address, generation string, attempt int, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.pending >= maxPendingCancels {
+		return
+	}
+	if c.stop == nil {
+		c.stop = make(chan struct{})
+	}
+	c.pending++
+	c.group.Add(1)
+	go c.runCancel(address, generation, attempt, after)
+}
+
+func (c *Canceler) runCancel(address, generation string, attempt int, after time.Duration) {
+	defer c.group.Done()
+	defer c.leave()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.stop:
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	// A failed cancel needs no repetition: the engine ends a detached stream by itself.
+	_ = c.Send(ctx, address, generation, attempt)
+}
+
+func (c *Canceler) leave() {
+	c.mu.Lock()
+	c.pending--
+	c.mu.Unlock()
+}
+
+// Close drops delayed calls and waits for those being sent.
+func (c *Canceler) Close() error {
+	c.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		if c.stop != nil {
+			close(c.stop)
+		}
+	}
+	c.mu.Unlock()
+	c.group.Wait()
+	return nil
+}
--- /dev/null
+++ b/core/generation/cursor.go
@@ -0,0 +1,117 @@
+package generation
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"radishhollow/core/failure"
+)
+
+// Cursor describes how far a caller has received a generation, and where its stream runs.
+type Cursor struct {
+	Generation   string `json:"generation"`
+	Address      string `json:"address"`
+	Incarnation  string `json:"incarnation"`
+	Attempt      int    `json:"attempt"`
+	Offset       int    `json:"offset"`
+	Digest       Digest `json:"digest"`
+	PromptDigest Digest `json:"prompt-digest"`
+	Spec         string `json:"spec"`
+	Workspace    string `json:"workspace"`
+	// Expiry is in Unix seconds. It only limits replay.
+	Expiry int64 `json:"expiry"`
+}
+
+// CursorKind tells why a cursor was refused.
+type CursorKind string
+
+// Kinds of CursorError.
+const (
+	CursorMalformed   CursorKind = "malformed"
+	CursorForged      CursorKind = "forged"
+	CursorExpired     CursorKind = "expired"
+	CursorForeign     CursorKind = "foreign-workspace"
+	CursorOtherPrompt CursorKind = "other-prompt"
+	// CursorUnknownEndpoint is a cursor whose endpoint is not in the instance list.
+	CursorUnknownEndpoint CursorKind = "unknown-endpoint"
+)
+
+// CursorError reports a cursor that was refused before any engine was asked.
+type CursorError struct{ Kind CursorKind }
+
+// Error implements error.
+func (e CursorError) Error() string { return fmt.Sprintf("cursor refused: %s", e.Kind) }
+
+// Code implements failure.Failure.
+func (e CursorError) Code() string { return "cursor-" + string(e.Kind) }
+
+// Outcome implements failure.Failure.
+func (e CursorError) Outcome() failure.Outcome { return failure.NotRun }
+
+// maxCursorSize bounds the work spent on a cursor that may be forged; a real one has under 1 KB.
+const maxCursorSize = 4096
+
+// CursorCodec signs and checks cursors. The first key signs; all keys are accepted, so that keys can be rotated.
+type CursorCodec struct {
+	Keys [][]byte
+}
+
+// Encode returns the signed text form of the cursor. It is empty when there is no key.
+func (c CursorCodec) Encode(cursor Cursor) string {
+	if len(c.Keys) == 0 {
+		return ""
+	}
+	payload, err := json.Marshal(cursor)
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(append(sign(c.Keys[0], payload), payload...))
+}
+
+// Decode checks the text's signature and expiry and that it belongs to the workspace and the prompt.
+func (c CursorCodec) Decode(text, workspace string, prompt Digest, now time.Time) (Cursor, error) {
+	if len(text) > maxCursorSize {
+		return Cursor{}, CursorError{Kind: CursorMalformed}
+	}
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(data) <= sha256.Size {
+		return Cursor{}, CursorError{Kind: CursorMalformed}
+	}
+	mac, payload := data[:sha256.Size], data[sha256.Size:]
+	if !c.signed(mac, payload) {
+		return Cursor{}, CursorError{Kind: CursorForged}
+	}
+	var cursor Cursor
+	if err := json.Unmarshal(payload, &cursor); err != nil || cursor.Offset < 0 || cursor.Attempt < 0 {
+		return Cursor{}, CursorError{Kind: CursorMalformed}
+	}
+	switch {
+	case now.Unix() > cursor.Expiry:
+		return Cursor{}, CursorError{Kind: CursorExpired}
+	case cursor.Workspace != workspace:
+		return Cursor{}, CursorError{Kind: CursorForeign}
+	case cursor.PromptDigest != prompt:
+		return Cursor{}, CursorError{Kind: CursorOtherPrompt}
+	}
+	return cursor, nil
+}
+
+func (c CursorCodec) signed(mac, payload []byte) bool {
+	valid := false
+	for _, key := range c.Keys {
+		if hmac.Equal(mac, sign(key, payload)) {
+			valid = true
+		}
+	}
+	return valid
+}
+
+func sign(key, payload []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(payload)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/core/generation/digest.go
@@ -0,0 +1,53 @@
+package generation
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Digest identifies a sequence of token ids.
+type Digest [16]byte
+
+// Add returns the digest of the sequence extended by one id.
+func (d Digest) Add(id uint32) Digest {
+	var data [20]byte
+	copy(data[:], d[:])
+	binary.LittleEndian.PutUint32(data[16:], id)
+	sum := sha256.Sum256(data[:])
+	return Digest(sum[:16])
+}
+
+// DigestOf returns the rolling digest of the ids, starting at the zero digest.
+func DigestOf(ids []uint32) Digest {
+	var d Digest
+	for _, id := range ids {
+		d = d.Add(id)
+	}
+	return d
+}
+
+// PromptDigest returns the digest of a prompt, hashed in one pass because prompts are long.
+func PromptDigest(ids []uint32) Digest {
+	data := make([]byte, 0, 4*len(ids))
+	for _, id := range ids {
+		data = binary.LittleEndian.AppendUint32(data, id)
+	}
+	sum := sha256.Sum256(data)
+	return Digest(sum[:16])
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(d[:])), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(string(text))
+	if err != nil || len(data) != len(d) {
+		return CursorError{Kind: CursorMalformed}
+	}
+	copy(d[:], data)
+	return nil
+}
--- /dev/null
+++ b/core/generation/pace.go
@@ -0,0 +1,63 @@
+package generation
+
+import "time"
+
+// Defaults of Pace.
+const (
+	// DefaultFloor lies above the gaps that a batch change or a garbage collection causes at a 67 ms token gap.
+	DefaultFloor = 300 * time.Millisecond
+	// DefaultCeiling leaves half a second for the resume within the p95 target of 1.5 s after a freeze.
+	DefaultCeiling = time.Second
+	// DefaultFirst covers the wait in the engine's queue and the prefill.
+	DefaultFirst = 2 * time.Second
+	// DefaultDeviations follows the retransmission timeout of TCP, with a wider margin as a failover costs a prefill.
+	DefaultDeviations = 6
+)
+
+// Pace derives a stream's silence deadline from its observed gaps. Zero fields take their defaults.
+type Pace struct {
+	Floor      time.Duration
+	Ceiling    time.Duration
+	First      time.Duration
+	Deviations float64
+
+	mean      float64
+	deviation float64
+	seen      int
+}
+
+// Observe adds one gap between chunks.
+func (p *Pace) Observe(gap time.Duration) {
+	p.seen++
+	if p.seen == 1 {
+		p.mean, p.deviation = float64(gap), float64(gap)/2
+		return
+	}
+	// The weights are those of RFC 6298.
+	diff := float64(gap) - p.mean
+	p.mean += diff / 8
+	p.deviation += (max(diff, -diff) - p.deviation) / 4
+}
+
+// Deadline returns the silence after which the engine counts as lost, once it has sent its first token.
+func (p *Pace) Deadline() time.Duration {
+	floor, ceiling := orDefault(p.Floor, DefaultFloor), orDefault(p.Ceiling, DefaultCeiling)
+	if p.seen == 0 {
+		return ceiling
+	}
+	deviations := p.Deviations
+	if deviations == 0 {
+		deviations = DefaultDeviations
+	}
+	return min(max(time.Duration(p.mean+deviations*p.deviation), floor), ceiling)
+}
+
+// FirstDeadline returns the wait for an attempt's first token.
+func (p *Pace) FirstDeadline() time.Duration { return orDefault(p.First, DefaultFirst) }
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
