feat: add the client of model engines

Engines are met through their wire format only. Client sends each request at most once, tells a refusal and a failed dial (not run) from a broken connection (unknown), and reads streams in the background with bounded lines and events.

--- /dev/null
+++ b/io/engine/call.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"radishhollow/core/route"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Text is what Tokenize encodes: a prompt, or the messages of a chat.
+type Text struct {
+	Model    string    `json:"model"`
+	Prompt   string    `json:"prompt,omitempty"`
+	Messages []Message `json:"messages,omitempty"`
+}
+
+// Tokenize returns the token ids of a prompt or of a chat.
+func (c *Client) Tokenize(ctx context.Context, address string, text Text) ([]uint32, error) {
+	var out struct {
+		Tokens []uint32 `json:"tokens"`
+	}
+	err := c.call(ctx, http.MethodPost, address, "/tokenize", text, &out)
+	return out.Tokens, err
+}
+
+// Load returns the engine's load report.
+func (c *Client) Load(ctx context.Context, address string) (route.Report, error) {
+	var out struct {
+		Incarnation          string      `json:"incarnation"`
+		State                route.State `json:"state"`
+		Place                string      `json:"place"`
+		Sequence             uint64      `json:"sequence"`
+		Running              int         `json:"running"`
+		Waiting              int         `json:"waiting"`
+		Slots                int         `json:"slots"`
+		CacheBlocksUsed      int         `json:"cache-blocks-used"`
+		CacheBlocks          int         `json:"cache-blocks"`
+		WaitingPrefillTokens int         `json:"waiting-prefill-tokens"`
+		PrefillRate          float64     `json:"prefill-rate"`
+		TokenGapMS           float64     `json:"token-gap-ms"`
+		Role                 string      `json:"role"`
+		Fence                uint64      `json:"fence"`
+		Models               []loaded    `json:"models"`
+	}
+	if err := c.call(ctx, http.MethodGet, address, "/v1/load", nil, &out); err != nil {
+		return route.Report{}, err
+	}
+	return route.Report{
+		Address: address, Incarnation: out.Incarnation, State: out.State, Place: out.Place, Sequence: out.Sequence,
+		Running: out.Running, Waiting: out.Waiting, Slots: out.Slots, CacheBlocksUsed: out.CacheBlocksUsed,
+		CacheBlocks: out.CacheBlocks, WaitingPrefillTokens: out.WaitingPrefillTokens, PrefillRate: out.PrefillRate,
+		TokenGap: time.Duration(out.TokenGapMS * float64(time.Millisecond)), Role: out.Role, Fence: out.Fence,
+		Specs: specsOf(out.Models),
+	}, nil
+}
+
+// loaded is a model in a load report.
+type loaded struct {
+	Name     string `json:"name"`
+	Version  string `json:"version"`
+	Adapters []struct {
+		Name    string `json:"name"`
+		Version string `json:"version"`
+	} `json:"adapters"`
+}
+
+func specsOf(models []loaded) []string {
+	var specs []string
+	for _, m := range models {
+		base := m.Name + "@" + m.Version
+		specs = append(specs, base)
+		for _, a := range m.Adapters {
+			specs = append(specs, base+"+"+a.Name+"@"+a.Version)
+		}
+	}
+	return specs
+}
+
+// CacheEvent tells that a prefix block was stored in or evicted from the engine's cache.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Kind     string `json:"kind"`
+	Block    string `json:"block"`
+}
+
+// CacheEvents returns the events after a sequence number, and the number to ask from next.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, uint64, error) {
+	var out struct {
+		Events []CacheEvent `json:"events"`
+		Next   uint64       `json:"next"`
+	}
+	path := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
+	err := c.call(ctx, http.MethodGet, address, path, nil, &out)
+	return out.Events, out.Next, err
+}
+
+// Order holds the parameters of an order to an engine.
+type Order struct {
+	// Kind is load-model, load-adapter, unload or set-role.
+	Kind           string
+	Model          string
+	Version        string
+	Adapter        string
+	AdapterVersion string
+	Role           string
+	Fence          uint64
+}
+
+// Order sends an order. The order is complete when the engine's load report shows it.
+func (c *Client) Order(ctx context.Context, address string, order Order) error {
+	body, err := json.Marshal(struct {
+		Kind           string `json:"kind"`
+		Model          string `json:"model,omitempty"`
+		Version        string `json:"version,omitempty"`
+		Adapter        string `json:"adapter,omitempty"`
+		AdapterVersion string `json:"adapter-version,omitempty"`
+		Role           string `json:"role,omitempty"`
+		Fence          uint64 `json:"fence"`
+	}(order))
+	if err != nil {
+		return err
+	}
+	response, err := c.send(ctx, http.MethodPost, address, "/v1/orders", body)
+	if err != nil {
+		return err
+	}
+	defer discard(response)
+	switch response.StatusCode {
+	case http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		var refusal struct {
+			Error struct {
+				Fence uint64 `json:"fence"`
+			} `json:"error"`
+		}
+		// The refusal stands even if its body cannot be read.
+		_ = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&refusal)
+		return StaleFenceError{Endpoint: address, Sent: order.Fence, Fence: refusal.Error.Fence}
+	}
+	return unexpected(address, "order", response)
+}
--- /dev/null
+++ b/io/engine/reader.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// Limits of a stream. A chunk of one prefill step is far below them.
+const (
+	maxLine  = 1 << 20
+	maxEvent = 2 << 20
+)
+
+// event is one server-sent event.
+type event struct {
+	name string
+	data []byte
+}
+
+// streamReader reads server-sent events of bounded size.
+type streamReader struct {
+	in *bufio.Reader
+}
+
+func newStreamReader(in io.Reader) *streamReader {
+	return &streamReader{in: bufio.NewReader(in)}
+}
+
+// next returns the next event that has data. It returns io.EOF at the end of the input and a StreamError for an event
+// that is cut off.
+func (r *streamReader) next() (event, error) {
+	var e event
+	started := false
+	for {
+		line, err := r.line()
+		if errors.Is(err, io.EOF) && !started && len(line) == 0 {
+			return event{}, io.EOF
+		}
+		if errors.Is(err, io.EOF) {
+			return event{}, StreamError{Fault: FaultTruncated, Cause: io.ErrUnexpectedEOF}
+		}
+		if err != nil {
+			return event{}, err
+		}
+		if len(line) == 0 {
+			if e.data != nil {
+				return e, nil
+			}
+			e, started = event{}, false
+			continue
+		}
+		started = true
+		if err := e.add(line); err != nil {
+			return event{}, err
+		}
+	}
+}
+
+func (e *event) add(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "event":
+		e.name = string(value)
+	case "data":
+		if len(e.data)+len(value)+1 > maxEvent {
+			return StreamError{Fault: FaultEventTooLong}
+		}
+		if e.data == nil {
+			e.data = make([]byte, 0, len(value))
+		} else {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+	}
+	return nil
+}
+
+// line returns the next line without its end. At the end of the input it returns what is left with io.EOF.
+func (r *streamReader) line() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.in.ReadSlice('\n')
+		if len(line)+len(part) > maxLine {
+			return nil, StreamError{Fault: FaultLineTooLong}
+		}
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			line = line[:len(line)-1]
+			return bytes.TrimSuffix(line, []byte("\r")), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF):
+			return line, io.EOF
+		default:
+			return nil, StreamError{Fault: FaultTruncated, Cause: err}
+		}
+	}
+}
