feat: add the platform client

Cause: claims, leases, configuration and membership need the key-value service and the instance list behind typed errors. An error says that a write surely did not happen only for a failed dial or a 503/429 with Not-Run: 1. Request bodies cannot be rewound, so net/http never resends. Result: go test -race ./io/platform passes; each write reaches the server once, also on a reused connection that is closed.

--- /dev/null
+++ b/io/platform/client_test.go
@@ -0,0 +1,175 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/kv"
+	"radishhollow/core/route"
+	"radishhollow/io/platform"
+)
+
+func clientFor(t *testing.T, handler http.HandlerFunc) *platform.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return &platform.Client{Address: server.Listener.Addr().String(), HTTP: platform.NewHTTP(), Timeout: time.Second}
+}
+
+// Guards against a claim that took effect being taken for one that surely did not.
+func TestPutErrors(t *testing.T) {
+	drop := func(w http.ResponseWriter) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	reply := func(status int, notRun, body string) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			w.Header().Set("Not-Run", notRun)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	tests := []struct {
+		name    string
+		reply   func(http.ResponseWriter)
+		want    error
+		written bool
+	}{
+		{name: "ok", reply: reply(200, "", `{"revision":7}`)},
+		{name: "conflict", reply: reply(409, "", `{"revision":9}`), want: kv.ConflictError{Key: "a/b", Want: 3, Current: 9}},
+		{name: "lease", reply: reply(404, "", ``), want: kv.LeaseLostError{Lease: "l"}},
+		{name: "refused before running", reply: reply(503, "1", ``)},
+		{name: "unavailable", reply: reply(503, "", ``), written: true},
+		{name: "redirect", reply: reply(307, "", ``), written: true},
+		{name: "connection lost", reply: drop, written: true},
+		{name: "garbage", reply: reply(200, "", `{`), written: true},
+		{name: "too large", reply: reply(200, "", strings.Repeat(" ", 2000)), written: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int32
+			client := clientFor(t, func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				if r.Method != http.MethodPut || r.URL.Path != "/kv/a/b" {
+					w.WriteHeader(http.StatusTeapot)
+					return
+				}
+				tt.reply(w)
+			})
+			client.MaxResponse = 1000
+			revision, err := client.Store().Put(t.Context(), "a/b", []byte("v"), 3, "l")
+			require.EqualValues(t, 1, calls.Load(), "a write is sent once")
+			lost, unavailable := errors.AsType[kv.UnavailableError](err)
+			switch {
+			case tt.name == "ok":
+				require.NoError(t, err)
+				require.EqualValues(t, 7, revision)
+			case tt.want != nil:
+				require.ErrorIs(t, err, tt.want)
+			default:
+				require.True(t, unavailable)
+				require.Equal(t, tt.written, lost.Written)
+			}
+		})
+	}
+}
+
+// Guards against an outage being reported as a write that may have happened.
+func TestRefusedConnection(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	client := &platform.Client{Address: address, HTTP: platform.NewHTTP()}
+	err = client.Store().Delete(t.Context(), "k", 1)
+	lost, ok := errors.AsType[kv.UnavailableError](err)
+	require.True(t, ok)
+	require.False(t, lost.Written)
+}
+
+// Guards against a second write by net/http on a reused connection that the platform closes.
+func TestReusedConnectionSendsWriteOnce(t *testing.T) {
+	var puts atomic.Int32
+	client := clientFor(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && puts.Add(1) > 1 {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		_, _ = w.Write([]byte(`{"revision":1}`))
+	})
+	store := client.Store()
+	_, err := store.Put(t.Context(), "k", nil, 0, "")
+	require.NoError(t, err)
+	_, err = store.Put(t.Context(), "k", nil, 1, "")
+	require.Error(t, err)
+	require.EqualValues(t, 2, puts.Load())
+}
+
+// Guards against a platform that never answers holding a call for longer than its time limit.
+func TestTimeout(t *testing.T) {
+	client := clientFor(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	client.Timeout = 50 * time.Millisecond
+	begin := time.Now()
+	_, err := client.Store().Get(t.Context(), "k")
+	require.Error(t, err)
+	require.Less(t, time.Since(begin), 5*time.Second)
+}
+
+// Guards against wire names that differ from the published format.
+func TestReadsAndInstances(t *testing.T) {
+	var kinds []string
+	client := clientFor(t, func(w http.ResponseWriter, r *http.Request) {
+		body := map[string]string{
+			"GET /kv/k":      `{"key":"k","value":"dg==","revision":4}`,
+			"GET /kv":        `{"items":[{"key":"k","value":"dg==","revision":4}],"revision":8}`,
+			"GET /watch":     `{"items":[{"key":"k","revision":9,"deleted":true}],"revision":9}`,
+			"POST /leases":   `{"lease":"l1"}`,
+			"PUT /instances": `{}`,
+			"GET /instances": `{"sequence":1,"instances":[{"address":"127.0.0.1:1","kind":"entry","state":"live"},` +
+				`{"address":"127.0.0.1:2","kind":"model","name":"m","state":"leaving"}]}`,
+		}[r.Method+" "+r.URL.Path]
+		if body == "" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		_, _ = w.Write([]byte(body))
+	})
+	client.Count = func(kind string) { kinds = append(kinds, kind) }
+	store, ctx := client.Store(), context.Background()
+	entry, err := store.Get(ctx, "k")
+	require.NoError(t, err)
+	require.Equal(t, kv.NewEntry("k", []byte("v"), 4, false), entry)
+	_, err = store.Get(ctx, "other")
+	require.ErrorIs(t, err, kv.NotFoundError{Key: "other"})
+	entries, revision, err := store.List(ctx, "k")
+	require.NoError(t, err)
+	require.Len(t, entries, 1)
+	require.EqualValues(t, 8, revision)
+	entries, _, err = store.Watch(ctx, "k", 8, time.Millisecond)
+	require.NoError(t, err)
+	require.True(t, entries[0].Deleted())
+	lease, err := store.Grant(ctx, time.Second)
+	require.NoError(t, err)
+	require.ErrorIs(t, store.Renew(ctx, lease), kv.LeaseLostError{Lease: "l1"})
+	endpoints, instances, err := client.Instances(ctx)
+	require.NoError(t, err)
+	require.Len(t, instances, 1)
+	require.Equal(t, []route.Listing{{Address: "127.0.0.1:2", Kind: route.KindModel, Name: "m", Leaving: true}}, endpoints)
+	require.NoError(t, client.PutInstance(ctx, endpoints[0]))
+	require.Error(t, client.DeleteInstance(ctx, "127.0.0.1:2"))
+	require.Equal(t, []string{"get", "get", "list", "watch", "grant", "renew", "instances", "put-instance",
+		"delete-instance"}, kinds)
+}
--- /dev/null
+++ b/io/platform/instances.go
@@ -0,0 +1,80 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"radishhollow/core/route"
+)
+
+// KindEntry marks an instance of this system in the platform's list.
+const KindEntry route.Kind = "entry"
+
+type instance struct {
+	Address     string     `json:"address"`
+	Incarnation string     `json:"incarnation"`
+	Place       string     `json:"place"`
+	Kind        route.Kind `json:"kind"`
+	Name        string     `json:"name"`
+	State       string     `json:"state"`
+}
+
+// Instances returns the endpoints and the entries of the platform's list, which lags.
+func (c *Client) Instances(ctx context.Context) (endpoints, entries []route.Listing, err error) {
+	k := call{kind: CallInstances, method: http.MethodGet, path: "/instances"}
+	a, err := c.do(ctx, k)
+	if err != nil {
+		return nil, nil, err
+	}
+	if a.status != http.StatusOK {
+		return nil, nil, unexpected(k, a)
+	}
+	var body struct {
+		Instances []instance `json:"instances"`
+	}
+	if err := decode(k, a, &body); err != nil {
+		return nil, nil, err
+	}
+	for _, in := range body.Instances {
+		row := route.Listing{
+			Address: in.Address, Incarnation: in.Incarnation, Place: in.Place,
+			Kind: in.Kind, Name: in.Name, Leaving: in.State == string(route.StateLeaving),
+		}
+		if row.Kind == KindEntry {
+			entries = append(entries, row)
+		} else {
+			endpoints = append(endpoints, row)
+		}
+	}
+	return endpoints, entries, nil
+}
+
+// PutInstance writes one row of the list. Only stand-ins and tests use it.
+func (c *Client) PutInstance(ctx context.Context, row route.Listing) error {
+	state := "live"
+	if row.Leaving {
+		state = string(route.StateLeaving)
+	}
+	return c.change(ctx, call{kind: CallPutInstance, method: http.MethodPut, path: "/instances", body: instance{
+		Address: row.Address, Incarnation: row.Incarnation, Place: row.Place,
+		Kind: row.Kind, Name: row.Name, State: state,
+	}})
+}
+
+// DeleteInstance removes the row of an address. Only stand-ins and tests use it.
+func (c *Client) DeleteInstance(ctx context.Context, address string) error {
+	query := url.Values{"address": {address}}
+	return c.change(ctx, call{kind: CallDeleteInstance, method: http.MethodDelete, path: "/instances", query: query})
+}
+
+func (c *Client) change(ctx context.Context, k call) error {
+	a, err := c.do(ctx, k)
+	if err != nil {
+		return err
+	}
+	if a.status >= http.StatusMultipleChoices {
+		return unexpected(k, a)
+	}
+	return nil
+}
