feat: add the plain-service client and the booking sender

Cause: net/http repeats a call with Idempotency-Key on a reused connection and follows 307, so a booking can run twice. Change: io/service sends once, on a connection of its own unless the call is idempotent, and a gate on the connection settles whether a byte was written. core/booking classifies outcomes, retries a non-idempotent call only if it did not run, and hedges idempotent calls within the budget.

--- /dev/null
+++ b/core/booking/sender_test.go
@@ -0,0 +1,220 @@
+package booking_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/claim"
+	"radishhollow/core/config"
+	"radishhollow/core/failure"
+	"radishhollow/core/kv"
+	"radishhollow/core/route"
+)
+
+type unwritten struct{}
+
+func (unwritten) Error() string            { return "connection refused" }
+func (unwritten) Code() string             { return "endpoint-unreachable" }
+func (unwritten) Outcome() failure.Outcome { return failure.NotRun }
+
+// fleet answers the n-th send with the n-th step and counts sends by endpoint.
+type fleet struct {
+	mu    sync.Mutex
+	steps []func(ctx context.Context) (booking.Response, error)
+	sent  []string
+	picks int
+}
+
+func (f *fleet) pick(_ context.Context, need route.Need) (route.Choice, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.picks++
+	for n := range 5 {
+		if address := "e" + strconv.Itoa(n); !need.Exclude[address] {
+			return route.NewChoice(address, "", "", nil), nil
+		}
+	}
+	return route.Choice{}, unwritten{}
+}
+
+func (f *fleet) send(ctx context.Context, address string, _ booking.Request) (booking.Response, error) {
+	f.mu.Lock()
+	step := f.steps[min(len(f.sent), len(f.steps)-1)]
+	f.sent = append(f.sent, address)
+	f.mu.Unlock()
+	return step(ctx)
+}
+
+func (f *fleet) sender(budget bool) *booking.Sender {
+	return &booking.Sender{Pick: f.pick, Send: f.send, MayRetry: func() bool { return budget }}
+}
+
+func status(code int, notRun string) func(context.Context) (booking.Response, error) {
+	return func(context.Context) (booking.Response, error) {
+		return booking.Response{Status: code, Header: http.Header{"Not-Run": {notRun}}, Body: []byte("b")}, nil
+	}
+}
+
+func fail(err error) func(context.Context) (booking.Response, error) {
+	return func(context.Context) (booking.Response, error) { return booking.Response{}, err }
+}
+
+type steps = []func(context.Context) (booking.Response, error)
+
+// Guards against a booking that is sent again after it may have run, and against an untrusted refusal being believed.
+func TestDo(t *testing.T) {
+	ok, refused, broken := status(200, ""), status(503, "1"), fail(context.DeadlineExceeded)
+	tests := []struct {
+		name              string
+		idempotent, trust bool
+		noBudget          bool
+		steps             steps
+		sent              int
+		outcome           failure.Outcome
+	}{
+		{name: "ran", steps: steps{ok}, sent: 1, outcome: failure.Ran},
+		{name: "client error", steps: steps{status(404, "")}, sent: 1, outcome: failure.Ran},
+		{name: "broken", steps: steps{broken, ok}, sent: 1, outcome: failure.Unknown},
+		{name: "server error", steps: steps{status(500, ""), ok}, sent: 1, outcome: failure.Unknown},
+		{name: "untrusted refusal", steps: steps{refused, ok}, sent: 1, outcome: failure.Unknown},
+		{name: "untrusted limit", steps: steps{status(429, "1"), ok}, sent: 1, outcome: failure.Unknown},
+		{name: "trusted refusal", trust: true, steps: steps{refused, ok}, sent: 2, outcome: failure.Ran},
+		{name: "trusted without header", trust: true, steps: steps{status(503, ""), ok}, sent: 1, outcome: failure.Unknown},
+		{name: "not written", steps: steps{fail(unwritten{}), ok}, sent: 2, outcome: failure.Ran},
+		{name: "no budget", noBudget: true, steps: steps{fail(unwritten{}), ok}, sent: 1, outcome: failure.NotRun},
+		{name: "all refuse", trust: true, steps: steps{refused}, sent: 3, outcome: failure.NotRun},
+		{name: "not written, then broken", steps: steps{fail(unwritten{}), broken, ok}, sent: 2, outcome: failure.Unknown},
+		{name: "idempotent broken", idempotent: true, steps: steps{broken, ok}, sent: 2, outcome: failure.Ran},
+		{name: "idempotent without budget", idempotent: true, noBudget: true, steps: steps{broken, ok}, sent: 1},
+		{name: "idempotent error", idempotent: true, steps: steps{status(500, "")}, sent: 3},
+		{name: "idempotent refused", idempotent: true, trust: true, steps: steps{refused}, sent: 3, outcome: failure.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fleet{steps: tt.steps}
+			service := config.Service{Name: "s", Refusal: tt.trust, Calls: []config.Call{
+				{Method: "GET", Path: "/*", Idempotent: tt.idempotent},
+			}}
+			resp, err := f.sender(!tt.noBudget).Do(t.Context(), booking.Call{
+				Service: service, Request: booking.Request{Method: "GET", Path: "/x"},
+			})
+			outcome := resp.Outcome
+			if err != nil {
+				outcome = failure.Of(err).Outcome()
+			}
+			require.Equal(t, tt.outcome, outcome)
+			require.Len(t, f.sent, tt.sent)
+			unique := map[string]bool{}
+			for _, address := range f.sent {
+				require.False(t, unique[address], "an endpoint that failed is not picked again")
+				unique[address] = true
+			}
+		})
+	}
+}
+
+// Guards against a hedge to the same slow endpoint, and against hedging a booking.
+func TestHedge(t *testing.T) {
+	slow := func(ctx context.Context) (booking.Response, error) {
+		<-ctx.Done()
+		return booking.Response{}, ctx.Err()
+	}
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{steps: steps{slow, status(200, "")}}
+			sender := f.sender(true)
+			sender.HedgeAfter = 100 * time.Millisecond
+			begin := time.Now()
+			_, err := sender.Do(t.Context(), booking.Call{
+				Service: config.Service{Calls: []config.Call{{Method: "GET", Path: "/*", Idempotent: idempotent}}},
+				Request: booking.Request{Method: "GET", Path: "/x"},
+			})
+			if idempotent {
+				require.NoError(t, err)
+				require.Equal(t, 100*time.Millisecond, time.Since(begin))
+				require.Equal(t, []string{"e0", "e1"}, f.sent)
+			} else {
+				require.Equal(t, failure.Unknown, failure.Of(err).Outcome())
+				require.Len(t, f.sent, 1)
+			}
+		})
+	}
+}
+
+// memory is a key-value service without faults, or one that is down.
+func memory(down *bool) kv.Store {
+	var mu sync.Mutex
+	entries, revision := map[string]kv.Entry{}, uint64(0)
+	return kv.Store{
+		Grant: func(context.Context, time.Duration) (string, error) { return "l", nil },
+		Get: func(_ context.Context, key string) (kv.Entry, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			return entries[key], nil
+		},
+		Put: func(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if *down {
+				return 0, kv.UnavailableError{Call: "put", Cause: context.DeadlineExceeded}
+			}
+			if current := entries[key].Revision(); current != ifRevision {
+				return 0, kv.ConflictError{Key: key, Current: current}
+			}
+			revision++
+			entries[key] = kv.NewEntry(key, value, revision, false)
+			return revision, nil
+		},
+	}
+}
+
+// Guards against a keyed booking that runs again on a retry, and against one that runs without a record.
+func TestKeyed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := false
+		f := &fleet{steps: steps{fail(unwritten{}), status(201, "")}}
+		sender := f.sender(false)
+		sender.Claim = (&claim.Keeper{Store: memory(&down)}).Claim
+		call := booking.Call{
+			Workspace: "w", Service: config.Service{Name: "s"}, Key: "k", Request: booking.Request{Method: "POST", Path: "/x"},
+		}
+		_, err := sender.Do(t.Context(), call)
+		require.Equal(t, failure.NotRun, failure.Of(err).Outcome())
+		first, err := sender.Do(t.Context(), call)
+		require.NoError(t, err, "a call that did not run releases its key")
+		again, err := sender.Do(t.Context(), call)
+		require.NoError(t, err)
+		require.Equal(t, first, again)
+		require.Len(t, f.sent, 2)
+
+		down, call.Key = true, "other"
+		_, err = sender.Do(t.Context(), call)
+		_, failed := errors.AsType[claim.FailedError](err)
+		require.True(t, failed)
+		require.Len(t, f.sent, 2)
+	})
+}
+
+// Guards against a booking that is cut off, and so becomes unknown, because its caller went away.
+func TestCallerLeaves(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{steps: steps{func(ctx context.Context) (booking.Response, error) {
+		cancel()
+		return booking.Response{Status: 200}, ctx.Err()
+	}}}
+	call := booking.Call{Request: booking.Request{Method: "POST", Path: "/x"}}
+	_, err := f.sender(true).Do(ctx, call)
+	require.NoError(t, err)
+	_, err = f.sender(true).Do(ctx, call)
+	require.Error(t, err)
+	require.Len(t, f.sent, 1, "a call of a caller that has left is not sent")
+}
--- /dev/null
+++ b/io/service/client.go
@@ -0,0 +1,175 @@
+// Package service is the client of plain-service endpoints.
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/route"
+)
+
+// Defaults of Client.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultLoadTimeout = time.Second
+	DefaultMaxResponse = 8 << 20
+	maxLoadResponse    = 64 << 10
+	maxHeader          = 64 << 10
+	idleTimeout        = 30 * time.Second
+	idleConnections    = 8
+)
+
+// Client sends each request to one endpoint at most once. It follows no redirects and uses no proxy.
+//
+// A request that does not allow reuse gets a connection of its own, because a reused connection that the endpoint is
+// closing leaves open whether the request was read. No request body can be rewound, so net/http repeats nothing.
+type Client struct {
+	fresh       *http.Transport
+	pooled      *http.Transport
+	maxResponse int64
+}
+
+// New returns a Client. Close ends its idle connections.
+func New() *Client {
+	return &Client{
+		fresh:       transport(true),
+		pooled:      transport(false),
+		maxResponse: DefaultMaxResponse,
+	}
+}
+
+func transport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{Conn: conn}, nil
+		},
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeader,
+	}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() error {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+	return nil
+}
+
+// Send sends the request once. An error is a SendError, whose Written field is false only if no byte was and no byte
+// will be written, or a ResponseError for a response that could not be read completely.
+func (c *Client) Send(ctx context.Context, address string, r booking.Request) (booking.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
+	}
+	var conn net.Conn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn
+		if gated, ok := conn.(*gatedConn); ok {
+			gated.arm()
+		}
+	}})
+	req, err := request(ctx, address, r)
+	if err != nil {
+		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
+	}
+	used := c.fresh
+	if r.Reuse {
+		used = c.pooled
+	}
+	resp, err := used.RoundTrip(req)
+	if err != nil {
+		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Written: seal(conn), Cause: err})
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readAll(address, resp.Body, c.maxResponse)
+	if err != nil {
+		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+	}
+	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// onceReader hides the concrete type of a body from net/http, which then cannot rewind and resend it.
+type onceReader struct{ io.Reader }
+
+func request(ctx context.Context, address string, r booking.Request) (*http.Request, error) {
+	path, err := url.PathUnescape(r.Path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawPath: r.Path, RawQuery: r.Query}
+	var body io.Reader = onceReader{bytes.NewReader(r.Body)}
+	if len(r.Body) == 0 && !r.Reuse {
+		// A new connection is never retried, so the request needs no body that cannot be rewound.
+		body = http.NoBody
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address, body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.URL = &target
+	req.Header = r.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil
+	}
+	req.ContentLength = int64(len(r.Body))
+	return req, nil
+}
+
+func readAll(address string, from io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(from, limit+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: limit})
+	}
+	return body, nil
+}
+
+// Load reads the endpoint's load report.
+func (c *Client) Load(ctx context.Context, address string) (route.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, DefaultLoadTimeout)
+	defer cancel()
+	resp, err := c.Send(ctx, address, booking.Request{Method: http.MethodGet, Path: "/load", Reuse: true})
+	if err != nil {
+		return route.Report{}, err
+	}
+	var body struct {
+		Incarnation string      `json:"incarnation"`
+		State       route.State `json:"state"`
+		Place       string      `json:"place"`
+		Running     int         `json:"running"`
+		Slots       int         `json:"slots"`
+	}
+	if resp.Status != http.StatusOK || len(resp.Body) > maxLoadResponse {
+		return route.Report{}, errors.Trace(LoadError{Endpoint: address, Status: resp.Status})
+	}
+	if err := json.Unmarshal(resp.Body, &body); err != nil {
+		return route.Report{}, errors.Trace(LoadError{Endpoint: address, Status: resp.Status, Cause: err})
+	}
+	return route.Report{
+		Address: address, Incarnation: body.Incarnation, State: body.State, Place: body.Place,
+		Running: body.Running, Slots: body.Slots,
+	}, nil
+}
