feat(config): read the operators' sheet and advance revisions by compare-and-swap

Cause: operators export the sheet from spreadsheets in several dialects, race one another, and the key-value service may lose the answer of a write that took effect. A record keeps the ids of its last 16 writes, so that a writer finds its own write below later ones. Revisions continue above the one in force where the platform has lost its state.

--- /dev/null
+++ b/core/config/fake_test.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"radishhollow/core/kv"
+)
+
+// fakeKV is a key-value service with one key whose faults a test sets.
+type fakeKV struct {
+	mu       sync.Mutex
+	value    []byte
+	revision uint64
+	down     bool
+	// loseAnswers is the number of writes that take effect without an answer; dropWrites are lost before.
+	loseAnswers, dropWrites int
+	// afterPut is called once after a write that took effect.
+	afterPut func()
+}
+
+func (f *fakeKV) store() kv.Store { return kv.Store{Get: f.get, Put: f.put, Watch: f.watch} }
+
+func (f *fakeKV) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeKV) get(context.Context, string) (kv.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return kv.Entry{}, kv.UnavailableError{Call: "get", Cause: context.DeadlineExceeded}
+	}
+	if f.revision == 0 {
+		return kv.Entry{}, kv.NotFoundError{Key: Key}
+	}
+	return kv.NewEntry(Key, f.value, f.revision, false), nil
+}
+
+func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost := kv.UnavailableError{Call: "put", Written: true, Cause: context.DeadlineExceeded}
+	if f.down || f.dropWrites > 0 {
+		f.dropWrites--
+		return 0, lost
+	}
+	if ifRevision != f.revision {
+		return 0, kv.ConflictError{Key: key, Want: ifRevision, Current: f.revision}
+	}
+	f.value, f.revision = value, f.revision+1
+	if f.afterPut != nil {
+		after := f.afterPut
+		f.afterPut = nil
+		f.mu.Unlock()
+		after()
+		f.mu.Lock()
+	}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return 0, lost
+	}
+	return f.revision, nil
+}
+
+func (f *fakeKV) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+	deadline := time.Now().Add(wait)
+	for time.Now().Before(deadline) {
+		f.mu.Lock()
+		down, value, revision := f.down, f.value, f.revision
+		f.mu.Unlock()
+		if down {
+			return nil, 0, kv.UnavailableError{Call: "watch", Cause: context.DeadlineExceeded}
+		}
+		if revision != after {
+			return []kv.Entry{kv.NewEntry(Key, value, revision, false)}, revision, nil
+		}
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return nil, 0, err
+		}
+	}
+	return nil, after, nil
+}
--- /dev/null
+++ b/core/config/record.go
@@ -0,0 +1,68 @@
+package config
+
+import "encoding/json"
+
+// Key is the key of the document in the key-value service.
+const Key = "config/current"
+
+// maxRecordBytes is the key-value service's limit on values.
+const maxRecordBytes = 1_000_000
+
+// keptWrites is the number of write ids that a record keeps. A writer whose answer was lost finds its id among them
+// even where others have written since.
+const keptWrites = 16
+
+// record is the value at Key.
+type record struct {
+	Revision    uint64   `json:"revision"`
+	SheetNumber int      `json:"sheet-number"`
+	Digest      string   `json:"digest"`
+	Document    Fields   `json:"document"`
+	Writes      []string `json:"writes"`
+}
+
+// Decode returns the document in a value of Key, or DigestError or MalformedError.
+func Decode(value []byte) (Document, error) {
+	r, err := decodeRecord(value)
+	if err != nil {
+		return Document{}, err
+	}
+	return r.document(), nil
+}
+
+// Restore returns the document that a peer sent as the JSON form of its fields, or DigestError or MalformedError.
+func Restore(revision uint64, digest string, fields []byte) (Document, error) {
+	var f Fields
+	if err := json.Unmarshal(fields, &f); err != nil {
+		return Document{}, MalformedError{Cause: err}
+	}
+	d := NewDocument(revision, f)
+	if d.digest != digest {
+		return Document{}, DigestError{Revision: revision, Want: digest, Got: d.digest}
+	}
+	return d, nil
+}
+
+func decodeRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, MalformedError{Cause: err}
+	}
+	if got := digestOf(r.Document); got != r.Digest {
+		return record{}, DigestError{Revision: r.Revision, Want: r.Digest, Got: got}
+	}
+	return r, nil
+}
+
+func (r record) document() Document { return NewDocument(r.Revision, r.Document) }
+
+func (r record) encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, MalformedError{Cause: err}
+	}
+	if len(data) > maxRecordBytes {
+		return nil, TooLargeError{Size: len(data), Limit: maxRecordBytes}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/core/config/store.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Store holds the document in force. Its zero value is ready for use and holds revision 0.
+type Store struct {
+	current atomic.Pointer[Document]
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// Current returns the document in force.
+func (s *Store) Current() Document {
+	if d := s.current.Load(); d != nil {
+		return *d
+	}
+	return Document{}
+}
+
+// Changed returns a channel that is closed at the next change. Callers take it before they read Current, so that no
+// change between the two is missed.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// Offer puts a document of a higher revision in force. An older one is ignored. One of the same revision with another
+// digest is a ForkError.
+func (s *Store) Offer(d Document) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.Current()
+	if d.revision == current.revision && d.digest != current.digest && d.revision > 0 {
+		return false, ForkError{Revision: d.revision, InForce: current.digest, Offered: d.digest}
+	}
+	if d.revision <= current.revision {
+		return false, nil
+	}
+	s.current.Store(&d)
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+	return true, nil
+}
--- /dev/null
+++ b/core/config/store_test.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOfferNeverReverts(t *testing.T) {
+	var s Store
+	first, second := NewDocument(1, sheet(1, "a")), NewDocument(2, sheet(2, "b"))
+	for _, test := range []struct {
+		name     string
+		document Document
+		accepted bool
+		revision uint64
+		err      error
+	}{
+		{"nothing", Document{}, false, 0, nil},
+		{"second", second, true, 2, nil},
+		{"older", first, false, 2, nil},
+		{"same", second, false, 2, nil},
+		{"fork", NewDocument(2, sheet(2, "c")), false, 2, ForkError{Revision: 2, InForce: second.Digest(),
+			Offered: NewDocument(2, sheet(2, "c")).Digest()}},
+	} {
+		accepted, err := s.Offer(test.document)
+		require.Equal(t, test.err, err, test.name)
+		require.Equal(t, test.accepted, accepted, test.name)
+		require.Equal(t, test.revision, s.Current().Revision(), test.name)
+	}
+}
+
+// Offers from watch, poll and peers arrive at once; a lower one that overtakes must not take effect.
+func TestOfferConcurrently(t *testing.T) {
+	var s Store
+	changed := s.Changed()
+	var group sync.WaitGroup
+	for i := range 100 {
+		group.Go(func() {
+			_, err := s.Offer(NewDocument(uint64(i+1), sheet(i+1, "a")))
+			require.NoError(t, err)
+		})
+	}
+	group.Wait()
+	<-changed
+	require.EqualValues(t, 100, s.Current().Revision())
+}
+
+func TestRestoreChecksTheDigest(t *testing.T) {
+	d := NewDocument(3, sheet(3, "a"))
+	_, err := Restore(3, d.Digest(), []byte(`{"sheet-number":3,"places":["b"]}`))
+	var digest DigestError
+	require.ErrorAs(t, err, &digest)
+	_, err = Restore(3, d.Digest(), []byte(`{`))
+	var malformed MalformedError
+	require.ErrorAs(t, err, &malformed)
+}
+
+func TestDiff(t *testing.T) {
+	old := Fields{SheetNumber: 1, Places: []string{"a"}, Workspaces: []Workspace{{Name: "w", KeyDigest: "1"}, {Name: "v", KeyDigest: "2"}}}
+	updated := Fields{SheetNumber: 2, Places: []string{"b"}, Workspaces: []Workspace{{Name: "x", KeyDigest: "1"}, {Name: "v", KeyDigest: "3"}}}
+	var names []string
+	for _, change := range Diff(old, updated) {
+		names = append(names, change.Kind+" "+change.Name)
+		require.Equal(t, change.Kind == "place", change.Old == "" || change.New == "", change.String())
+	}
+	require.Equal(t, []string{"place a", "place b", "setting sheet-number", "workspace v", "workspace x"}, names)
+	require.Empty(t, Diff(old, old))
+}
+
+func TestMatchFindsTheWorkspaceOfAKey(t *testing.T) {
+	d := NewDocument(1, Fields{Workspaces: []Workspace{{Name: "a", KeyDigest: digestA}, {Name: "b", KeyDigest: digestB}}})
+	w, ok := d.Match("b")
+	require.True(t, ok)
+	require.Equal(t, "b", w.Name)
+	_, ok = d.Match("c")
+	require.False(t, ok)
+}
--- /dev/null
+++ b/core/config/syncer.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"radishhollow/core/kv"
+)
+
+// Pauses after failed watches.
+const (
+	minWatchPause = 200 * time.Millisecond
+	maxWatchPause = 5 * time.Second
+)
+
+// Classes of the revisions that a Syncer counts.
+const (
+	FromWatch = "watch"
+	FromPoll  = "poll"
+	FromPeer  = "peer"
+	Refused   = "refused"
+	Older     = "older"
+)
+
+// Syncer brings revisions from the key-value service into a Store.
+type Syncer struct {
+	KV    kv.Store
+	Store *Store
+	// Poll is the mean interval of reads that find what a watch has missed.
+	Poll time.Duration
+	// Wait bounds one watch call.
+	Wait time.Duration
+	// Count is called with FromWatch or FromPoll for each accepted revision, with Refused for a document that is damaged
+	// or forked, and with Older where the platform serves a lower revision than is in force.
+	Count func(class string)
+	// Contact is called after each answer of the platform.
+	Contact func()
+}
+
+// Run watches and polls until ctx ends.
+func (s *Syncer) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { s.runWatch(ctx) })
+	group.Go(func() { s.runPoll(ctx) })
+	group.Wait()
+	return ctx.Err()
+}
+
+func (s *Syncer) runWatch(ctx context.Context) {
+	var after uint64
+	failures := 0
+	for ctx.Err() == nil {
+		entries, revision, err := s.KV.Watch(ctx, Key, after, s.Wait)
+		if err != nil {
+			delay := min(minWatchPause<<min(failures, 10), maxWatchPause)
+			failures++
+			if pause(ctx, jitter(delay)) != nil {
+				return
+			}
+			continue
+		}
+		failures = 0
+		// A platform that has lost its state answers with a lower revision, from which the watch then continues.
+		after = revision
+		s.Contact()
+		for _, entry := range entries {
+			if entry.Key() == Key && !entry.Deleted() {
+				s.offer(entry.Value(), FromWatch)
+			}
+		}
+	}
+}
+
+func (s *Syncer) runPoll(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, err := s.KV.Get(ctx, Key)
+		_, missing := errors.AsType[kv.NotFoundError](err)
+		if err == nil || missing {
+			s.Contact()
+		}
+		if err == nil {
+			s.offer(entry.Value(), FromPoll)
+		}
+		if pause(ctx, jitter(s.Poll)) != nil {
+			return
+		}
+	}
+}
+
+func (s *Syncer) offer(value []byte, class string) {
+	document, err := Decode(value)
+	if err != nil {
+		s.Count(Refused)
+		return
+	}
+	accepted, err := s.Store.Offer(document)
+	switch {
+	case err != nil:
+		s.Count(Refused)
+	case accepted:
+		s.Count(class)
+	case document.Revision() < s.Store.Current().Revision():
+		s.Count(Older)
+	}
+}
+
+// jitter spreads the calls of many daemons over 75 to 125 % of d.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/core/config/writer_test.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func sheet(number int, places ...string) Fields {
+	return Fields{SheetNumber: number, Places: places}
+}
+
+var nextID atomic.Int64
+
+func writerOn(f *fakeKV, inForce Document) *Writer {
+	return &Writer{
+		KV:      f.store(),
+		InForce: func() Document { return inForce },
+		NewID:   func() string { return fmt.Sprint("write-", nextID.Add(1)) },
+	}
+}
+
+func TestApply(t *testing.T) {
+	one, two, nine := uint64(1), uint64(2), uint64(9)
+	for _, test := range []struct {
+		name     string
+		fields   Fields
+		base     *uint64
+		revision uint64
+		already  bool
+		err      error
+	}{
+		{"next", sheet(2, "b"), &one, 2, false, nil},
+		{"next without base", sheet(2, "b"), nil, 2, false, nil},
+		{"identical", sheet(1, "a"), nil, 1, true, nil},
+		{"identical on an old base", sheet(1, "a"), &nine, 1, true, nil},
+		{"same number", sheet(1, "b"), nil, 0, false, StaleSheetError{SheetNumber: 1, InForce: 1, Revision: 1}},
+		{"other base", sheet(2, "a"), &two, 0, false, ConflictError{Base: 2, Current: 1,
+			Difference: []Change{{"setting", "sheet-number", "1", "2"}}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := writerOn(&fakeKV{}, Document{})
+			_, err := w.Apply(t.Context(), sheet(1, "a"), nil)
+			require.NoError(t, err)
+			got, err := w.Apply(t.Context(), test.fields, test.base)
+			require.Equal(t, test.err, errors.Cause(err))
+			require.Equal(t, test.revision, got.Document().Revision())
+			require.Equal(t, test.already, got.AlreadyInForce())
+		})
+	}
+}
+
+// A platform that lost its state must not hand out revisions that every daemon ignores as old.
+func TestApplyContinuesAboveTheRevisionInForce(t *testing.T) {
+	w := writerOn(&fakeKV{}, NewDocument(41, sheet(3, "a")))
+	got, err := w.Apply(t.Context(), sheet(4, "a"), nil)
+	require.NoError(t, err)
+	require.EqualValues(t, 42, got.Document().Revision())
+	_, err = w.Apply(t.Context(), sheet(3, "b"), nil)
+	require.Error(t, err)
+}
+
+func TestApplySettlesLostAnswers(t *testing.T) {
+	for name, fake := range map[string]*fakeKV{
+		"answer lost":        {loseAnswers: 1},
+		"write lost":         {dropWrites: 2},
+		"write, then answer": {dropWrites: 1, loseAnswers: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got, err := writerOn(fake, Document{}).Apply(t.Context(), sheet(1, "a"), nil)
+				require.NoError(t, err)
+				require.EqualValues(t, 1, got.Document().Revision())
+				require.EqualValues(t, 1, fake.revision, "the document was written more than once")
+			})
+		})
+	}
+}
+
+// An operator who is told of a conflict after his write took effect would apply it again over a later change.
+func TestApplyFindsItsWriteBelowALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeKV{loseAnswers: 2}
+		fake.afterPut = func() {
+			_, err := writerOn(fake, Document{}).Apply(t.Context(), sheet(2, "b"), nil)
+			require.NoError(t, err)
+		}
+		got, err := writerOn(fake, Document{}).Apply(t.Context(), sheet(1, "a"), nil)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, got.Document().Revision())
+		require.EqualValues(t, 2, fake.revision)
+	})
+}
+
+func TestApplyReportsAnUnsettledWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeKV{dropWrites: 100}
+		_, err := writerOn(fake, Document{}).Apply(t.Context(), sheet(1, "a"), nil)
+		var unsettled UnsettledError
+		require.ErrorAs(t, err, &unsettled)
+	})
+}
+
+func TestApplyRefusesADocumentAboveTheValueLimit(t *testing.T) {
+	_, err := writerOn(&fakeKV{}, Document{}).Apply(t.Context(), sheet(1, strings.Repeat("a", maxRecordBytes)), nil)
+	var large TooLargeError
+	require.ErrorAs(t, err, &large)
+}
+
+// Two operators race on one base while answers are lost: exactly one may win, and each must learn which.
+func TestApplyRaceWithLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for round := range 50 {
+			fake := &fakeKV{loseAnswers: round % 3, dropWrites: round % 2}
+			base := uint64(0)
+			var errs [2]error
+			var group sync.WaitGroup
+			for i, place := range []string{"a", "b"} {
+				group.Go(func() {
+					_, errs[i] = writerOn(fake, Document{}).Apply(context.Background(), sheet(1, place), &base)
+				})
+			}
+			group.Wait()
+			lost := 0
+			for _, err := range errs {
+				if _, ok := errors.AsType[ConflictError](err); ok {
+					lost++
+				} else {
+					require.NoError(t, err)
+				}
+			}
+			require.Equal(t, 1, lost, "round %d: %v", round, errs)
+			require.EqualValues(t, 1, fake.revision)
+		}
+	})
+}
