feat(member): keep peers and endpoint marks with bounded memory

Cause: the platform's instance list lags and freezes in an outage, and no two machines' clocks can be compared. Change: Table merges views by incarnation and age, keeps listed peers while they are silent, and forgets unlisted silent peers and old marks even where daemons pass them around. Whatever answers at an address is its present incarnation.

--- /dev/null
+++ b/core/member/table_test.go
@@ -0,0 +1,180 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const minute = time.Minute
+
+func newTable() *Table {
+	return &Table{Self: "127.0.0.1:1", PeerExpiry: minute, MarkExpiry: 10 * minute}
+}
+
+func view(incarnation string, revision uint64) View {
+	return View{Address: "127.0.0.2:1", Incarnation: incarnation, Place: "liberia", Revision: revision, Digest: "d" + fmt.Sprint(revision)}
+}
+
+func entry(incarnation string, revision uint64, age time.Duration) Entry {
+	return Entry{Address: "127.0.0.2:1", Incarnation: incarnation, Revision: revision, Age: age}
+}
+
+func TestMergeRules(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		apply       func(t *Table)
+		incarnation string
+		revision    uint64
+		digest      string
+	}{
+		{"view", func(t *Table) { t.Receive(view("5", 3)) }, "5", 3, "d3"},
+		{"lower incarnation is ignored", func(t *Table) { t.Receive(view("10", 3)); t.Receive(view("9", 8)) }, "10", 3, "d3"},
+		{"higher incarnation wins", func(t *Table) { t.Receive(view("9", 8)); t.Receive(view("10", 3)) }, "10", 3, "d3"},
+		{"answer wins", func(t *Table) { t.Receive(view("10", 3)); t.Answer(view("9", 8)) }, "9", 8, "d8"},
+		{"late view does not lower the revision", func(t *Table) { t.Receive(view("5", 3)); t.Receive(view("5", 2)) }, "5", 3, "d3"},
+		{"entry raises the revision without a digest", func(t *Table) {
+			t.Receive(view("5", 3))
+			t.Receive(View{Members: []Entry{entry("5", 4, 0)}})
+		}, "5", 4, ""},
+		{"old entry is ignored", func(t *Table) {
+			t.Receive(view("5", 3))
+			t.Receive(View{Members: []Entry{entry("6", 4, 2*minute)}})
+		}, "5", 3, "d3"},
+		{"list does not replace a live incarnation by a lower one", func(t *Table) {
+			t.Receive(view("5", 3))
+			t.List([]Entry{entry("4", 0, 0)})
+		}, "5", 3, "d3"},
+		{"silent incarnation is replaced by a lower one", func(t *Table) {
+			t.Receive(view("5", 3))
+			t.List([]Entry{entry("5", 0, 0)})
+			time.Sleep(2 * minute)
+			t.List([]Entry{entry("4", 0, 0)})
+		}, "4", 0, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := newTable()
+				test.apply(table)
+				for _, p := range table.Peers() {
+					if p.Address() == "127.0.0.2:1" {
+						require.Equal(t, test.incarnation, p.Incarnation())
+						require.Equal(t, test.revision, p.Revision())
+						require.Equal(t, test.digest, p.Digest())
+						return
+					}
+				}
+				t.Fatal("the peer is missing")
+			})
+		})
+	}
+}
+
+func TestSelfNeverEntersTheTable(t *testing.T) {
+	table := newTable()
+	table.Receive(View{Address: table.Self, Members: []Entry{{Address: table.Self, Incarnation: "9"}}})
+	table.List([]Entry{{Address: table.Self, Incarnation: "9"}})
+	require.Empty(t, table.Peers())
+}
+
+// Peers that pass an entry around must not keep a dead daemon in every table.
+func TestSilentPeersExpireDespiteGossip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newTable(), newTable()
+		a.Receive(view("5", 3))
+		for range 90 {
+			b.Receive(View{Address: "127.0.0.3:1", Members: a.SampleMembers(8)})
+			a.Receive(View{Address: "127.0.0.4:1", Members: b.SampleMembers(8)})
+			time.Sleep(time.Second)
+		}
+		require.NotContains(t, a.Addresses(), "127.0.0.2:1")
+		require.NotContains(t, b.Addresses(), "127.0.0.2:1")
+	})
+}
+
+func TestListedPeersStayWhileSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		table.List([]Entry{entry("5", 0, 0)})
+		time.Sleep(time.Hour)
+		require.Len(t, table.Peers(), 1)
+		_, heard := table.Peers()[0].Heard()
+		require.False(t, heard, "the platform's list is no sign of life")
+		require.Empty(t, table.SampleMembers(8))
+		table.List(nil)
+		require.Empty(t, table.Peers())
+	})
+}
+
+func TestMarksSpreadOnceAndExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newTable(), newTable()
+		var seen []Mark
+		b.OnMark = func(m Mark) { seen = append(seen, m) }
+		a.Mark("127.0.0.9:1", "7", false)
+		for range 20 {
+			time.Sleep(minute)
+			b.Receive(View{Address: "127.0.0.3:1", Marks: a.Marks(8)})
+			a.Receive(View{Address: "127.0.0.4:1", Marks: b.Marks(8)})
+		}
+		require.Len(t, seen, 1)
+		require.Empty(t, a.Marks(8), "marks that are passed around must expire")
+		require.Empty(t, b.Marks(8))
+	})
+}
+
+func TestMarksAreByIncarnationAndDeadStays(t *testing.T) {
+	table := newTable()
+	var seen []Mark
+	table.OnMark = func(m Mark) { seen = append(seen, m) }
+	table.Mark("127.0.0.9:1", "7", false)
+	table.Mark("127.0.0.9:1", "7", true)
+	table.Mark("127.0.0.9:1", "7", false)
+	m, found := table.Marked("127.0.0.9:1", "7")
+	require.True(t, found)
+	require.True(t, m.Dead)
+	_, found = table.Marked("127.0.0.9:1", "8")
+	require.False(t, found, "a restarted endpoint must not inherit the mark")
+	require.Len(t, seen, 2)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	table := newTable()
+	for i := range maxMarks + 10 {
+		table.Mark(fmt.Sprint(i), "1", true)
+	}
+	require.Len(t, table.marks, maxMarks)
+	var entries []Entry
+	for i := range maxPeers + 10 {
+		entries = append(entries, Entry{Address: fmt.Sprint(i)})
+	}
+	table.List(entries)
+	require.Len(t, table.Peers(), maxPeers)
+}
+
+func TestDemandAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		v := view("5", 1)
+		v.Demand = []Demand{{Workspace: "w", RequestsPerSecond: 2}}
+		table.Receive(v)
+		require.Len(t, table.Peers()[0].Demand(time.Second), 1)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, table.Peers()[0].Demand(time.Second))
+	})
+}
+
+func TestIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Reach{Bound: 15 * time.Second}
+		require.True(t, r.Isolated())
+		r.Contact()
+		time.Sleep(15 * time.Second)
+		require.False(t, r.Isolated())
+		time.Sleep(time.Millisecond)
+		require.True(t, r.Isolated())
+	})
+}
