feat(route): choose endpoints by estimated wait

Cause: endpoint choice needs corrected load, marks per incarnation and prefix affinity, and the variants had to be compared before one becomes the default.

Change: add Table with reports, own corrections by report sequence, marks, rendezvous subset over all places, prefix index, headroom for resumes, circuit breaker and the variants as fields of Policy.

Best of two with the prefix term is the default. Comparing all endpoints makes the daemons meet on one endpoint.

--- /dev/null
+++ b/core/route/policy.go
@@ -0,0 +1,73 @@
+package route
+
+import "time"
+
+// Method selects how Pick chooses among eligible endpoints.
+type Method int
+
+// Methods of choice. MethodRandom and MethodLeastReported exist for measurement.
+const (
+	MethodEstimate Method = iota
+	MethodRandom
+	MethodLeastReported
+)
+
+// Policy holds the parameters of a Table.
+type Policy struct {
+	Method Method
+	// Candidates is the number of random endpoints that MethodEstimate compares; 0 compares all.
+	Candidates int
+	// ResumeCandidates is Candidates for resumed generations.
+	ResumeCandidates int
+	// PrefixTerm subtracts cached prompt blocks from the prefill work and adds their holders to the candidates.
+	PrefixTerm bool
+	// Balance multiplies the estimate by the resource-balance index.
+	Balance bool
+	// Subset is the number of endpoints per kind and name that this daemon prefers.
+	Subset int
+	// Headroom is the share of each endpoint's slots that only resumed generations may use.
+	Headroom float64
+	// ReportLag is the age up to which sent work may be missing from a newer report.
+	ReportLag time.Duration
+	// AliveFor is the age up to which a report shows that its endpoint is alive.
+	AliveFor time.Duration
+	// DeadFor ends a dead mark, because a paused endpoint may return under the same incarnation.
+	DeadFor time.Duration
+	// MaxMarks bounds the marks; the oldest is dropped first.
+	MaxMarks int
+	// PrefixBlocks bounds the prefix index.
+	PrefixBlocks int
+	// PrefixTTL drops index entries whose eviction event may have been lost.
+	PrefixTTL time.Duration
+	// TypicalOutput bounds the output length that the estimate assumes.
+	TypicalOutput int
+	// BreakAfter is the number of consecutive failures that opens a circuit.
+	BreakAfter int
+	// BreakMin and BreakMax bound the time that a circuit stays open.
+	BreakMin, BreakMax time.Duration
+	// Seed seeds sampling and ties.
+	Seed uint64
+}
+
+// DefaultPolicy returns the parameters that won in TestChoiceModel.
+func DefaultPolicy() Policy {
+	return Policy{
+		Method:           MethodEstimate,
+		Candidates:       2,
+		ResumeCandidates: 2,
+		PrefixTerm:       true,
+		Subset:           24,
+		Headroom:         0.1,
+		ReportLag:        400 * time.Millisecond,
+		AliveFor:         3 * time.Second,
+		DeadFor:          30 * time.Second,
+		MaxMarks:         4096,
+		PrefixBlocks:     1 << 17,
+		PrefixTTL:        2 * time.Minute,
+		TypicalOutput:    256,
+		BreakAfter:       3,
+		BreakMin:         time.Second,
+		BreakMax:         15 * time.Second,
+		Seed:             1,
+	}
+}
--- /dev/null
+++ b/core/route/prefix.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockTokens is the number of token ids in one cache block.
+const BlockTokens = 16
+
+const (
+	// maxGap is the number of blocks without a holder that a match may step over, since events have gaps.
+	maxGap = 2
+	// maxHolders bounds the endpoints kept per block; the oldest is dropped first.
+	maxHolders = 8
+)
+
+// CacheEventKind tells what happened to a block.
+type CacheEventKind string
+
+// Kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Sequence uint64
+	Kind     CacheEventKind
+	Block    uint64
+}
+
+// Blocks returns the hash chain of the prompt's whole blocks.
+func Blocks(prompt []uint32) []uint64 {
+	blocks := make([]uint64, 0, len(prompt)/BlockTokens)
+	var buffer [8 + 4*BlockTokens]byte
+	for ; len(prompt) >= BlockTokens; prompt = prompt[BlockTokens:] {
+		for i, id := range prompt[:BlockTokens] {
+			binary.LittleEndian.PutUint32(buffer[8+4*i:], id)
+		}
+		hash := xxhash.Sum64(buffer[:])
+		blocks = append(blocks, hash)
+		binary.LittleEndian.PutUint64(buffer[:8], hash)
+	}
+	return blocks
+}
+
+type holder struct {
+	id uint64
+	at time.Time
+}
+
+type prefixNode struct {
+	block      uint64
+	holders    []holder
+	prev, next *prefixNode
+}
+
+// prefixIndex remembers which endpoints probably hold a block. It is a bounded LRU of blocks.
+type prefixIndex struct {
+	limit int
+	ttl   time.Duration
+	nodes map[uint64]*prefixNode
+	root  prefixNode // root.next is the most recently used
+}
+
+func newPrefixIndex(limit int, ttl time.Duration) *prefixIndex {
+	x := &prefixIndex{limit: limit, ttl: ttl, nodes: make(map[uint64]*prefixNode)}
+	x.root.prev, x.root.next = &x.root, &x.root
+	return x
+}
+
+func (x *prefixIndex) add(block, id uint64, now time.Time) {
+	if x.limit <= 0 {
+		return
+	}
+	n := x.nodes[block]
+	if n == nil {
+		if len(x.nodes) >= x.limit {
+			x.drop(x.root.prev)
+		}
+		n = &prefixNode{block: block}
+		x.nodes[block] = n
+	} else {
+		n.unlink()
+	}
+	n.link(&x.root)
+	n.without(id)
+	if len(n.holders) >= maxHolders {
+		n.holders = append(n.holders[:0], n.holders[1:]...)
+	}
+	n.holders = append(n.holders, holder{id, now})
+}
+
+func (x *prefixIndex) remove(block, id uint64) {
+	n := x.nodes[block]
+	if n == nil {
+		return
+	}
+	n.without(id)
+	if len(n.holders) == 0 {
+		x.drop(n)
+	}
+}
+
+// match returns the number of leading blocks that each endpoint probably holds. A later block of a chain implies
+// the earlier ones, since an engine evicts a chain from its end.
+func (x *prefixIndex) match(blocks []uint64, now time.Time) map[uint64]int {
+	depth := make(map[uint64]int)
+	gap := 0
+	for i, block := range blocks {
+		n := x.nodes[block]
+		if n == nil {
+			if gap++; gap > maxGap {
+				break
+			}
+			continue
+		}
+		gap = 0
+		for _, h := range n.holders {
+			if now.Sub(h.at) < x.ttl {
+				depth[h.id] = i + 1
+			}
+		}
+	}
+	return depth
+}
+
+func (x *prefixIndex) drop(n *prefixNode) {
+	n.unlink()
+	delete(x.nodes, n.block)
+}
+
+func (n *prefixNode) unlink() {
+	n.prev.next, n.next.prev = n.next, n.prev
+}
+
+func (n *prefixNode) link(root *prefixNode) {
+	n.prev, n.next = root, root.next
+	root.next.prev = n
+	root.next = n
+}
+
+func (n *prefixNode) without(id uint64) {
+	for i, h := range n.holders {
+		if h.id == id {
+			n.holders = append(n.holders[:i], n.holders[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/route/state.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxPast bounds the superseded incarnations that are remembered per address.
+const maxPast = 4
+
+// correction is work that the last report doesn't show yet, or shows although it has ended.
+type correction struct {
+	at       time.Time
+	sequence uint64
+	slots    int
+	prefill  int
+	owner    *booking
+}
+
+// booking is the load that one Choice reserves.
+type booking struct {
+	prefill int
+	resume  bool
+	probe   bool
+	folded  bool
+	done    bool
+}
+
+// endpoint is the state of one incarnation.
+type endpoint struct {
+	id          uint64
+	listing     Listing
+	past        []string
+	report      Report
+	reported    bool
+	reportedAt  time.Time
+	unreachable bool
+	corrections []correction
+	slots       int // sum of the corrections
+	prefill     int // sum of the corrections
+	inFlight    int
+	resumes     int
+	breaker     breaker
+}
+
+func (e *endpoint) superseded(incarnation string) bool {
+	return slices.Contains(e.past, incarnation)
+}
+
+// update takes a report and drops the corrections that it includes. It reports false for an older report.
+func (e *endpoint) update(r Report, now time.Time, lag time.Duration) bool {
+	if r.Sequence == 0 {
+		// Plain services don't number their reports.
+		r.Sequence = e.report.Sequence + 1
+	}
+	if e.reported && r.Sequence < e.report.Sequence {
+		return false
+	}
+	e.report, e.reported, e.reportedAt, e.unreachable = r, true, now, false
+	kept := e.corrections[:0]
+	e.slots, e.prefill = 0, 0
+	for _, c := range e.corrections {
+		if r.Sequence > c.sequence && now.Sub(c.at) >= lag {
+			c.owner.folded = true
+			continue
+		}
+		kept = append(kept, c)
+		e.slots += c.slots
+		e.prefill += c.prefill
+	}
+	clear(e.corrections[len(kept):])
+	e.corrections = kept
+	return true
+}
+
+// reserve adds the load of a choice.
+func (e *endpoint) reserve(b *booking, now time.Time) {
+	e.correct(correction{at: now, sequence: e.report.Sequence, slots: 1, prefill: b.prefill, owner: b})
+	e.inFlight++
+	if b.resume {
+		e.resumes++
+	}
+}
+
+// release gives the load of a choice back once.
+func (e *endpoint) release(b *booking, now time.Time) {
+	if b.done {
+		return
+	}
+	b.done = true
+	e.inFlight--
+	if b.resume {
+		e.resumes--
+	}
+	if b.probe {
+		e.breaker.probing = false
+	}
+	if b.folded {
+		// The report still counts the ended work.
+		e.correct(correction{at: now, sequence: e.report.Sequence, slots: -1, owner: b})
+		return
+	}
+	e.corrections = slices.DeleteFunc(e.corrections, func(c correction) bool { return c.owner == b })
+	e.slots--
+	e.prefill -= b.prefill
+}
+
+func (e *endpoint) correct(c correction) {
+	e.corrections = append(e.corrections, c)
+	e.slots += c.slots
+	e.prefill += c.prefill
+}
+
+// load returns the corrected number of running and waiting requests.
+func (e *endpoint) load() int {
+	return max(e.report.Running+e.report.Waiting+e.slots, 0)
+}
+
+// waitingPrefill returns the corrected prompt tokens that wait for prefill.
+func (e *endpoint) waitingPrefill() int {
+	return max(e.report.WaitingPrefillTokens+e.prefill, 0)
+}
+
+func (e *endpoint) newWorkSlots(headroom float64) float64 {
+	return float64(e.report.Slots) * (1 - headroom)
+}
+
+// serves tells whether the endpoint has the model, adapter and spec loaded.
+func (e *endpoint) serves(need Need) bool {
+	if need.Kind == KindService {
+		return e.listing.Name == need.Name
+	}
+	if !e.reported {
+		return need.Spec == "" && need.Adapter == "" && e.listing.Name == need.Name
+	}
+	if need.Spec != "" {
+		return slices.Contains(e.report.Specs, need.Spec)
+	}
+	for _, spec := range e.report.Specs {
+		base, extra, _ := strings.Cut(spec, "+")
+		model, _, _ := strings.Cut(base, "@")
+		adapter, _, _ := strings.Cut(extra, "@")
+		if model == need.Name && adapter == need.Adapter {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/route/subset.go
@@ -0,0 +1,123 @@
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// group is the set of endpoints listed under one kind and name.
+type group struct {
+	kind Kind
+	name string
+}
+
+// members are a group's endpoints, ordered by their rendezvous hash with the daemon's id.
+type members struct {
+	all    []*endpoint
+	subset []*endpoint
+}
+
+func (m *members) replace(old, fresh *endpoint) {
+	for _, list := range [][]*endpoint{m.all, m.subset} {
+		if i := slices.Index(list, old); i >= 0 {
+			list[i] = fresh
+		}
+	}
+}
+
+// Target is an endpoint whose reports this daemon needs.
+type Target struct {
+	address     string
+	incarnation string
+	kind        Kind
+	busy        bool
+}
+
+// Address returns the endpoint's IP address and port.
+func (t Target) Address() string { return t.address }
+
+// Incarnation returns the endpoint's incarnation.
+func (t Target) Incarnation() string { return t.incarnation }
+
+// Kind returns the endpoint's kind.
+func (t Target) Kind() Kind { return t.kind }
+
+// Busy tells whether this daemon has work there.
+func (t Target) Busy() bool { return t.busy }
+
+// Targets returns the subset's endpoints and those with work of this daemon.
+func (t *Table) Targets() []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets []Target
+	for _, m := range t.groups {
+		for i, e := range m.all {
+			if e.inFlight > 0 || slices.Contains(m.subset, m.all[i]) {
+				targets = append(targets, Target{
+					address:     e.listing.Address,
+					incarnation: e.listing.Incarnation,
+					kind:        e.listing.Kind,
+					busy:        e.inFlight > 0,
+				})
+			}
+		}
+	}
+	return targets
+}
+
+func (t *Table) regroup() {
+	t.groups = make(map[group]*members)
+	for _, e := range t.endpoints {
+		key := group{e.listing.Kind, e.listing.Name}
+		if t.groups[key] == nil {
+			t.groups[key] = &members{}
+		}
+		t.groups[key].all = append(t.groups[key].all, e)
+	}
+	for _, m := range t.groups {
+		t.rank(m.all)
+		m.subset = coverPlaces(m.all, t.policy.Subset)
+	}
+}
+
+func (t *Table) rank(list []*endpoint) {
+	weight := make(map[*endpoint]uint64, len(list))
+	for _, e := range list {
+		weight[e] = xxhash.Sum64String(t.daemon + "\x00" + e.listing.Address)
+	}
+	slices.SortFunc(list, func(a, b *endpoint) int {
+		switch {
+		case weight[a] > weight[b]:
+			return -1
+		case weight[a] < weight[b]:
+			return 1
+		default:
+			return strings.Compare(a.listing.Address, b.listing.Address)
+		}
+	})
+}
+
+// coverPlaces takes size endpoints in turn from each place, and at least one from each.
+func coverPlaces(ranked []*endpoint, size int) []*endpoint {
+	rounds := make(map[string]int)
+	type turn struct {
+		e     *endpoint
+		round int
+	}
+	turns := make([]turn, 0, len(ranked))
+	for _, e := range ranked {
+		turns = append(turns, turn{e, rounds[e.listing.Place]})
+		rounds[e.listing.Place]++
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return a.round - b.round })
+	if size <= 0 {
+		size = len(turns)
+	}
+	subset := make([]*endpoint, 0, size)
+	for _, t := range turns[:min(len(turns), max(size, len(rounds)))] {
+		subset = append(subset, t.e)
+	}
+	return subset
+}
