fix: make stand-ins wait for their handlers at the end

Cause: Run returned while handlers still ran, and a stream of a dying engine ended like a complete response. Change: Serve waits for all connections, a stream's connection is cut at the end of the engine, and waits of faults end with the server. Tests have wider time margins and cover the time model.

--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"radishhollow/standin"
 )
 
 // runBatch advances all running streams, one step of the continuous batch at a time.
@@ -21,7 +23,7 @@
 			}
 			continue
 		}
-		if !sleep(ctx, d) || !s.awaitWake(ctx) {
+		if !standin.Sleep(ctx.Done(), d) || !s.awaitWake(ctx) {
 			return
 		}
 		s.mu.Lock()
@@ -113,15 +115,3 @@
 	default:
 	}
 }
-
-// sleep waits and reports false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/standin/engine/connection.go
+++ b/standin/engine/connection.go
@@ -69,7 +69,7 @@
 		_ = out.Flush()
 		select {
 		case <-r.Context().Done():
-			return
+			standin.Cut()
 		case <-changed:
 		}
 	}
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -87,7 +87,7 @@
 	if order.Kind == "load-adapter" {
 		name, version = order.Adapter, order.AdapterVersion
 	}
-	ok := s.fetch(ctx, name, version) && sleep(ctx, s.LoadTime) && s.awaitWake(ctx)
+	ok := s.fetch(ctx, name, version) && standin.Sleep(ctx.Done(), s.LoadTime) && s.awaitWake(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loading--
@@ -162,7 +162,7 @@
 		if status, err := fetchOnce(ctx, target); err == nil && status == http.StatusOK {
 			return true
 		}
-		if !sleep(ctx, fetchRetry) {
+		if !standin.Sleep(ctx.Done(), fetchRetry) {
 			return false
 		}
 	}
--- a/standin/engine/order_test.go
+++ b/standin/engine/order_test.go
@@ -18,6 +18,7 @@
 
 // Guards against an engine that obeys a lease holder whose lease has passed to another.
 func TestFence(t *testing.T) {
+	t.Parallel()
 	for _, check := range []bool{true, false} {
 		url := start(t, func(s *engine.Server) { s.CheckFence = check })
 		order := func(fence int, version string) int {
@@ -40,9 +41,10 @@
 
 // Guards against a replaced model whose running streams still claim the old spec.
 func TestReplacedDuringOutput(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
 	prompt := engine.Tokenize("write a brief")
-	lines := complete(t, url, "g", prompt, 0, 1, 100, 0)
+	lines := complete(t, url, "g", prompt, 0, 1, 500, 0)
 	_, _ = next(t, lines)
 	call(t, http.MethodPost, url+"/v1/orders", map[string]any{
 		"kind": "load-model", "model": "briefing", "version": "2", "fence": 1,
@@ -60,6 +62,7 @@
 
 // Guards against a cache that ignores its limit or gives no benefit, which would void figures on extra engine work.
 func TestPrefixCache(t *testing.T) {
+	t.Parallel()
 	url := start(t, func(s *engine.Server) { s.CacheBlocks = 4 })
 	prompt := make([]uint32, 3*engine.BlockTokens+2)
 	for i := range prompt {
@@ -83,7 +86,8 @@
 
 // Guards against a stream that ends with its connection, or that outlives the detach hold.
 func TestDetachHold(t *testing.T) {
-	url := start(t, func(s *engine.Server) { s.DetachHold = 300 * time.Millisecond })
+	t.Parallel()
+	url := start(t, func(s *engine.Server) { s.DetachHold = time.Second })
 	prompt := engine.Tokenize("write a brief")
 	resp := call(t, http.MethodPost, url+"/v1/completions", map[string]any{
 		"model": "briefing", "prompt": prompt, "max_tokens": 2000, "request_id": "g", "attempt": 1,
@@ -99,3 +103,27 @@
 		return call(t, http.MethodDelete, url+"/v1/streams/g?attempt=1", nil).StatusCode == http.StatusNotFound
 	}, 5*time.Second, 50*time.Millisecond)
 }
+
+// Guards against a time model without cost for prefill or for a full batch, which would void every latency figure.
+func TestTimeModel(t *testing.T) {
+	t.Parallel()
+	url := start(t, func(s *engine.Server) { s.PrefillRate, s.GapPerStream = 1000, 3*time.Millisecond })
+	prompt := make([]uint32, 400)
+	for i := range prompt {
+		prompt[i] = uint32(i + 1)
+	}
+	began := time.Now()
+	_, _ = collect(t, complete(t, url, "cold", prompt, 0, 1, 1, 0))
+	require.Greater(t, time.Since(began), 390*time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		_ = complete(t, url, id, prompt[:1], 0, 1, 1000, 0)
+	}
+	gap := func() float64 {
+		return get[struct {
+			Gap float64 `json:"token-gap-ms"`
+		}](t, url+"/v1/load").Gap
+	}
+	require.Eventually(t, func() bool { return gap() == 8 }, 5*time.Second, 10*time.Millisecond)
+	call(t, http.MethodPost, url+"/faults", map[string]any{"slow-factor": 2})
+	require.Eventually(t, func() bool { return gap() == 16 }, 5*time.Second, 10*time.Millisecond)
+}
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -43,7 +43,7 @@
 
 // runReports publishes a report once per lag, so that a report is up to one lag old.
 func (s *Server) runReports(ctx context.Context) {
-	for sleep(ctx, s.ReportLag) && s.awaitWake(ctx) {
+	for standin.Sleep(ctx.Done(), s.ReportLag) && s.awaitWake(ctx) {
 		s.mu.Lock()
 		s.publishReport()
 		s.mu.Unlock()
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -110,6 +110,7 @@
 
 // Guards against a stand-in whose continuation after a failover is not the same generation.
 func TestResumeElsewhere(t *testing.T) {
+	t.Parallel()
 	stops := func(s *engine.Server) { s.StopShortest, s.StopLongest = 20, 20 }
 	a, b := start(t, stops), start(t, stops)
 	prompt := engine.Tokenize("write a brief")
@@ -130,9 +131,10 @@
 
 // Guards against an old attempt that keeps its connection, attaches again or cancels the stream of a newer one.
 func TestAttempts(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
 	prompt := engine.Tokenize("write a brief")
-	old := complete(t, url, "g", prompt, 0, 1, 200, 0)
+	old := complete(t, url, "g", prompt, 0, 1, 1000, 0)
 	_, ok := next(t, old)
 	require.True(t, ok)
 	stream := url + "/v1/streams/g"
@@ -145,21 +147,22 @@
 	require.Equal(t, http.StatusConflict, call(t, http.MethodDelete, stream+"?attempt=1", nil).StatusCode)
 	ids, finish := collect(t, bufio.NewScanner(resp.Body))
 	require.Equal(t, "length", finish)
-	require.Len(t, ids, 200)
+	require.Len(t, ids, 1000)
 	require.NoError(t, engine.Verify(spec, prompt, ids))
 	require.Equal(t, http.StatusNoContent, call(t, http.MethodDelete, stream+"?attempt=2", nil).StatusCode)
 	require.Equal(t, http.StatusNotFound, call(t, http.MethodGet, stream+"?attempt=3&offset=0", nil).StatusCode)
 	stats := get[engine.Stats](t, url+"/stats")
 	require.Equal(t, 1, stats.Attached)
 	require.Equal(t, 1, stats.Cancelled)
-	require.Equal(t, 200, stats.GeneratedTokens)
+	require.Equal(t, 1000, stats.GeneratedTokens)
 }
 
 // Guards against a wait queue that ignores priorities, which would hide errors in the order of resumed streams.
 func TestPriority(t *testing.T) {
+	t.Parallel()
 	url := start(t, func(s *engine.Server) { s.Slots = 1 })
 	prompt := engine.Tokenize("write a brief")
-	busy := complete(t, url, "busy", prompt, 0, 1, 30, 0)
+	busy := complete(t, url, "busy", prompt, 0, 1, 500, 0)
 	type end struct {
 		id string
 		at time.Time
@@ -181,6 +184,7 @@
 
 // Guards against faults that do not disturb the chunks, with which tests of the system would prove nothing.
 func TestChunkFaults(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		fault   string
 		foreign int
@@ -214,6 +218,7 @@
 
 // Guards against a frozen engine that still answers, and one that loses output over the freeze.
 func TestFreezeAndWake(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
 	prompt := engine.Tokenize("write a brief")
 	lines := complete(t, url, "g", prompt, 0, 1, 100, 0)
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -51,8 +51,7 @@
 		s.calls[kind]++
 		delay := time.Duration(s.faults.DelayMS) * time.Millisecond
 		s.mu.Unlock()
-		time.Sleep(delay)
-		if s.down() {
+		if !standin.Sleep(s.stop, delay) || s.down() {
 			standin.Cut()
 		}
 		if limit != nil && !limit.Allow() {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -28,6 +28,7 @@
 	// Ready gets the bound address.
 	Ready func(address string)
 
+	stop    <-chan struct{}
 	weights *rate.Limiter
 	reads   *rate.Limiter
 	writes  *rate.Limiter
@@ -64,6 +65,7 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
+	s.stop = ctx.Done()
 	s.weights = rate.NewLimiter(rate.Limit(s.WeightLoadsPerMinute/60), s.WeightBurst)
 	// A burst of one second's calls is allowed.
 	s.reads = rate.NewLimiter(rate.Limit(s.ReadsPerSecond), int(s.ReadsPerSecond))
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -56,6 +56,7 @@
 
 // Guards against two writers that both win a compare-and-swap on one revision.
 func TestCompareAndSwap(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
 	code, answer := put(t, url, "claims/a/b", "one", "", 0)
 	require.Equal(t, http.StatusOK, code)
@@ -87,13 +88,14 @@
 
 // Guards against keys that outlive their lease, leases that come back, and watches that miss the end of a lease.
 func TestLeaseExpiry(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
-	_, answer := call(t, http.MethodPost, url+"/leases", map[string]any{"ttl-ms": 300})
+	_, answer := call(t, http.MethodPost, url+"/leases", map[string]any{"ttl-ms": 1000})
 	lease := answer["lease"].(string)
 	require.Equal(t, http.StatusOK, status(put(t, url, "members/a", "x", lease, 0)))
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
 	require.Equal(t, http.StatusNoContent, status(call(t, http.MethodPost, url+"/leases/"+lease+"/renew", nil)))
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
 	require.Equal(t, http.StatusOK, status(call(t, http.MethodGet, url+"/kv/members/a", nil)))
 	_, answer = call(t, http.MethodGet, url+"/watch?prefix=members/&after=1&wait-ms=5000", nil)
 	require.Len(t, answer["items"], 1)
@@ -104,6 +106,7 @@
 
 // Guards against a lost answer without the write, or an outage in which writes take effect.
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	url := start(t, nil)
 	call(t, http.MethodPost, url+"/faults", map[string]any{"lose-answers": 1})
 	require.Zero(t, status(put(t, url, "k", "lost", "", 0)))
@@ -118,7 +121,8 @@
 
 // Guards against an instance list without its lag, and one that moves while the state is frozen.
 func TestInstanceLag(t *testing.T) {
-	url := start(t, func(s *platform.Server) { s.InstanceLag = 200 * time.Millisecond })
+	t.Parallel()
+	url := start(t, func(s *platform.Server) { s.InstanceLag = time.Second })
 	rows := func() int {
 		_, answer := call(t, http.MethodGet, url+"/instances", nil)
 		return len(answer["instances"].([]any))
@@ -132,7 +136,7 @@
 	require.Eventually(t, func() bool { return rows() == 1 }, 5*time.Second, 20*time.Millisecond)
 	call(t, http.MethodPost, url+"/faults", map[string]any{"freeze-state": true})
 	register("127.0.0.1:2")
-	time.Sleep(400 * time.Millisecond)
+	time.Sleep(1200 * time.Millisecond)
 	require.Equal(t, 1, rows())
 	call(t, http.MethodPost, url+"/faults", map[string]any{})
 	require.Equal(t, 2, rows())
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,24 +15,37 @@
 // maxBody bounds the body of every request, above the largest body that the system forwards (4 MB).
 const maxBody = 8 << 20
 
-// Serve listens on an address and serves until ctx ends, then closes all connections at once.
+// Serve listens on an address and serves until ctx ends, then closes all connections at once and waits for their
+// handlers.
 // Ready, where set, gets the bound address.
 func Serve(ctx context.Context, listen string, handler http.Handler, ready func(address string)) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", listen)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	var connections sync.WaitGroup
 	server := &http.Server{
 		Handler:           http.MaxBytesHandler(handler, maxBody),
 		ReadHeaderTimeout: 10 * time.Second,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		// A connection becomes new within Serve and closed at the end of its goroutine.
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				connections.Add(1)
+			case http.StateClosed:
+				connections.Done()
+			}
+		},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if ready != nil {
 		ready(listener.Addr().String())
 	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	err = server.Serve(listener)
+	connections.Wait()
+	if !errors.Is(err, http.ErrServerClosed) {
 		return errors.Trace(err)
 	}
 	return nil
@@ -65,6 +79,19 @@
 	return true
 }
 
+// Sleep waits and reports false where stop was closed first. It does not depend on the caller's connection, because a
+// request that a caller has given up may still take effect.
+func Sleep(stop <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // Cut breaks the connection of a request without an answer. It does not return.
 func Cut() {
 	panic(http.ErrAbortHandler)
--- a/standin/service/fault.go
+++ b/standin/service/fault.go
@@ -74,7 +74,7 @@
 }
 
 // before applies a fault ahead of the run and reports whether the call ends without running.
-func (f Fault) before(w http.ResponseWriter, r *http.Request) bool {
+func (f Fault) before(w http.ResponseWriter, r *http.Request, stop <-chan struct{}) bool {
 	switch f.Kind {
 	case Refuse:
 		standin.Refuse(w, http.StatusServiceUnavailable, "refused")
@@ -85,13 +85,15 @@
 		http.Redirect(w, r, f.Location, f.Status)
 		return true
 	case Delay:
-		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if !standin.Sleep(stop, time.Duration(f.DelayMS)*time.Millisecond) {
+			standin.Cut()
+		}
 	}
 	return false
 }
 
 // after applies a fault behind the run and reports whether the call is answered already.
-func (f Fault) after(w http.ResponseWriter) bool {
+func (f Fault) after(w http.ResponseWriter, stop <-chan struct{}) bool {
 	switch f.Kind {
 	case RunThen503:
 		standin.WriteError(w, http.StatusServiceUnavailable, "failed-after-run")
@@ -99,7 +101,9 @@
 	case RunThenCut:
 		standin.Cut()
 	case DelayAnswer:
-		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if !standin.Sleep(stop, time.Duration(f.DelayMS)*time.Millisecond) {
+			standin.Cut()
+		}
 	}
 	return false
 }
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -27,6 +27,7 @@
 	Ready func(address string)
 
 	incarnation string
+	stop        <-chan struct{}
 	mu          sync.Mutex
 	runs        map[string]int
 	running     int
@@ -50,6 +51,7 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
+	s.stop = ctx.Done()
 	return standin.Serve(ctx, s.Listen, s.handler(), s.Ready)
 }
 
@@ -93,7 +95,7 @@
 
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
 	fault := s.takeFault()
-	if fault.before(w, r) {
+	if fault.before(w, r, s.stop) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -107,8 +109,10 @@
 	}
 	defer s.release()
 	key, n := s.count(r)
-	time.Sleep(s.RunTime)
-	if fault.after(w) {
+	if !standin.Sleep(s.stop, s.RunTime) {
+		standin.Cut()
+	}
+	if fault.after(w, s.stop) {
 		return
 	}
 	sum := sha256.Sum256(body)
