fix: refuse calls to a leaving service and end streams attached beyond their end

Cause: a connection attached beyond the end of a finished stream waited forever, and a leaving service claimed to be overloaded.

--- a/standin/engine/connection.go
+++ b/standin/engine/connection.go
@@ -78,7 +78,9 @@
 // pending returns the frames to write now and reports false where the connection must close.
 func (s *Server) pending(c *connection) ([]frame, bool, <-chan struct{}) {
 	st := c.stream
-	if st.cancelled || (c.attempt < st.attempt && !s.ignoreAttempt) {
+	superseded := c.attempt < st.attempt && !s.ignoreAttempt
+	beyondEnd := st.finish != "" && c.at > st.base+len(st.output)
+	if st.cancelled || superseded || beyondEnd {
 		return nil, false, nil
 	}
 	var frames []frame
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -94,6 +94,10 @@
 }
 
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
+	if s.state() == "leaving" {
+		standin.Refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	}
 	fault := s.takeFault()
 	if fault.before(w, r, s.stop) {
 		return
@@ -124,7 +128,7 @@
 func (s *Server) acquire() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving || s.running >= s.Slots {
+	if s.running >= s.Slots {
 		return false
 	}
 	s.running++
