feat: add the server for callers

Callers need the published completions formats, and an answer that continues after an engine's loss.

--- /dev/null
+++ b/io/caller/request.go
@@ -0,0 +1,273 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/juju/errors"
+
+	"radishhollow/core/config"
+	"radishhollow/core/generation"
+	"radishhollow/io/engine"
+)
+
+// body holds the parameters of the published formats of both paths.
+type body struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Temperature         *float64        `json:"temperature"`
+	TopP                *float64        `json:"top_p"`
+	Seed                *int64          `json:"seed"`
+	Stop                json.RawMessage `json:"stop"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	N              *int            `json:"n"`
+	BestOf         *int            `json:"best_of"`
+	Echo           bool            `json:"echo"`
+	Suffix         *string         `json:"suffix"`
+	Logprobs       json.RawMessage `json:"logprobs"`
+	Tools          []any           `json:"tools"`
+	ResponseFormat *struct {
+		Type string `json:"type"`
+	} `json:"response_format"`
+	ResumeTokenIDs []uint32 `json:"resume_token_ids"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// request is a checked request for one generation.
+type request struct {
+	chat     bool
+	model    string
+	adapter  string
+	text     engine.Text
+	prompt   []uint32 // nil until the text is encoded
+	sampling generation.Sampling
+	stream   bool
+	usage    bool
+	held     []uint32
+	cursor   string
+	arrived  time.Time
+}
+
+func (r *request) name() string {
+	if r.adapter == "" {
+		return r.model
+	}
+	return r.model + ":" + r.adapter
+}
+
+// cost estimates the tokens of the request. Four bytes of text are about one token.
+func (r *request) cost() int {
+	if r.cursor != "" {
+		// A resumed generation has been admitted before.
+		return 1
+	}
+	size := len(r.text.Prompt)
+	for _, m := range r.text.Messages {
+		size += len(m.Content)
+	}
+	return len(r.prompt) + size/4 + r.sampling.MaxTokens
+}
+
+func readBody(c *gin.Context) (body, error) {
+	control := http.NewResponseController(c.Writer)
+	// The deadline covers the body only: one that passes during the answer would end the request's context.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody))
+	_ = control.SetReadDeadline(time.Time{})
+	if _, large := errors.AsType[*http.MaxBytesError](err); large {
+		return body{}, BodyTooLargeError{Limit: maxBody}
+	}
+	if err != nil {
+		return body{}, BadRequestError{Param: "body", Reason: "cannot be read"}
+	}
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		if field, ok := errors.AsType[*json.UnmarshalTypeError](err); ok && field.Field != "" {
+			return body{}, BadRequestError{Param: field.Field, Reason: "has the wrong type"}
+		}
+		return body{}, BadRequestError{Param: "body", Reason: "is not valid JSON"}
+	}
+	return b, nil
+}
+
+func (s *Server) parse(c *gin.Context, chat bool) (*request, error) {
+	r := &request{chat: chat, arrived: time.Now(), cursor: c.GetHeader("Last-Event-ID")}
+	b, err := readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.supported(); err != nil {
+		return nil, err
+	}
+	r.stream, r.usage, r.held = b.Stream, b.StreamOptions.IncludeUsage, b.ResumeTokenIDs
+	if r.cursor != "" && !r.stream {
+		return nil, BadRequestError{Param: "Last-Event-ID", Reason: "needs a streamed answer"}
+	}
+	if err := r.setModel(s.Document(), b.Model); err != nil {
+		return nil, err
+	}
+	if r.sampling, err = b.sampling(orDefault(s.DefaultMaxTokens, defaultTokens)); err != nil {
+		return nil, err
+	}
+	r.text.Model = r.name()
+	if chat {
+		r.text.Messages, err = readMessages(b.Messages)
+		return r, err
+	}
+	r.text.Prompt, r.prompt, err = readPrompt(b.Prompt)
+	return r, err
+}
+
+func orDefault(n, fallback int) int {
+	if n == 0 {
+		return fallback
+	}
+	return n
+}
+
+func (r *request) setModel(document config.Document, name string) error {
+	model, adapter, named := strings.Cut(name, ":")
+	m, ok := document.Model(model)
+	if !ok || named && !hasAdapter(m, adapter) {
+		return ModelNotFoundError{Model: name}
+	}
+	r.model, r.adapter = model, adapter
+	return nil
+}
+
+func hasAdapter(m config.Model, name string) bool {
+	for _, a := range m.Adapters {
+		if a.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// supported refuses parameters that would change the answer if they were ignored.
+func (b *body) supported() error {
+	logprobs := string(b.Logprobs)
+	for _, check := range []struct {
+		refused bool
+		param   string
+	}{
+		{b.N != nil && *b.N != 1, "n"},
+		{b.BestOf != nil && *b.BestOf != 1, "best_of"},
+		{b.Echo, "echo"},
+		{b.Suffix != nil && *b.Suffix != "", "suffix"},
+		{logprobs != "" && logprobs != "null" && logprobs != "false", "logprobs"},
+		{len(b.Tools) > 0, "tools"},
+		{b.ResponseFormat != nil && b.ResponseFormat.Type != "text", "response_format"},
+	} {
+		if check.refused {
+			return UnsupportedError{Param: check.param}
+		}
+	}
+	return nil
+}
+
+func (b *body) sampling(tokens int) (generation.Sampling, error) {
+	sampling := generation.Sampling{MaxTokens: tokens, Temperature: b.Temperature, TopP: b.TopP, Seed: b.Seed}
+	for _, limit := range []*int{b.MaxTokens, b.MaxCompletionTokens} {
+		if limit != nil {
+			sampling.MaxTokens = *limit
+		}
+	}
+	if sampling.MaxTokens < 1 || sampling.MaxTokens > defaultMaxAsk {
+		return sampling, BadRequestError{Param: "max_tokens", Reason: "is out of range"}
+	}
+	if b.Temperature != nil && (*b.Temperature < 0 || *b.Temperature > 2) {
+		return sampling, BadRequestError{Param: "temperature", Reason: "is not between 0 and 2"}
+	}
+	if b.TopP != nil && (*b.TopP < 0 || *b.TopP > 1) {
+		return sampling, BadRequestError{Param: "top_p", Reason: "is not between 0 and 1"}
+	}
+	var err error
+	sampling.Stop, err = readStop(b.Stop)
+	return sampling, err
+}
+
+func readStop(data json.RawMessage) ([]string, error) {
+	if len(data) == 0 || string(data) == "null" {
+		return nil, nil
+	}
+	var one string
+	if json.Unmarshal(data, &one) == nil {
+		return []string{one}, nil
+	}
+	var many []string
+	if json.Unmarshal(data, &many) != nil || len(many) > 4 {
+		return nil, BadRequestError{Param: "stop", Reason: "is neither a string nor a list of up to 4 strings"}
+	}
+	return many, nil
+}
+
+// readPrompt accepts a string, a list of token ids, or a list that holds one of these.
+func readPrompt(data json.RawMessage) (text string, ids []uint32, err error) {
+	if json.Unmarshal(data, &text) == nil && text != "" {
+		return text, nil, nil
+	}
+	if json.Unmarshal(data, &ids) == nil && len(ids) > 0 {
+		return "", ids, nil
+	}
+	var list []json.RawMessage
+	if json.Unmarshal(data, &list) != nil || len(list) == 0 || bytes.HasPrefix(list[0], []byte("-")) {
+		return "", nil, BadRequestError{Param: "prompt", Reason: "is neither a text nor a list of token ids"}
+	}
+	if len(list) > 1 {
+		return "", nil, UnsupportedError{Param: "prompt"}
+	}
+	if json.Unmarshal(list[0], &text) == nil && text != "" {
+		return text, nil, nil
+	}
+	if json.Unmarshal(list[0], &ids) == nil && len(ids) > 0 {
+		return "", ids, nil
+	}
+	return "", nil, BadRequestError{Param: "prompt", Reason: "is neither a text nor a list of token ids"}
+}
+
+// readMessages accepts contents that are strings or lists of text parts.
+func readMessages(in []message) ([]engine.Message, error) {
+	if len(in) == 0 {
+		return nil, BadRequestError{Param: "messages", Reason: "is empty"}
+	}
+	out := make([]engine.Message, len(in))
+	for i, m := range in {
+		out[i].Role = m.Role
+		if m.Role == "" {
+			return nil, BadRequestError{Param: "messages", Reason: "has a message without a role"}
+		}
+		if json.Unmarshal(m.Content, &out[i].Content) == nil {
+			continue
+		}
+		var parts []struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		if json.Unmarshal(m.Content, &parts) != nil {
+			return nil, BadRequestError{Param: "messages", Reason: "has a content that is neither a text nor parts"}
+		}
+		for _, p := range parts {
+			if p.Type != "text" {
+				return nil, UnsupportedError{Param: "messages"}
+			}
+			out[i].Content += p.Text
+		}
+	}
+	return out, nil
+}
