--- /dev/null
+++ b/io/caller/service_test.go
@@ -0,0 +1,94 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/gin-gonic/gin"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/config"
+	"radishhollow/core/failure"
+	"radishhollow/io/caller"
+	"radishhollow/io/telemetry"
+)
+
+func serveService(
+	t *testing.T, req *http.Request, do func(context.Context, booking.Call) (booking.Response, error),
+) (*httptest.ResponseRecorder, *telemetry.Metrics) {
+	t.Helper()
+	gin.SetMode(gin.TestMode)
+	handler := &caller.ServiceHandler{
+		Do: do,
+		ServiceOf: func(name string) (config.Service, bool) {
+			return config.Service{Name: name}, name == "rooms"
+		},
+		WorkspaceOf: func(*gin.Context) config.Workspace { return config.Workspace{Name: "north"} },
+		WriteError:  func(c *gin.Context, err error) { c.String(http.StatusTeapot, failure.Of(err).Code()) },
+		Metrics:     telemetry.New(),
+	}
+	engine := gin.New()
+	engine.Any("/services/:service/*path", handler.Handle)
+	recorder := httptest.NewRecorder()
+	engine.ServeHTTP(recorder, req)
+	return recorder, handler.Metrics
+}
+
+// Guards against a call or an answer that is altered on the way, and against the API key reaching an endpoint.
+func TestServiceHandlerPassesCall(t *testing.T) {
+	req := httptest.NewRequest(http.MethodPut, "/services/rooms/a%2Fb/..%2Fc?x=%20&x=2", strings.NewReader("body"))
+	for name, value := range map[string]string{
+		"Idempotency-Key": "k", "Authorization": "Bearer secret", "Connection": "close, X-Hop", "X-Hop": "1",
+		"Te": "trailers", "X-Kept": "1",
+	} {
+		req.Header.Set(name, value)
+	}
+	var got booking.Call
+	recorder, metrics := serveService(t, req, func(_ context.Context, call booking.Call) (booking.Response, error) {
+		got = call
+		return booking.Response{
+			Status: http.StatusCreated, Body: []byte("made"), Outcome: failure.Ran,
+			Header: http.Header{"X-Answer": {"1", "2"}, "Keep-Alive": {"1"}, "Not-Run": {"1"}, "Outcome": {"not-run"}},
+		}, nil
+	})
+	require.Equal(t, "north", got.Workspace)
+	require.Equal(t, "k", got.Key)
+	require.Equal(t, booking.Request{
+		Method: http.MethodPut, Path: "/a%2Fb/..%2Fc", Query: "x=%20&x=2", Body: []byte("body"),
+		Header: http.Header{"Idempotency-Key": {"k"}, "X-Kept": {"1"}},
+	}, got.Request)
+	require.Equal(t, http.StatusCreated, recorder.Code)
+	require.Equal(t, "made", recorder.Body.String())
+	require.Equal(t, http.Header{"X-Answer": {"1", "2"}, "Outcome": {"ran"}}, recorder.Header())
+	require.EqualValues(t, 1, metrics.Value(telemetry.Bookings, "ran"))
+}
+
+// Guards against a refused call that reaches an endpoint or that is answered without its outcome.
+func TestServiceHandlerRefuses(t *testing.T) {
+	tests := []struct {
+		name, path, body, code string
+		keys                   []string
+	}{
+		{name: "service", path: "/services/other/x", code: "unknown-service"},
+		{name: "large body", path: "/services/rooms/x", body: strings.Repeat("x", 1<<20+1), code: "body-too-large"},
+		{name: "two keys", path: "/services/rooms/x", keys: []string{"a", "b"}, code: "invalid-idempotency-key"},
+		{name: "empty key", path: "/services/rooms/x", keys: []string{""}, code: "invalid-idempotency-key"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req := httptest.NewRequest(http.MethodPost, tt.path, strings.NewReader(tt.body))
+			req.Header["Idempotency-Key"] = tt.keys
+			recorder, metrics := serveService(t, req, func(context.Context, booking.Call) (booking.Response, error) {
+				t.Error("the call must not be sent")
+				return booking.Response{}, nil
+			})
+			require.Equal(t, tt.code, recorder.Body.String())
+			require.Equal(t, "not-run", recorder.Header().Get("Outcome"))
+			require.EqualValues(t, 1, metrics.Value(telemetry.Bookings, "not-run"))
+		})
+	}
+}
