feat: add the place lease

Cause: orders to engines need one sender per place and a fencing token, also when a holder is paused past its lease. For endpoints that ignore the token it waits out the TTL and the longest order.

--- /dev/null
+++ b/core/lease/holder_test.go
@@ -0,0 +1,271 @@
+package lease_test
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/failure"
+	"radishhollow/core/kv"
+	"radishhollow/core/lease"
+)
+
+// fakeStore is a key-value service with one key and leases that expire by the bubble's clock.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	entry    kv.Entry
+	owner    string
+	ends     map[string]time.Time
+	ttl      map[string]time.Duration
+	down     bool
+	loseput  bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{ends: map[string]time.Time{}, ttl: map[string]time.Duration{}}
+}
+
+var errDown = kv.UnavailableError{Call: "call", Written: true, Cause: io.ErrUnexpectedEOF}
+
+// enter locks the store and removes what has expired.
+func (f *fakeStore) enter() error {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	if !time.Now().Before(f.ends[f.owner]) {
+		f.entry, f.owner = kv.Entry{}, ""
+	}
+	if f.down {
+		return errDown
+	}
+	return nil
+}
+
+func (f *fakeStore) get(_ context.Context, key string) (kv.Entry, error) {
+	err := f.enter()
+	defer f.mu.Unlock()
+	if err == nil && f.owner == "" {
+		return kv.Entry{}, kv.NotFoundError{Key: key}
+	}
+	return f.entry, err
+}
+
+func (f *fakeStore) put(_ context.Context, key string, value []byte, _ uint64, id string) (uint64, error) {
+	err := f.enter()
+	defer f.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	if f.owner != "" {
+		return 0, kv.ConflictError{Key: key, Current: f.entry.Revision()}
+	}
+	if !time.Now().Before(f.ends[id]) {
+		return 0, kv.LeaseLostError{Lease: id}
+	}
+	f.revision++
+	f.entry, f.owner = kv.NewEntry(key, value, f.revision, false), id
+	if f.loseput {
+		f.loseput = false
+		return 0, errDown
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; {
+		err := f.enter()
+		changed := f.entry.Revision() != after
+		f.mu.Unlock()
+		if err != nil || changed {
+			return nil, 0, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, 0, ctx.Err()
+}
+
+func (f *fakeStore) grant(_ context.Context, ttl time.Duration) (string, error) {
+	err := f.enter()
+	defer f.mu.Unlock()
+	id := strconv.Itoa(len(f.ends) + 1)
+	f.ends[id], f.ttl[id] = time.Now().Add(ttl), ttl
+	return id, err
+}
+
+func (f *fakeStore) renew(_ context.Context, id string) error {
+	err := f.enter()
+	defer f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if !time.Now().Before(f.ends[id]) {
+		return kv.LeaseLostError{Lease: id}
+	}
+	f.ends[id] = time.Now().Add(f.ttl[id])
+	return nil
+}
+
+func (f *fakeStore) revoke(_ context.Context, id string) error {
+	err := f.enter()
+	defer f.mu.Unlock()
+	if err == nil {
+		delete(f.ends, id)
+	}
+	return err
+}
+
+func (f *fakeStore) store() kv.Store {
+	return kv.Store{Get: f.get, Put: f.put, Watch: f.watch, Grant: f.grant, Renew: f.renew, Revoke: f.revoke}
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// start runs a holder until the returned function is called.
+func start(t *testing.T, store kv.Store) (*lease.Holder, func()) {
+	t.Helper()
+	h := &lease.Holder{Store: store, Place: "liberia"}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.Run(ctx)
+	}()
+	return h, func() { cancel(); <-done }
+}
+
+func requireCode(t *testing.T, err error, code string) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, code, failure.Of(err).Code())
+}
+
+// Guards against two holders at one time, also when the first is stopped, and against a token that does not grow.
+func TestHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		a, stopA := start(t, f.store())
+		time.Sleep(time.Second)
+		b, stopB := start(t, f.store())
+		defer stopB()
+		var last uint64
+		for range 120 {
+			time.Sleep(time.Second)
+			fence, err := a.Check(true)
+			require.NoError(t, err)
+			last = fence
+			_, err = b.Check(true)
+			requireCode(t, err, "not-lease-holder")
+		}
+		stopA()
+		time.Sleep(2 * time.Second)
+		_, err := a.Check(true)
+		requireCode(t, err, "not-lease-holder")
+		fence, err := b.Check(true)
+		require.NoError(t, err, "a planned stop hands over at once")
+		require.Greater(t, fence, last)
+	})
+}
+
+// Guards against a holder that acts after a pause past its lease, even if an answer that was held up says renewed.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		store := f.store()
+		pause := make(chan struct{})
+		var paused atomic.Bool
+		store.Renew = func(ctx context.Context, id string) error {
+			err := f.renew(ctx, id)
+			if paused.Load() {
+				<-pause
+			}
+			return err
+		}
+		a, stopA := start(t, store)
+		defer stopA()
+		time.Sleep(time.Second)
+		first, err := a.Check(true)
+		require.NoError(t, err)
+		b, stopB := start(t, f.store())
+		defer stopB()
+		paused.Store(true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			_, errA := a.Check(true)
+			_, errB := b.Check(true)
+			require.False(t, errA == nil && errB == nil, "two holders")
+		}
+		second, err := b.Check(true)
+		require.NoError(t, err)
+		require.Greater(t, second, first)
+		paused.Store(false)
+		close(pause)
+		time.Sleep(time.Second)
+		_, err = a.Check(true)
+		requireCode(t, err, "not-lease-holder")
+	})
+}
+
+// Guards against a holder that goes on acting, or never comes back, after an outage of the platform.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		h, stop := start(t, f.store())
+		defer stop()
+		time.Sleep(time.Second)
+		first, err := h.Check(true)
+		require.NoError(t, err)
+		f.set(func() { f.down = true })
+		time.Sleep(5 * time.Second)
+		_, err = h.Check(true)
+		require.NoError(t, err, "a short outage loses nothing")
+		time.Sleep(lease.DefaultTTL)
+		_, err = h.Check(true)
+		requireCode(t, err, "not-lease-holder")
+		f.set(func() { f.down = false })
+		time.Sleep(5 * time.Second)
+		second, err := h.Check(true)
+		require.NoError(t, err)
+		require.Greater(t, second, first)
+	})
+}
+
+// Guards against an instance that waits for a lease that it holds itself.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		f.loseput = true
+		h, stop := start(t, f.store())
+		defer stop()
+		time.Sleep(2 * time.Second)
+		fence, err := h.Check(true)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, fence)
+	})
+}
+
+// Guards against an order to an endpoint that ignores the token while an earlier holder's order may be on its way.
+func TestWaitOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, stop := start(t, newFakeStore().store())
+		defer stop()
+		time.Sleep(lease.DefaultTTL + lease.DefaultLongestOrder - time.Second)
+		_, err := h.Check(true)
+		require.NoError(t, err)
+		_, err = h.Check(false)
+		requireCode(t, err, "waiting-out-lease")
+		time.Sleep(3 * time.Second)
+		_, err = h.Check(false)
+		require.NoError(t, err)
+	})
+}
