feat: add the planner and dispatcher of orders

Cause: engines must follow the configured models, versions and adapters without overloading the weight store or losing serving capacity. Change: core/order plans one order per endpoint from the reports, limits the share of a model's endpoints that load, paces loads to the place's part of the weight store's limit, repeats orders until reports show them and checks the lease immediately before each send.

--- /dev/null
+++ b/core/order/dispatcher_test.go
@@ -0,0 +1,207 @@
+package order_test
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/core/lease"
+	"radishhollow/core/order"
+	"radishhollow/core/route"
+)
+
+// engines is a place whose engines load for a while and show it in reports that lag.
+type engines struct {
+	mu      sync.Mutex
+	reports map[string]route.Report
+	loads   []time.Time
+	sends   int
+	loading int
+	most    int
+	// lose drops every n-th order.
+	lose int
+}
+
+const (
+	reportLag = 2 * time.Second
+	loadTime  = 8 * time.Second
+)
+
+func newEngines(n int) *engines {
+	e := &engines{reports: map[string]route.Report{}}
+	for i := range n {
+		address := strconv.Itoa(i)
+		e.reports[address] = report(address, route.StateReady, "m@1")
+	}
+	return e
+}
+
+func (e *engines) list() []route.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []route.Report
+	for _, r := range e.reports {
+		list = append(list, r)
+	}
+	return list
+}
+
+func (e *engines) change(address string, change func(r *route.Report)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.reports[address]
+	change(&r)
+	e.reports[address] = r
+}
+
+func (e *engines) send(_ context.Context, o order.Order, _ uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sends++
+	if o.Kind != order.Unload {
+		e.loads = append(e.loads, time.Now())
+	}
+	if e.lose > 0 && e.sends%e.lose == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	if o.Kind == order.LoadModel {
+		e.loading++
+		e.most = max(e.most, e.loading)
+	}
+	time.AfterFunc(reportLag, func() { e.change(o.Address, func(r *route.Report) { r.State = route.StateLoading }) })
+	time.AfterFunc(loadTime, func() {
+		e.change(o.Address, func(r *route.Report) {
+			r.State = route.StateReady
+			if o.Kind == order.Unload {
+				r.Specs = r.Specs[1:]
+				return
+			}
+			r.Specs = append(append([]string{}, r.Specs...), o.Spec.String())
+			if o.Kind == order.LoadModel {
+				e.loading--
+			}
+		})
+	})
+	return nil
+}
+
+func run(t *testing.T, d *order.Dispatcher) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	return func() { cancel(); <-done; time.Sleep(loadTime) }
+}
+
+func dispatcher(e *engines, perMinute float64) *order.Dispatcher {
+	return &order.Dispatcher{
+		Planner:  &order.Planner{Place: "liberia"},
+		Document: func() config.Document { return document("2", perMinute) },
+		Reports:  e.list,
+		Check:    func(bool) (uint64, error) { return 7, nil },
+		Send:     e.send,
+	}
+}
+
+// Guards against a roll-out that never ends when orders get lost, takes too many engines out of service, or asks the
+// weight store for more than this place's part of its limit.
+func TestRollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(8)
+		e.lose = 3
+		stop := run(t, dispatcher(e, 40))
+		time.Sleep(10 * time.Minute)
+		stop()
+		for _, r := range e.list() {
+			require.Equal(t, []string{"m@2", "m@2+a@1"}, r.Specs)
+		}
+		require.LessOrEqual(t, e.most, 2)
+		require.GreaterOrEqual(t, len(e.loads), 16)
+		for i := range len(e.loads) - 1 {
+			require.GreaterOrEqual(t, e.loads[i+1].Sub(e.loads[i]), 2900*time.Millisecond, "20 loads a minute")
+		}
+		sends := e.sends
+		stop = run(t, dispatcher(e, 40))
+		time.Sleep(time.Minute)
+		stop()
+		require.Equal(t, sends, e.sends, "nothing is sent once the reports show what is wanted")
+	})
+}
+
+// Guards against orders by an instance that is not the lease holder, and by one whose lease ends between two sends.
+func TestOnlyHolderSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var holds atomic.Bool
+		e := newEngines(8)
+		d := dispatcher(e, 0)
+		d.Check = func(bool) (uint64, error) {
+			if !holds.Load() {
+				return 0, lease.NotHolderError{Place: "liberia"}
+			}
+			return 7, nil
+		}
+		d.Send = func(ctx context.Context, o order.Order, fence uint64) error {
+			holds.Store(false)
+			return e.send(ctx, o, fence)
+		}
+		stop := run(t, d)
+		time.Sleep(time.Minute)
+		require.Zero(t, e.sends)
+		holds.Store(true)
+		time.Sleep(time.Minute)
+		stop()
+		require.Equal(t, 1, e.sends)
+	})
+}
+
+// Guards against an order by an instance that was paused between the check of the lease and the send.
+func TestPausedBeforeSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var expired atomic.Bool
+		d := dispatcher(newEngines(1), 0)
+		d.Send = func(ctx context.Context, _ order.Order, _ uint64) error {
+			time.Sleep(order.DefaultLongestOrder + time.Second)
+			expired.Store(ctx.Err() != nil)
+			return ctx.Err()
+		}
+		stop := run(t, d)
+		time.Sleep(time.Minute)
+		stop()
+		require.True(t, expired.Load())
+	})
+}
+
+// Guards against an order that waits for the end of an earlier lease using up the rate of orders that may go.
+func TestWaitingOrderTakesNoRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines(1)
+		e.reports["x"] = report("x", route.StateReady, "n@1")
+		d := dispatcher(e, 2)
+		d.Document = func() config.Document {
+			fields := document("2", 2).Fields()
+			fields.Models = append([]config.Model{{Name: "n", Version: "2"}}, fields.Models...)
+			return config.NewDocument(2, fields)
+		}
+		d.Check = func(fencing bool) (uint64, error) {
+			if !fencing {
+				return 0, lease.WaitingOutError{Place: "liberia", Rest: time.Second}
+			}
+			return 7, nil
+		}
+		stop := run(t, d)
+		time.Sleep(30 * time.Second)
+		stop()
+		require.Equal(t, 1, e.sends)
+	})
+}
--- /dev/null
+++ b/core/order/planner.go
@@ -0,0 +1,147 @@
+package order
+
+import (
+	"cmp"
+	"slices"
+
+	"radishhollow/core/config"
+	"radishhollow/core/generation"
+	"radishhollow/core/route"
+)
+
+// DefaultMaxLoading is the share of a model's endpoints in a place that may load at one time.
+const DefaultMaxLoading = 0.25
+
+// Planner compares wanted and reported models. It has no state.
+type Planner struct {
+	Place string
+	// MaxLoading is the share of a model's endpoints that may be out of service for loading at one time; one
+	// endpoint always may. Zero means DefaultMaxLoading.
+	MaxLoading float64
+	// ModelOf returns the model that the instance list names for an address, or an empty string.
+	ModelOf func(address string) string
+}
+
+// engine is one endpoint as the planner sees it.
+type engine struct {
+	report route.Report
+	specs  []generation.Spec
+	busy   bool
+}
+
+// Plan returns at most one order per endpoint: first the model's version, then its adapters, and what is not wanted
+// goes last, so that an endpoint serves something throughout. Addresses in busy have an order that their report does
+// not show yet; their orders are returned again and count as loading. Empty endpoints come first and are not limited,
+// because loading them costs no capacity.
+func (p *Planner) Plan(doc config.Document, reports []route.Report, busy map[string]bool) []Order {
+	var orders []Order
+	for _, model := range doc.Models() {
+		orders = append(orders, p.planModel(model, p.engines(model.Name, reports, busy))...)
+	}
+	return orders
+}
+
+// engines returns the model's endpoints in this place, empty ones first, then by address.
+func (p *Planner) engines(model string, reports []route.Report, busy map[string]bool) []engine {
+	var engines []engine
+	for _, report := range reports {
+		if report.Place != p.Place || report.State == route.StateLeaving {
+			continue
+		}
+		e := engine{report: report, busy: busy[report.Address]}
+		for _, text := range report.Specs {
+			if spec, err := generation.ParseSpec(text); err == nil {
+				e.specs = append(e.specs, spec)
+			}
+		}
+		if p.modelOf(e) == model {
+			engines = append(engines, e)
+		}
+	}
+	slices.SortFunc(engines, func(a, b engine) int {
+		return cmp.Or(
+			cmp.Compare(min(len(a.specs), 1), min(len(b.specs), 1)),
+			cmp.Compare(a.report.Address, b.report.Address),
+		)
+	})
+	return engines
+}
+
+// modelOf prefers the instance list, since an endpoint that is still empty reports no model.
+func (p *Planner) modelOf(e engine) string {
+	if p.ModelOf != nil {
+		if name := p.ModelOf(e.report.Address); name != "" {
+			return name
+		}
+	}
+	if len(e.specs) > 0 {
+		return e.specs[0].Model()
+	}
+	return ""
+}
+
+func (p *Planner) planModel(model config.Model, engines []engine) []Order {
+	limit := max(1, int(p.maxLoading()*float64(len(engines))))
+	out := 0
+	for _, e := range engines {
+		if e.out() {
+			out++
+		}
+	}
+	var orders []Order
+	for _, e := range engines {
+		o, ok := next(model, e)
+		if !ok {
+			continue
+		}
+		if o.loads() && !e.out() {
+			if out >= limit {
+				continue
+			}
+			out++
+		}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// out tells whether the endpoint adds no serving capacity now, or soon will not.
+func (e engine) out() bool {
+	return e.busy || e.report.State != route.StateReady || len(e.specs) == 0
+}
+
+// next returns the endpoint's next order. A loading endpoint is left alone until its report shows the result.
+func next(model config.Model, e engine) (Order, bool) {
+	if e.report.State == route.StateLoading {
+		return Order{}, false
+	}
+	o := Order{Address: e.report.Address, Incarnation: e.report.Incarnation, Fencing: model.Fencing}
+	wanted := []generation.Spec{generation.NewSpec(model.Name, model.Version, "", "")}
+	for _, a := range model.Adapters {
+		wanted = append(wanted, generation.NewSpec(model.Name, model.Version, a.Name, a.Version))
+	}
+	for _, spec := range wanted {
+		if slices.Contains(e.specs, spec) {
+			continue
+		}
+		o.Kind, o.Spec = LoadModel, spec
+		if spec.Adapter() != "" {
+			o.Kind = LoadAdapter
+		}
+		return o, true
+	}
+	for _, spec := range e.specs {
+		if !slices.Contains(wanted, spec) {
+			o.Kind, o.Spec = Unload, spec
+			return o, true
+		}
+	}
+	return Order{}, false
+}
+
+func (p *Planner) maxLoading() float64 {
+	if p.MaxLoading == 0 {
+		return DefaultMaxLoading
+	}
+	return p.MaxLoading
+}
--- /dev/null
+++ b/core/order/planner_test.go
@@ -0,0 +1,82 @@
+package order_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/core/generation"
+	"radishhollow/core/order"
+	"radishhollow/core/route"
+)
+
+func document(version string, perMinute float64) config.Document {
+	return config.NewDocument(1, config.Fields{
+		Places: []string{"liberia", "canas"},
+		Models: []config.Model{{
+			Name: "m", Version: version, Fencing: true, Adapters: []config.Adapter{{Name: "a", Version: "1"}},
+		}},
+		Settings: config.Settings{WeightLoadsPerMinute: perMinute},
+	})
+}
+
+func report(address string, state route.State, specs ...string) route.Report {
+	return route.Report{Address: address, Incarnation: "i", Place: "liberia", State: state, Specs: specs}
+}
+
+// Guards against wrong or premature orders: an adapter before its model, an unload before the new version serves,
+// and orders to endpoints that leave, load, or belong elsewhere.
+func TestPlanNext(t *testing.T) {
+	tests := []struct {
+		name   string
+		report route.Report
+		kind   order.Kind
+		spec   string
+	}{
+		{name: "empty", report: report("e", route.StateReady), kind: order.LoadModel, spec: "m@2"},
+		{name: "old version", report: report("e", route.StateReady, "m@1", "m@1+a@1"), kind: order.LoadModel, spec: "m@2"},
+		{name: "adapter", report: report("e", route.StateReady, "m@1", "m@2"), kind: order.LoadAdapter, spec: "m@2+a@1"},
+		{name: "surplus", report: report("e", route.StateReady, "m@1", "m@2", "m@2+a@1"), kind: order.Unload, spec: "m@1"},
+		{name: "complete", report: report("e", route.StateReady, "m@2", "m@2+a@1")},
+		{name: "loading", report: report("e", route.StateLoading, "m@1")},
+		{name: "leaving", report: report("e", route.StateLeaving, "m@1")},
+		{name: "another place", report: route.Report{Address: "e", Place: "canas", State: route.StateReady}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &order.Planner{Place: "liberia", ModelOf: func(string) string { return "m" }}
+			var want []order.Order
+			if tt.kind != "" {
+				spec, err := generation.ParseSpec(tt.spec)
+				require.NoError(t, err)
+				want = []order.Order{{Address: "e", Incarnation: "i", Kind: tt.kind, Spec: spec, Fencing: true}}
+			}
+			require.Equal(t, want, p.Plan(document("2", 0), []route.Report{tt.report}, nil))
+		})
+	}
+}
+
+// Guards against a change of version that takes too many endpoints out of service at once.
+func TestPlanKeepsCapacity(t *testing.T) {
+	var reports []route.Report
+	for _, address := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		reports = append(reports, report(address, route.StateReady, "m@1"))
+	}
+	p := &order.Planner{Place: "liberia"}
+	addresses := func(busy map[string]bool) []string {
+		var list []string
+		for _, o := range p.Plan(document("2", 0), reports, busy) {
+			list = append(list, o.Address)
+		}
+		return list
+	}
+	require.Equal(t, []string{"a", "b"}, addresses(nil))
+	require.Equal(t, []string{"c", "d"}, addresses(map[string]bool{"c": true, "d": true}), "open orders are repeated")
+	reports[7].State = route.StateLoading
+	require.Equal(t, []string{"a"}, addresses(nil))
+	reports[6].State = route.StateLoading
+	require.Empty(t, addresses(nil))
+	reports = reports[:1]
+	require.Equal(t, []string{"a"}, addresses(nil), "a single endpoint must not stay on its version for ever")
+}
