feat(peer): exchange views, fetch newer configuration and register with a lease

Cause: a revision must spread, and a new daemon must start, while the platform is down. Registrar keeps members/{address} alive, registers again after an outage and follows the platform's list.

--- /dev/null
+++ b/io/peer/registrar_test.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/io/telemetry"
+)
+
+// fakeKV is a key-value service with leases.
+type fakeKV struct {
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	items    map[string]kv.Entry
+	events   []kv.Entry
+	holder   map[string]string
+	leases   map[string]time.Time
+	ttl      time.Duration
+}
+
+func newFakeKV() *fakeKV {
+	return &fakeKV{items: map[string]kv.Entry{}, holder: map[string]string{}, leases: map[string]time.Time{}}
+}
+
+// enter locks the service and ends what has expired.
+func (f *fakeKV) enter() (func(), error) {
+	f.mu.Lock()
+	for lease, end := range f.leases {
+		if time.Now().After(end) {
+			f.end(lease)
+		}
+	}
+	if f.down {
+		f.mu.Unlock()
+		return nil, kv.UnavailableError{Call: "any", Cause: context.DeadlineExceeded}
+	}
+	return f.mu.Unlock, nil
+}
+
+func (f *fakeKV) end(lease string) {
+	delete(f.leases, lease)
+	for key, holder := range f.holder {
+		if holder == lease {
+			delete(f.items, key)
+			delete(f.holder, key)
+			f.revision++
+			f.events = append(f.events, kv.NewEntry(key, nil, f.revision, true))
+		}
+	}
+}
+
+func (f *fakeKV) store() kv.Store {
+	return kv.Store{Get: f.get, Put: f.put, List: f.list, Watch: f.watch, Grant: f.grant, Renew: f.renew, Revoke: f.revoke}
+}
+
+func (f *fakeKV) get(_ context.Context, key string) (kv.Entry, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return kv.Entry{}, err
+	}
+	defer leave()
+	if entry, found := f.items[key]; found {
+		return entry, nil
+	}
+	return kv.Entry{}, kv.NotFoundError{Key: key}
+}
+
+func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return 0, err
+	}
+	defer leave()
+	if f.items[key].Revision() != ifRevision {
+		return 0, kv.ConflictError{Key: key}
+	}
+	f.revision++
+	f.items[key] = kv.NewEntry(key, value, f.revision, false)
+	f.events = append(f.events, f.items[key])
+	f.holder[key] = lease
+	return f.revision, nil
+}
+
+func (f *fakeKV) list(_ context.Context, prefix string) ([]kv.Entry, uint64, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer leave()
+	var list []kv.Entry
+	for key, entry := range f.items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, entry)
+		}
+	}
+	return list, f.revision, nil
+}
+
+func (f *fakeKV) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if err := sleep(ctx, 100*time.Millisecond); err != nil {
+			return nil, 0, err
+		}
+		leave, err := f.enter()
+		if err != nil {
+			return nil, 0, err
+		}
+		var changes []kv.Entry
+		for _, event := range f.events {
+			if event.Revision() > after {
+				changes = append(changes, event)
+			}
+		}
+		revision := f.revision
+		leave()
+		if len(changes) > 0 {
+			return changes, revision, nil
+		}
+	}
+	return nil, after, nil
+}
+
+func (f *fakeKV) grant(_ context.Context, ttl time.Duration) (string, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return "", err
+	}
+	defer leave()
+	f.revision++
+	f.ttl = ttl
+	lease := strconv.FormatUint(f.revision, 10)
+	f.leases[lease] = time.Now().Add(ttl)
+	return lease, nil
+}
+
+func (f *fakeKV) renew(_ context.Context, lease string) error {
+	leave, err := f.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	if _, found := f.leases[lease]; !found {
+		return kv.LeaseLostError{Lease: lease}
+	}
+	f.leases[lease] = time.Now().Add(f.ttl)
+	return nil
+}
+
+func (f *fakeKV) revoke(_ context.Context, lease string) error {
+	leave, err := f.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	f.end(lease)
+	return nil
+}
+
+func (f *fakeKV) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func startRegistrar(f *fakeKV, address string) (*Node, func()) {
+	node := &Node{
+		Address: address, Incarnation: "1", Place: "liberia", Store: &config.Store{}, Metrics: telemetry.New(),
+		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: time.Minute},
+		Reach: &member.Reach{Bound: 15 * time.Second},
+	}
+	r := &Registrar{KV: f.store(), Node: node, TTL: 9 * time.Second, Wait: 5 * time.Second, Relist: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = r.Run(ctx) })
+	return node, func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func registered(f *fakeKV) []kv.Entry {
+	list, _, _ := f.list(context.Background(), prefix)
+	return list
+}
+
+func TestRegistrationSurvivesAnOutageAndEndsWithTheDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeKV()
+		a, stopA := startRegistrar(f, "127.0.0.1:1")
+		b, stopB := startRegistrar(f, "127.0.0.2:1")
+		time.Sleep(time.Minute)
+		require.Equal(t, []string{b.Address}, a.Table.Addresses())
+		require.Equal(t, []string{a.Address}, b.Table.Addresses())
+
+		f.setDown(true)
+		time.Sleep(time.Minute)
+		require.Equal(t, []string{b.Address}, a.Table.Addresses(), "an outage must freeze the list")
+		require.True(t, a.Reach.Isolated())
+
+		f.setDown(false)
+		time.Sleep(10 * time.Second)
+		require.Len(t, registered(f), 2, "the registrations expired in the outage and must come back")
+		require.Equal(t, []string{b.Address}, a.Table.Addresses())
+		require.False(t, a.Reach.Isolated())
+
+		stopB()
+		time.Sleep(5 * time.Second)
+		require.Empty(t, a.Table.Addresses(), "a planned stop must end the registration at once")
+		stopA()
+	})
+}
+
+// A daemon that restarts at once finds its own earlier entry and must replace it.
+func TestRegistrationReplacesTheEarlierOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeKV()
+		_, err := f.put(t.Context(), prefix+"127.0.0.1:1", []byte("{}"), 0, "gone")
+		require.NoError(t, err)
+		_, stop := startRegistrar(f, "127.0.0.1:1")
+		time.Sleep(time.Second)
+		require.Len(t, registered(f), 1)
+		require.Contains(t, string(registered(f)[0].Value()), `"incarnation":"1"`)
+		stop()
+		require.Empty(t, registered(f))
+	})
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"radishhollow/io/peer/rpc"
+)
+
+// maxRequestBytes bounds the body of a request from a peer.
+const maxRequestBytes = 256 << 10
+
+// Server answers peers. Fields are set before use.
+type Server struct {
+	Node *Node
+	// Ahead is called with the address of a peer that has a newer configuration.
+	Ahead func(address string)
+}
+
+// Handler returns the HTTP handler of the peer address.
+func (s *Server) Handler() http.Handler {
+	return http.MaxBytesHandler(rpc.NewPeerServer(s), maxRequestBytes)
+}
+
+// Exchange implements rpc.Peer.
+func (s *Server) Exchange(_ context.Context, w *rpc.View) (*rpc.View, error) {
+	if !valid(w) {
+		return nil, twirp.InvalidArgumentError("view", "has a malformed address or is too large")
+	}
+	v := fromWire(w)
+	s.Node.Table.Receive(v)
+	s.Node.Reach.Contact()
+	if s.Node.behind(v) {
+		s.Ahead(v.Address)
+	}
+	return toWire(s.Node.view()), nil
+}
+
+// Config implements rpc.Peer.
+func (s *Server) Config(_ context.Context, request *rpc.ConfigRequest) (*rpc.ConfigDocument, error) {
+	current := s.Node.Store.Current()
+	if current.Revision() == 0 || current.Revision() < request.GetRevision() {
+		return nil, twirp.NotFoundError("the revision is not in force here")
+	}
+	fields, err := json.Marshal(current.Fields())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rpc.ConfigDocument{Revision: current.Revision(), Digest: current.Digest(), Fields: fields}, nil
+}
