--- /dev/null
+++ b/core/retry/budgets_test.go
@@ -0,0 +1,55 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/retry"
+)
+
+// Guards against retries beyond the earned share, and against one key spending another's budget.
+func TestBudgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &retry.Budgets{Ratio: 0.25, PerSecond: 1, Burst: 3, Initial: 2, MaxKeys: 10}
+		take := func(key string) (n int) {
+			for b.Take(key) {
+				n++
+			}
+			return n
+		}
+		require.Equal(t, 2, take("a"))
+		for range 9 {
+			b.Earn("a")
+		}
+		require.Equal(t, 2, take("a"))
+		require.Equal(t, 2, take("b"))
+		time.Sleep(time.Minute)
+		require.Equal(t, 3, take("a"), "the bucket is bounded by Burst")
+	})
+}
+
+// Guards against unbounded memory by many keys.
+func TestKeysAreBounded(t *testing.T) {
+	b := retry.Default()
+	b.MaxKeys = 3
+	for i := range 10 {
+		b.Earn(fmt.Sprint(i))
+	}
+	require.Equal(t, 3, b.Len())
+}
+
+func BenchmarkTakeEarn(b *testing.B) {
+	budgets, keys := retry.Default(), make([]string, 20000)
+	for i := range keys {
+		keys[i] = fmt.Sprint("workspace/", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		budgets.Earn(keys[i%len(keys)])
+		budgets.Take(keys[i%len(keys)])
+	}
+}
