--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,10 @@
 
 func commands() []command {
 	return []command{
+		{name: "serve", help: "run one daemon", run: RunServe},
+		{name: "sheet", help: "check, plan and apply the operators' sheet", run: RunSheet},
+		{name: "settings", help: "check a settings file", run: RunSettings},
+		{name: "standin", help: "run a stand-in of an engine, a service or the platform", run: RunStandin},
 		{name: "version", help: "print the version", run: RunVersion},
 	}
 }
--- /dev/null
+++ b/daemon/config.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+
+	"radishhollow/core/config"
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/io/operator"
+	"radishhollow/io/peer"
+	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
+)
+
+var configParts = fx.Provide(newStore, newSyncer, newWriter, newOperator)
+
+func newStore() *config.Store { return &config.Store{} }
+
+func newSyncer(
+	s settings.Settings, store kv.Store, current *config.Store, reach *member.Reach, m *telemetry.Metrics,
+) *config.Syncer {
+	return &config.Syncer{
+		KV: store, Store: current,
+		Poll: s.Timeouts.ConfigPoll.Duration, Wait: s.Timeouts.WatchWait.Duration,
+		Count:   func(class string) { m.Count(telemetry.Revisions, class) },
+		Contact: reach.Contact,
+	}
+}
+
+func newWriter(store kv.Store, current *config.Store) *config.Writer {
+	return &config.Writer{KV: store, InForce: current.Current, NewID: uuid.NewString}
+}
+
+func newOperator(s settings.Settings, node *peer.Node, writer *config.Writer) *operator.Server {
+	return &operator.Server{KeyDigest: s.OperatorKeyDigest, Node: node, Writer: writer}
+}
--- /dev/null
+++ b/daemon/drain.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"radishhollow/core/config"
+	"radishhollow/core/member"
+	"radishhollow/io/settings"
+)
+
+// Drain is the state of a planned stop.
+type Drain struct {
+	draining atomic.Bool
+	closing  atomic.Bool
+	delay    time.Duration
+	store    *config.Store
+	reach    *member.Reach
+}
+
+func newDrain(s settings.Settings, store *config.Store, reach *member.Reach) *Drain {
+	return &Drain{delay: s.Timeouts.DrainDelay.Duration, store: store, reach: reach}
+}
+
+// Draining tells whether a planned stop has begun.
+func (d *Drain) Draining() bool { return d.draining.Load() }
+
+// Closing tells whether the daemon closes connections that are still in use.
+func (d *Drain) Closing() bool { return d.closing.Load() }
+
+// Ready tells whether the load balancer should send new requests to this daemon.
+func (d *Drain) Ready() bool {
+	return !d.Draining() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
+}
+
+// closeIdle asks clients to close their connections during a planned stop, so that none sends a request on a
+// connection that is about to be closed.
+func (d *Drain) closeIdle(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/daemon/endpoint.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"radishhollow/core/generation"
+	"radishhollow/core/route"
+	"radishhollow/io/engine"
+	"radishhollow/io/service"
+	"radishhollow/io/settings"
+)
+
+var endpointParts = fx.Provide(newEngine, newService, newCanceler, newPollers)
+
+func newEngine(table *route.Table) *engine.Client {
+	return &engine.Client{HTTP: engine.NewHTTP(), Observe: observeState(table)}
+}
+
+func newService(lifecycle fx.Lifecycle, table *route.Table) *service.Client {
+	client := service.New()
+	client.Observe = observeState(table)
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
+	return client
+}
+
+// observeState marks an endpoint that says in a response header that it is leaving.
+func observeState(table *route.Table) func(address, incarnation, state string) {
+	return func(address, incarnation, state string) {
+		if state == string(route.StateLeaving) && incarnation != "" {
+			table.MarkLeaving(address, incarnation)
+		}
+	}
+}
+
+func newCanceler(lifecycle fx.Lifecycle, client *engine.Client) *generation.Canceler {
+	canceler := &generation.Canceler{Send: client.Cancel}
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return canceler.Close() }})
+	return canceler
+}
+
+// pollers read the load reports of both kinds of endpoints.
+type pollers struct {
+	models   *engine.Poller
+	services *engine.Poller
+}
+
+func newPollers(
+	s settings.Settings, table *route.Table, engines *engine.Client, services *service.Client, log *logrus.Logger,
+) pollers {
+	changed := func(address string, reachable bool) {
+		log.WithField("endpoint", address).WithField("reachable", reachable).Info("endpoint changed")
+	}
+	return pollers{
+		models: &engine.Poller{
+			Table: table, Kind: route.KindModel, Interval: s.Timeouts.LoadPoll.Duration, Load: engines.Load,
+			CacheEvents: engines.CacheEvents, Changed: changed,
+		},
+		services: &engine.Poller{
+			Table: table, Kind: route.KindService, Interval: s.Timeouts.LoadPoll.Duration, Load: services.Load,
+			Changed: changed,
+		},
+	}
+}
--- a/daemon/error.go
+++ b/daemon/error.go
@@ -26,3 +26,48 @@
 
 // Outcome implements failure.Failure.
 func (e ChildFailedError) Outcome() failure.Outcome { return failure.Unknown }
+
+// CursorKeyError reports a cursor key that is not in hex.
+type CursorKeyError struct{ Cause error }
+
+// Error implements error.
+func (e CursorKeyError) Error() string { return fmt.Sprintf("cursor key: %v", e.Cause) }
+
+// Unwrap returns the decoder's error.
+func (e CursorKeyError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Failure.
+func (e CursorKeyError) Code() string { return "cursor-key" }
+
+// Outcome implements failure.Failure.
+func (e CursorKeyError) Outcome() failure.Outcome { return failure.NotRun }
+
+// ListenError reports an address on which the daemon cannot listen.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the operating system's error.
+func (e ListenError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Failure.
+func (e ListenError) Code() string { return "listen-failed" }
+
+// Outcome implements failure.Failure.
+func (e ListenError) Outcome() failure.Outcome { return failure.NotRun }
+
+// EndedError reports a daemon that stopped itself after a component failed.
+type EndedError struct{ ExitCode int }
+
+// Error implements error.
+func (e EndedError) Error() string { return "the daemon stopped because a component failed" }
+
+// Code implements failure.Failure.
+func (e EndedError) Code() string { return "daemon-ended" }
+
+// Outcome implements failure.Failure.
+func (e EndedError) Outcome() failure.Outcome { return failure.Unknown }
--- /dev/null
+++ b/daemon/peer.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"go.uber.org/fx"
+
+	"radishhollow/core/config"
+	"radishhollow/core/kv"
+	"radishhollow/core/limit"
+	"radishhollow/core/member"
+	"radishhollow/core/route"
+	"radishhollow/io/peer"
+	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
+)
+
+var peerParts = fx.Provide(newReach, newMembers, newNode, newExchanger, newRegistrar, newPeerServer)
+
+func newReach(s settings.Settings) *member.Reach {
+	return &member.Reach{Bound: s.Timeouts.Isolation.Duration}
+}
+
+// newMembers passes the marks that peers have set on endpoints to the table that routes.
+func newMembers(s settings.Settings, table *route.Table) *member.Table {
+	return &member.Table{
+		Self:       s.PeerListen,
+		PeerExpiry: s.Timeouts.PeerExpiry.Duration,
+		MarkExpiry: s.Timeouts.MarkExpiry.Duration,
+		OnMark: func(mark member.Mark) {
+			if mark.Dead {
+				table.MarkDead(mark.Address, mark.Incarnation)
+				return
+			}
+			table.MarkLeaving(mark.Address, mark.Incarnation)
+		},
+	}
+}
+
+func newNode(
+	id Identity, drain *Drain, members *member.Table, store *config.Store, reach *member.Reach,
+	limiter *limit.Limiter, m *telemetry.Metrics,
+) *peer.Node {
+	return &peer.Node{
+		Address: id.address, Incarnation: id.incarnation, Place: id.place,
+		Draining: drain.Draining,
+		Demand:   func() []member.Demand { return demandOf(limiter) },
+		Table:    members, Store: store, Reach: reach, Metrics: m,
+	}
+}
+
+func demandOf(limiter *limit.Limiter) []member.Demand {
+	var list []member.Demand
+	for workspace, d := range limiter.Demand() {
+		list = append(list, member.Demand{
+			Workspace: workspace, RequestsPerSecond: d.RequestsPerSecond, TokensPerSecond: d.TokensPerSecond,
+			Concurrency: d.Concurrency,
+		})
+	}
+	return list
+}
+
+func newExchanger(s settings.Settings, node *peer.Node) *peer.Exchanger {
+	return peer.NewExchanger(node, peer.HTTPClient(node.Metrics), peer.Options{
+		Seeds:    s.Peers,
+		Interval: s.Timeouts.ExchangeInterval.Duration,
+		Fanout:   s.Limits.ExchangeFanout,
+		Timeout:  s.Timeouts.Peer.Duration,
+	})
+}
+
+func newRegistrar(s settings.Settings, store kv.Store, node *peer.Node) *peer.Registrar {
+	return &peer.Registrar{
+		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, Wait: s.Timeouts.WatchWait.Duration,
+		Relist: s.Timeouts.ConfigPoll.Duration,
+	}
+}
+
+func newPeerServer(node *peer.Node, exchanger *peer.Exchanger) *peer.Server {
+	return &peer.Server{Node: node, Ahead: exchanger.Ahead}
+}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/core/route"
+	"radishhollow/io/platform"
+	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
+)
+
+var platformParts = fx.Provide(newPlatform, newKV, newInstances)
+
+func newPlatform(s settings.Settings, m *telemetry.Metrics) *platform.Client {
+	return &platform.Client{
+		Address: s.Platform,
+		HTTP:    platform.NewHTTP(),
+		Timeout: s.Timeouts.Platform.Duration,
+		Count:   func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
+	}
+}
+
+func newKV(client *platform.Client) kv.Store { return client.Store() }
+
+// instances reads the platform's instance list into the table of endpoints. During an outage the last list stays.
+type instances struct {
+	client   *platform.Client
+	table    *route.Table
+	reach    *member.Reach
+	interval time.Duration
+	log      *logrus.Logger
+	failing  bool
+}
+
+func newInstances(
+	s settings.Settings, client *platform.Client, table *route.Table, reach *member.Reach, log *logrus.Logger,
+) *instances {
+	return &instances{
+		client: client, table: table, reach: reach, interval: s.Timeouts.InstancePoll.Duration, log: log,
+	}
+}
+
+// Run polls until ctx ends.
+func (i *instances) Run(ctx context.Context) error {
+	ticker := time.NewTicker(i.interval)
+	defer ticker.Stop()
+	for {
+		i.read(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+}
+
+func (i *instances) read(ctx context.Context) {
+	endpoints, _, err := i.client.Instances(ctx)
+	if err != nil {
+		if !i.failing && ctx.Err() == nil {
+			i.log.WithError(err).Warn("platform does not answer; keeping the last instance list")
+		}
+		i.failing = true
+		return
+	}
+	if i.failing {
+		i.log.Info("platform answers again")
+	}
+	i.failing = false
+	i.table.Sync(endpoints)
+	i.reach.Contact()
+}
