test(peer): check the exchange rules in virtual time

Cause: the loopback tests cannot tell a news exchange from a regular one, and take real time for an isolation. Change: a network without sockets runs exchangers in a synctest bubble: pace with and without news, isolation and its end, and a revision and a mark that cross 60 daemons in 2 s.

--- /dev/null
+++ b/io/peer/rules_test.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/core/member"
+	"radishhollow/io/telemetry"
+)
+
+// network joins nodes without sockets, so that a bubble of synctest can run them.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	cut      map[string]bool
+	calls    map[string][]time.Time
+}
+
+// Do implements rpc.HTTPClient.
+func (n *network) Do(request *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	handler, cut := n.handlers[request.URL.Host], n.cut[request.URL.Host]
+	n.calls[request.URL.Host] = append(n.calls[request.URL.Host], time.Now())
+	n.mu.Unlock()
+	if handler == nil || cut {
+		return nil, context.DeadlineExceeded
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+func (n *network) times(address string) []time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[address]
+}
+
+func (n *network) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+func (n *network) join(i int, seeds ...string) (*Node, *Exchanger) {
+	address := fmt.Sprintf("10.0.%d.%d:1", i/200, i%200+1)
+	node := &Node{
+		Address: address, Incarnation: "1", Place: "liberia",
+		Draining: func() bool { return false }, Demand: func() []member.Demand { return nil },
+		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: 10 * time.Minute},
+		Store: &config.Store{}, Reach: &member.Reach{Bound: 15 * time.Second}, Metrics: telemetry.New(),
+	}
+	x := NewExchanger(node, n, Options{Seeds: seeds, Interval: time.Second, Fanout: 2, Timeout: time.Second})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[address] = (&Server{Node: node, Ahead: x.Ahead}).Handler()
+	return node, x
+}
+
+func newNetwork() *network {
+	return &network{handlers: map[string]http.Handler{}, cut: map[string]bool{}, calls: map[string][]time.Time{}}
+}
+
+func runAll(exchangers ...*Exchanger) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, x := range exchangers {
+		group.Go(func() { _ = x.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func TestNewsBringsTheNextExchangeForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		b, _ := n.join(2)
+		a, x := n.join(1, b.Address)
+		defer runAll(x)()
+		time.Sleep(10 * time.Second)
+		calm := len(n.times(b.Address))
+		require.InDelta(t, 10, calm, 3, "without news there is about one exchange a second")
+		x.News()
+		time.Sleep(time.Second/urgency + time.Millisecond)
+		require.Len(t, n.times(b.Address), calm+1)
+		for range 100 {
+			x.News()
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(n.times(b.Address)), calm+2+urgency, "news must not raise the rate above the bound")
+		require.Empty(t, n.times(a.Address), "a daemon must not call itself")
+	})
+}
+
+func TestIsolationBeginsAndEndsWithThePeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		b, _ := n.join(2)
+		a, x := n.join(1, b.Address)
+		defer runAll(x)()
+		time.Sleep(time.Second)
+		require.False(t, a.Reach.Isolated())
+		n.setCut(b.Address, true)
+		time.Sleep(2 * time.Minute)
+		require.True(t, a.Reach.Isolated())
+		require.Empty(t, a.Table.Peers(), "a silent peer that nobody lists must be forgotten")
+		n.setCut(b.Address, false)
+		time.Sleep(3 * time.Second)
+		require.False(t, a.Reach.Isolated(), "a forgotten seed must be called again")
+	})
+}
+
+// A revision or a mark must cross a fleet within the targets of 5 s and 2 s by exchange alone.
+func TestNewsCrossesAFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		nodes := make([]*Node, fleetSize)
+		exchangers := make([]*Exchanger, fleetSize)
+		for i := range nodes {
+			nodes[i], exchangers[i] = n.join(i, "10.0.0.1:1", "10.0.0.2:1")
+			nodes[i].Table.OnMark = func(member.Mark) { exchangers[i].News() }
+		}
+		defer runAll(exchangers...)()
+		time.Sleep(20 * time.Second)
+		accepted, err := nodes[7].Store.Offer(document(1, "liberia"))
+		require.NoError(t, err)
+		require.True(t, accepted)
+		nodes[9].Table.Mark("10.9.9.9:1", "3", false)
+		time.Sleep(2 * time.Second)
+		for _, node := range nodes {
+			require.EqualValues(t, 1, node.Store.Current().Revision(), node.Address)
+			_, found := node.Table.Marked("10.9.9.9:1", "3")
+			require.True(t, found, node.Address)
+		}
+	})
+}
+
+// fleetSize is large enough that news needs several rounds, and small enough for the race detector.
+const fleetSize = 60
