feat: serve requests from callers to endpoints in one daemon

Cause: the assembled parts did not share signatures; nothing fed the circuit breaker, the queue's capacity or marks from response headers.

--- a/core/booking/repeat.go
+++ b/core/booking/repeat.go
@@ -59,7 +59,7 @@
 
 // more starts another attempt if the bound and the retry budget allow it.
 func (r *race) more(ctx context.Context) {
-	if r.started < r.sender.maxAttempts() && r.sender.MayRetry() {
+	if r.started < r.sender.maxAttempts() && r.sender.MayRetry(r.call.Workspace) {
 		r.start(ctx)
 	}
 }
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -28,7 +28,7 @@
 	// Claim creates the idempotency record of a key.
 	Claim func(ctx context.Context, workspace, service, key, digest string) (claim.Ticket, error)
 	// MayRetry draws on the retry budget before every attempt but the first.
-	MayRetry func() bool
+	MayRetry func(workspace string) bool
 	// Unrecorded is told that an outcome could not be recorded at once; it may be nil.
 	Unrecorded func(err error)
 	// Timeout bounds one attempt. Zero means DefaultTimeout.
@@ -105,7 +105,7 @@
 	exclude := map[string]bool{}
 	var last result
 	for n := range s.maxAttempts() {
-		if n > 0 && !s.MayRetry() {
+		if n > 0 && !s.MayRetry(call.Workspace) {
 			break
 		}
 		res := s.attempt(ctx, call, exclude, check)
--- a/core/booking/sender_test.go
+++ b/core/booking/sender_test.go
@@ -55,7 +55,7 @@
 }
 
 func (f *fleet) sender(budget bool) *booking.Sender {
-	return &booking.Sender{Pick: f.pick, Send: f.send, MayRetry: func() bool { return budget }}
+	return &booking.Sender{Pick: f.pick, Send: f.send, MayRetry: func(string) bool { return budget }}
 }
 
 func status(code int, notRun string) func(context.Context) (booking.Response, error) {
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -173,7 +173,9 @@
 func (r *run) refuse(err error) {
 	r.lost, r.last = true, err
 	r.exclude[r.choice.Address()] = true
-	r.observe(Event{Kind: EventRefused, Address: r.choice.Address(), Attempt: r.Log.Attempt(), Cause: err})
+	r.observe(Event{
+		Kind: EventRefused, Address: r.choice.Address(), Incarnation: r.choice.Incarnation(), Attempt: r.Log.Attempt(), Cause: err,
+	})
 	r.release()
 }
 
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -9,6 +9,9 @@
 // maxPast bounds the superseded incarnations that are remembered per address.
 const maxPast = 4
 
+// gapMemory is the number of reports over which the mean token gap is smoothed.
+const gapMemory = 8
+
 // correction is work that the last report doesn't show yet, or shows although it has ended.
 type correction struct {
 	at       time.Time
@@ -36,6 +39,7 @@
 	reported    bool
 	reportedAt  time.Time
 	unreachable bool
+	gapMean     float64 // mean reported token gap, in nanoseconds
 	corrections []correction
 	slots       int // sum of the corrections
 	prefill     int // sum of the corrections
@@ -58,6 +62,11 @@
 		return false
 	}
 	e.report, e.reported, e.reportedAt, e.unreachable = r, true, now, false
+	if gap := float64(r.TokenGap); e.gapMean == 0 {
+		e.gapMean = gap
+	} else {
+		e.gapMean += (gap - e.gapMean) / gapMemory
+	}
 	kept := e.corrections[:0]
 	e.slots, e.prefill = 0, 0
 	for _, c := range e.corrections {
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -144,7 +144,7 @@
 		Cancel:     d.Canceler.Cancel,
 		Tokenize:   d.Engines.Tokenize,
 		Known:      d.Table.Known,
-		Alive:      d.Table.Alive,
+		Alive:      d.Table.Health,
 		Result:     d.observeResult,
 		MayRetry:   d.Budgets.Take,
 		Ready:      d.Drain.Ready,
@@ -156,13 +156,20 @@
 	}
 }
 
-// observeResult feeds the circuit breaker. A refused connection also shows that the endpoint's process is gone.
+// observeResult feeds the circuit breaker. A refused connection or a silent stream also stops new work until the
+// endpoint's next load report, because a first token would be waited for in vain.
 func (d callerDeps) observeResult(choice route.Choice, err error) {
 	if err == nil {
 		d.Table.Observe(choice, route.ResultOK)
 		return
 	}
-	if _, gone := errors.AsType[engine.ConnectError](err); gone {
+	if _, refused := errors.AsType[engine.RefusedError](err); refused {
+		d.Table.Observe(choice, route.ResultRefused)
+		return
+	}
+	_, gone := errors.AsType[engine.ConnectError](err)
+	_, silent := errors.AsType[generation.SilenceError](err)
+	if gone || silent {
 		d.Table.Unreachable(choice.Address(), choice.Incarnation())
 	}
 	d.Table.Observe(choice, route.ResultFailed)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -7,7 +7,6 @@
 	"go.uber.org/fx"
 
 	"radishhollow/core/config"
-	"radishhollow/core/generation"
 	"radishhollow/core/kv"
 	"radishhollow/core/lease"
 	"radishhollow/core/order"
@@ -44,10 +43,7 @@
 }
 
 func sendOrder(ctx context.Context, engines *engine.Client, o order.Order, fence uint64) error {
-	spec, err := generation.ParseSpec(o.Spec)
-	if err != nil {
-		return err
-	}
+	spec := o.Spec
 	return engines.Order(ctx, o.Address, engine.Order{
 		Kind: string(o.Kind), Model: spec.Model(), Version: spec.Version(), Adapter: spec.Adapter(),
 		AdapterVersion: spec.AdapterVersion(), Fence: fence,
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"radishhollow/core/generation"
@@ -48,19 +47,15 @@
 }
 
 func newPollers(
-	s settings.Settings, table *route.Table, engines *engine.Client, services *service.Client, log *logrus.Logger,
+	s settings.Settings, table *route.Table, engines *engine.Client, services *service.Client,
 ) pollers {
-	changed := func(address string, reachable bool) {
-		log.WithField("endpoint", address).WithField("reachable", reachable).Info("endpoint changed")
-	}
 	return pollers{
 		models: &engine.Poller{
 			Table: table, Kind: route.KindModel, Interval: s.Timeouts.LoadPoll.Duration, Load: engines.Load,
-			CacheEvents: engines.CacheEvents, Changed: changed,
+			CacheEvents: engines.CacheEvents,
 		},
 		services: &engine.Poller{
 			Table: table, Kind: route.KindService, Interval: s.Timeouts.LoadPoll.Duration, Load: services.Load,
-			Changed: changed,
 		},
 	}
 }
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -138,11 +138,11 @@
 	t.Cleanup(client.HTTP.CloseIdleConnections)
 	s.server = &caller.Server{
 		Document: document,
-		Admit: func(_ context.Context, w config.Workspace, _ int) (func(), error) {
+		Admit: func(_ context.Context, w config.Workspace, _ int, _ bool) (func(int), error) {
 			if w.Name == "busy" {
 				return nil, overloaded{}
 			}
-			return func() {}, nil
+			return func(int) {}, nil
 		},
 		Pick: func(_ context.Context, need route.Need) (route.Choice, error) {
 			for _, a := range addresses {
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -46,12 +46,13 @@
 	workspace := WorkspaceOf(c)
 	ctx, stop := s.callerContext(c.Request.Context())
 	defer stop()
-	release, err := s.Admit(ctx, workspace, r.cost())
+	release, err := s.Admit(ctx, workspace, r.cost(), r.cursor != "")
 	if err != nil {
 		return err
 	}
+	used := 0
 	if release != nil {
-		defer release()
+		defer func() { release(used) }()
 	}
 	s.Metrics.Observe(telemetry.QueueWait, workspace.Name, time.Since(r.arrived))
 	if r.prompt == nil {
@@ -63,6 +64,8 @@
 	if err != nil {
 		return err
 	}
+	start := log.Len()
+	defer func() { used = log.PromptLen() + log.Len() - start }()
 	if r.stream {
 		return s.newStreamed(c, r, workspace, log).run(ctx, from)
 	}
@@ -160,6 +163,7 @@
 
 // measure feeds the metrics from the events of one generation.
 func (s *Server) measure(r *request, workspace string, event generation.Event) {
+	s.judge(event)
 	m := s.Metrics
 	switch event.Kind {
 	case generation.EventAttempt:
@@ -182,6 +186,20 @@
 	}
 }
 
+// judge tells the circuit breaker how an attempt went.
+func (s *Server) judge(event generation.Event) {
+	if s.Result == nil {
+		return
+	}
+	choice := route.NewChoice(event.Address, event.Incarnation, "", nil)
+	switch event.Kind {
+	case generation.EventFirst, generation.EventResumed:
+		s.Result(choice, nil)
+	case generation.EventLoss, generation.EventRefused:
+		s.Result(choice, event.Cause)
+	}
+}
+
 // runWhole answers in one body. If the weights of the buffered part are lost it starts over once, which is safe as
 // the caller has received nothing.
 func (s *Server) runWhole(
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -72,10 +72,6 @@
 
 // cost estimates the tokens of the request. Four bytes of text are about one token.
 func (r *request) cost() int {
-	if r.cursor != "" {
-		// A resumed generation has been admitted before.
-		return 1
-	}
 	size := len(r.text.Prompt)
 	for _, m := range r.text.Messages {
 		size += len(m.Content)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -34,8 +34,9 @@
 // CursorKeys are required.
 type Server struct {
 	Document func() config.Document
-	// Admit waits for the workspace's turn; cost is an estimate in tokens.
-	Admit    func(ctx context.Context, workspace config.Workspace, cost int) (release func(), err error)
+	// Admit waits for the workspace's turn; cost is an estimate in tokens. Its release takes the tokens used. A resumed
+	// request was admitted before.
+	Admit    func(ctx context.Context, workspace config.Workspace, cost int, resume bool) (release func(used int), err error)
 	Pick     func(ctx context.Context, need route.Need) (route.Choice, error)
 	Open     func(ctx context.Context, address string, start generation.Start) (generation.Stream, error)
 	Attach   func(ctx context.Context, address, id string, attempt, offset int) (generation.Stream, error)
@@ -45,6 +46,8 @@
 	Known func(address, incarnation string) bool
 	// Alive tells from load reports whether an endpoint runs, and by which factor it is slower than usual.
 	Alive func(address string) (alive bool, slow float64)
+	// Result is told how each attempt on an endpoint went; it may be nil.
+	Result func(choice route.Choice, err error)
 	// MayRetry takes one attempt from the workspace's retry budget.
 	MayRetry func(workspace string) bool
 	// Ready tells whether this instance takes new work.
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -33,10 +33,15 @@
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 }
 
+// endpointHeaders are between endpoints and this system; the outcome header tells callers what they can rely on.
+var endpointHeaders = []string{"Not-Run", "Endpoint-State", "Endpoint-Incarnation"}
+
 // ServiceHandler passes plain-service calls to the sender. The fields are set before use.
 type ServiceHandler struct {
 	// Do executes a call; booking.Sender.Do fits.
 	Do func(ctx context.Context, call booking.Call) (booking.Response, error)
+	// Admit waits for the workspace's turn.
+	Admit func(ctx context.Context, workspace config.Workspace) (release func(), err error)
 	// ServiceOf returns the service of a name from the configuration in force.
 	ServiceOf func(name string) (config.Service, bool)
 	// WorkspaceOf returns the workspace of an authenticated request.
@@ -49,9 +54,9 @@
 // Handle serves any method on /services/:service/*path.
 func (h *ServiceHandler) Handle(c *gin.Context) {
 	begin := time.Now()
-	workspace := h.WorkspaceOf(c).Name
-	response, err := h.do(c, workspace)
-	h.Metrics.Observe(telemetry.BookingTime, workspace, time.Since(begin))
+	workspace := h.WorkspaceOf(c)
+	response, err := h.admitted(c, workspace)
+	h.Metrics.Observe(telemetry.BookingTime, workspace.Name, time.Since(begin))
 	if err != nil {
 		f := failure.Of(err)
 		h.Metrics.Count(telemetry.Bookings, f.Outcome().String())
@@ -65,6 +70,15 @@
 	writeResponse(c, response)
 }
 
+func (h *ServiceHandler) admitted(c *gin.Context, workspace config.Workspace) (booking.Response, error) {
+	release, err := h.Admit(c.Request.Context(), workspace)
+	if err != nil {
+		return booking.Response{}, err
+	}
+	defer release()
+	return h.do(c, workspace.Name)
+}
+
 func (h *ServiceHandler) do(c *gin.Context, workspace string) (booking.Response, error) {
 	name, path, err := splitPath(c.Request.URL)
 	if err != nil {
@@ -123,10 +137,12 @@
 	return copied
 }
 
-// writeResponse passes the response on. Not-Run is removed because the outcome header tells what can be relied on.
+// writeResponse passes the response on.
 func writeResponse(c *gin.Context, response booking.Response) {
 	header := endToEnd(response.Header)
-	header.Del("Not-Run")
+	for _, name := range endpointHeaders {
+		header.Del(name)
+	}
 	for name, values := range header {
 		c.Writer.Header()[name] = values
 	}
--- a/io/caller/service_test.go
+++ b/io/caller/service_test.go
@@ -23,7 +23,8 @@
 	t.Helper()
 	gin.SetMode(gin.TestMode)
 	handler := &caller.ServiceHandler{
-		Do: do,
+		Do:    do,
+		Admit: func(context.Context, config.Workspace) (func(), error) { return func() {}, nil },
 		ServiceOf: func(name string) (config.Service, bool) {
 			return config.Service{Name: name}, name == "rooms"
 		},
--- a/io/engine/call.go
+++ b/io/engine/call.go
@@ -86,22 +86,28 @@
 	return specs
 }
 
-// CacheEvent tells that a prefix block was stored in or evicted from the engine's cache.
-type CacheEvent struct {
-	Sequence uint64 `json:"sequence"`
-	Kind     string `json:"kind"`
-	Block    string `json:"block"`
-}
-
-// CacheEvents returns the events after a sequence number, and the number to ask from next.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, uint64, error) {
+// CacheEvents returns the events after a sequence number, and the number to ask from next. Events with a malformed
+// block are left out, as the index tolerates missing ones.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]route.CacheEvent, uint64, error) {
 	var out struct {
-		Events []CacheEvent `json:"events"`
-		Next   uint64       `json:"next"`
+		Events []struct {
+			Sequence uint64               `json:"sequence"`
+			Kind     route.CacheEventKind `json:"kind"`
+			Block    string               `json:"block"`
+		} `json:"events"`
+		Next uint64 `json:"next"`
 	}
 	path := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
-	err := c.call(ctx, http.MethodGet, address, path, nil, &out)
-	return out.Events, out.Next, err
+	if err := c.call(ctx, http.MethodGet, address, path, nil, &out); err != nil {
+		return nil, 0, err
+	}
+	events := make([]route.CacheEvent, 0, len(out.Events))
+	for _, e := range out.Events {
+		if block, err := strconv.ParseUint(e.Block, 16, 64); err == nil {
+			events = append(events, route.CacheEvent{Sequence: e.Sequence, Kind: e.Kind, Block: block})
+		}
+	}
+	return events, out.Next, nil
 }
 
 // Order holds the parameters of an order to an engine.
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -30,6 +30,8 @@
 type Client struct {
 	// HTTP sends the requests. It must not follow redirects; NewHTTP returns a suitable one.
 	HTTP *http.Client
+	// Observe is told the state that each response header names; it may be nil.
+	Observe func(address, incarnation, state string)
 }
 
 // NewHTTP returns an HTTP client without proxies, redirects or compression.
@@ -149,6 +151,9 @@
 	request.GetBody = nil
 	response, err := c.HTTP.Do(request)
 	if err == nil {
+		if c.Observe != nil {
+			c.Observe(address, response.Header.Get("Endpoint-Incarnation"), response.Header.Get("Endpoint-State"))
+		}
 		return response, nil
 	}
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -15,6 +15,7 @@
 
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
+	"radishhollow/core/route"
 	"radishhollow/io/engine"
 )
 
@@ -138,7 +139,7 @@
 	require.Equal(t, engine.StaleFenceError{Endpoint: address, Sent: 3, Fence: 9}, err)
 	events, next, err := client.CacheEvents(t.Context(), address, 4)
 	require.NoError(t, err)
-	require.Equal(t, []engine.CacheEvent{{Sequence: 5, Kind: "stored", Block: "ab"}}, events)
+	require.Equal(t, []route.CacheEvent{{Sequence: 5, Kind: route.CacheStored, Block: 0xab}}, events)
 	require.EqualValues(t, 5, next)
 	ids, err := client.Tokenize(t.Context(), address, engine.Text{Model: "m", Prompt: "x"})
 	require.NoError(t, err)
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -37,6 +37,8 @@
 	fresh       *http.Transport
 	pooled      *http.Transport
 	maxResponse int64
+	// Observe is told the state that each response header names; it may be nil and is set before use.
+	Observe func(address, incarnation, state string)
 }
 
 // New returns a Client. Close ends its idle connections.
@@ -99,6 +101,9 @@
 		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Written: seal(conn), Cause: err})
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if c.Observe != nil {
+		c.Observe(address, resp.Header.Get("Endpoint-Incarnation"), resp.Header.Get("Endpoint-State"))
+	}
 	body, err := readAll(address, resp.Body, c.maxResponse)
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -57,6 +57,9 @@
 	PeerExpiry Duration `toml:"peer-expiry"`
 	// Drain bounds a planned stop; 0 waits until every request is complete.
 	Drain Duration `toml:"drain"`
+	// DrainDelay is the time between the end of readiness and the end of new connections in a planned stop, in which
+	// the load balancer notices.
+	DrainDelay Duration `toml:"drain-delay"`
 	// CursorExpiry is the age at which a cursor is refused.
 	CursorExpiry Duration `toml:"cursor-expiry"`
 	// ClaimWait bounds the wait of a repeated booking for the recorded outcome.
@@ -110,6 +113,7 @@
 			Isolation:    Duration{15 * time.Second},
 			MarkExpiry:   Duration{10 * time.Minute},
 			PeerExpiry:   Duration{time.Minute},
+			DrainDelay:   Duration{5 * time.Second},
 			CursorExpiry: Duration{24 * time.Hour},
 			ClaimWait:    Duration{30 * time.Second},
 			ClaimExpiry:  Duration{24 * time.Hour},
