--- a/core/claim/keeper_test.go
+++ b/core/claim/keeper_test.go
@@ -147,3 +147,14 @@
 		})
 	}
 }
+
+// Guards against "not run" being told to a caller whose earlier request with the key holds it and may have run.
+func TestUnreadableHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, 0)
+		claimOn(t, &claim.Keeper{Store: store.store()})
+		store.fail["get"] = []fault{faultRefused, faultRefused, faultRefused, faultRefused, faultRefused}
+		_, err := (&claim.Keeper{Store: store.store()}).Claim(t.Context(), "w", "s", "key", "digest")
+		requireCode(t, err, "outcome-unknown", failure.Unknown)
+	})
+}
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -173,3 +173,28 @@
 	require.Equal(t, []string{"get", "get", "list", "watch", "grant", "renew", "instances", "put-instance",
 		"delete-instance"}, kinds)
 }
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against requests that net/http may repeat: those without a body, and those whose body it can rewind.
+func TestRequestsCannotBeRepeated(t *testing.T) {
+	calls := 0
+	client := &platform.Client{Address: "127.0.0.1:1", HTTP: &http.Client{
+		Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+			calls++
+			require.Nil(t, r.GetBody, r.URL.Path)
+			require.NotNil(t, r.Body, r.URL.Path)
+			require.NotEqual(t, http.NoBody, r.Body, r.URL.Path)
+			return nil, http.ErrHandlerTimeout
+		}),
+	}}
+	store := client.Store()
+	_, err := store.Put(t.Context(), "k", nil, 0, "")
+	require.Error(t, err)
+	require.Error(t, store.Delete(t.Context(), "k", 1))
+	require.Error(t, store.Renew(t.Context(), "l"))
+	require.Error(t, store.Revoke(t.Context(), "l"))
+	require.Equal(t, 4, calls)
+}
