fix: pause before an endpoint that has just refused is asked again

A pick that ignores the exclusions made the driver ask a refusing endpoint in a loop without pause. A handler that fails after its stream has started now breaks the connection, because client libraries take a normal end without an end mark for a finished stream.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -37,7 +37,7 @@
 	reattach bool          // the engine of choice may still run the stream
 	fresh    bool          // no chunk has been accepted from the current stream
 	owned    int           // the attempt number that the engine of choice has taken from this run; 0 if none
-	unpicked bool          // the last pick found no endpoint
+	unpicked bool          // the last pick found no endpoint, even among those that had failed before
 	first    time.Duration // deadline of the current stream's first chunk
 }
 
@@ -105,8 +105,12 @@
 	pause := firstPickPause
 	for {
 		choice, err := r.Pick(ctx, r.need())
-		r.unpicked = err != nil
+		r.unpicked = err != nil && len(r.exclude) == 0
 		if err == nil {
+			if r.exclude[choice.Address()] && sleep(ctx, pause) != nil {
+				choice.Release()
+				return r.cause(ctx.Err())
+			}
 			r.hold(choice)
 			if r.tries > 0 && r.MayRetry != nil && !r.MayRetry() {
 				return r.giveUp(BudgetError{Attempt: r.Log.Attempt() + 1})
@@ -114,7 +118,7 @@
 			if err = r.start(ctx); err == nil {
 				return nil
 			}
-			pause = firstPickPause
+			pause = min(2*pause, lastPickPause)
 		} else {
 			if r.last == nil {
 				r.last = err
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -103,6 +103,24 @@
 	require.EqualValues(t, "length", got.Choices[0].FinishReason)
 }
 
+// Guards against a whole answer made of two generations, and against its loss when it can start over.
+func TestWholeAnswerStartsOver(t *testing.T) {
+	s := newSetup(t)
+	s.engines[0].dieAt, s.engines[0].next, s.engines[1].spec = 4, "m@2", "m@2"
+	client := s.client("north-key")
+	got, err := client.Completions.New(t.Context(), completion(100))
+	require.NoError(t, err)
+	require.Equal(t, words(0, total), got.Choices[0].Text)
+	require.Contains(t, got.RawJSON(), `"system_fingerprint":"m@2"`)
+}
+
+// Guards against headers of unbounded size.
+func TestHeaderLimit(t *testing.T) {
+	s := newSetup(t)
+	response := s.post(t, "north", strings.Repeat("x", 80<<10), "{}")
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+}
+
 // Guards against an unfinished stream that a client takes for a finished one.
 func TestStreamEndsWithError(t *testing.T) {
 	s := newSetup(t)
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -42,6 +42,8 @@
 	dieAt    int  // the offset at which the next stream breaks; 0 for never
 	holds    bool // a broken stream can be attached to
 	slow     time.Duration
+	spec     string
+	next     string // the spec after the next loss
 	opens    int
 	attaches int
 	prompts  [][]uint32
@@ -49,7 +51,7 @@
 
 func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	dieAt, holds := f.dieAt, f.holds
+	dieAt, holds, spec := f.dieAt, f.holds, f.spec
 	f.mu.Unlock()
 	switch {
 	case r.URL.Path == "/tokenize":
@@ -67,21 +69,24 @@
 		f.opens++
 		f.prompts = append(f.prompts, in.Prompt)
 		f.dieAt = 0
+		if dieAt > 0 && f.next != "" {
+			f.spec = f.next
+		}
 		f.mu.Unlock()
-		f.emit(w, r, in.ID, in.Attempt, in.Offset, min(total, in.Offset+in.MaxTokens), dieAt)
+		f.emit(w, r, spec, in.ID, in.Attempt, in.Offset, min(total, in.Offset+in.MaxTokens), dieAt)
 	case holds:
 		f.mu.Lock()
 		f.attaches++
 		f.mu.Unlock()
 		attempt, _ := strconv.Atoi(r.URL.Query().Get("attempt"))
 		offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
-		f.emit(w, r, strings.TrimPrefix(r.URL.Path, "/v1/streams/"), attempt, offset, total, 0)
+		f.emit(w, r, spec, strings.TrimPrefix(r.URL.Path, "/v1/streams/"), attempt, offset, total, 0)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (f *fakeEngine) emit(w http.ResponseWriter, r *http.Request, id string, attempt, from, to, dieAt int) {
+func (f *fakeEngine) emit(w http.ResponseWriter, r *http.Request, spec, id string, attempt, from, to, dieAt int) {
 	for i := from; i < to; i++ {
 		if dieAt > 0 && i == dieAt {
 			panic(http.ErrAbortHandler)
@@ -90,8 +95,8 @@
 		if i == to-1 {
 			finish = map[bool]string{true: `"stop"`, false: `"length"`}[to == total]
 		}
-		_, _ = fmt.Fprintf(w, `data: {"id":%q,"system_fingerprint":"m@1","attempt":%d,"offset":%d,"choices":[{"index":0,`+
-			`"text":%q,"token_ids":[%d],"finish_reason":%s}]}`+"\n\n", id, attempt, i, word(i), 100+i, finish)
+		_, _ = fmt.Fprintf(w, `data: {"id":%q,"system_fingerprint":%q,"attempt":%d,"offset":%d,"choices":[{"index":0,`+
+			`"text":%q,"token_ids":[%d],"finish_reason":%s}]}`+"\n\n", id, spec, attempt, i, word(i), 100+i, finish)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(f.slow):
@@ -101,6 +106,12 @@
 	_, _ = w.Write([]byte("data: [DONE]\n\n"))
 }
 
+func (f *fakeEngine) serves() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spec
+}
+
 type overloaded struct{}
 
 func (overloaded) Error() string             { return "too much work" }
@@ -129,7 +140,7 @@
 	s := &setup{known: true}
 	var addresses []string
 	for i := range s.engines {
-		s.engines[i] = &fakeEngine{}
+		s.engines[i] = &fakeEngine{spec: "m@1"}
 		e := httptest.NewServer(s.engines[i])
 		t.Cleanup(e.Close)
 		addresses = append(addresses, strings.TrimPrefix(e.URL, "http://"))
@@ -145,8 +156,9 @@
 			return func() {}, nil
 		},
 		Pick: func(_ context.Context, need route.Need) (route.Choice, error) {
-			for _, a := range addresses {
-				if !need.Exclude[a] && !s.isGone() {
+			for i, a := range addresses {
+				served := need.Spec == "" || need.Spec == s.engines[i].serves()
+				if served && !need.Exclude[a] && !s.isGone() {
 					return route.NewChoice(a, "i", "p", nil), nil
 				}
 			}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -74,6 +74,10 @@
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.CustomRecoveryWithWriter(io.Discard, func(c *gin.Context, value any) {
+		if c.Writer.Written() {
+			// Client libraries take a stream that ends normally without an end mark for a finished one.
+			panic(http.ErrAbortHandler)
+		}
 		WriteError(c, PanicError{Value: value})
 	}))
 	router.NoRoute(func(c *gin.Context) { WriteError(c, NotFoundError{Path: c.Request.URL.Path}) })
