test: cover a frozen engine over HTTP and an engine that only refuses

The freeze was tested only with a scripted stream, and nothing failed without the pause after a refusal.

--- a/core/generation/driver_test.go
+++ b/core/generation/driver_test.go
@@ -279,3 +279,30 @@
 		})
 	}
 }
+
+type refused struct{}
+
+func (refused) Error() string            { return "refused" }
+func (refused) Code() string             { return "refused" }
+func (refused) Outcome() failure.Outcome { return failure.NotRun }
+
+// Guards against a loop without pause on an endpoint that refuses, and against a refused request reported as run.
+func TestDriverPausesAfterRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{}
+		f.open = func(string, generation.Start) ([]step, error) {
+			require.Less(t, len(f.starts), 100)
+			return nil, refused{}
+		}
+		d := f.driver(9)
+		d.Pick = func(context.Context, route.Need) (route.Choice, error) {
+			return route.NewChoice("a", "i", "p", nil), nil
+		}
+		began := time.Now()
+		err := d.Run(t.Context())
+		require.ErrorAs(t, err, &generation.WaitExceededError{})
+		require.Equal(t, failure.NotRun, failure.Of(err).Outcome())
+		require.LessOrEqual(t, time.Since(began), generation.DefaultWaitBound)
+		require.Empty(t, f.canceled)
+	})
+}
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -40,6 +40,7 @@
 type fakeEngine struct {
 	mu       sync.Mutex
 	dieAt    int  // the offset at which the next stream breaks; 0 for never
+	freezes  bool // a stream stops at dieAt with its connection open
 	holds    bool // a broken stream can be attached to
 	slow     time.Duration
 	spec     string
@@ -88,6 +89,9 @@
 
 func (f *fakeEngine) emit(w http.ResponseWriter, r *http.Request, spec, id string, attempt, from, to, dieAt int) {
 	for i := from; i < to; i++ {
+		if dieAt > 0 && i == dieAt && f.freezes {
+			<-r.Context().Done()
+		}
 		if dieAt > 0 && i == dieAt {
 			panic(http.ErrAbortHandler)
 		}
--- a/io/caller/resume_test.go
+++ b/io/caller/resume_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// Guards against a caller that waits for an engine whose connection is open but silent.
+func TestFreezeResumesWithinTarget(t *testing.T) {
+	s := newSetup(t)
+	s.engines[0].dieAt, s.engines[0].freezes = 4, true
+	began := time.Now()
+	response := s.post(t, "north", "", fmt.Sprintf(streamedBody, ""))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+	require.Equal(t, total, strings.Count(string(body), `"token_ids"`))
+	require.Equal(t, 1, s.engines[1].opens)
+	require.Equal(t, []int{1}, s.canceled())
+}
+
 // Guards against an engine that works on for a caller that has left, and against a cancel while the daemon stops.
 func TestDisconnectCancels(t *testing.T) {
 	for _, stopping := range []bool{false, true} {
