--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -62,6 +62,8 @@
 	set(&s.leaving, f.Leaving)
 	w.WriteHeader(http.StatusNoContent)
 	if f.Die {
+		// The answer leaves before the connections close.
+		_ = http.NewResponseController(w).Flush()
 		s.cancel()
 	}
 }
