--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -95,15 +95,9 @@
 // AddDaemon starts one more daemon.
 func (d *Deployment) AddDaemon(t testing.TB) *Process {
 	t.Helper()
-	s := Settings{
-		Listen:      FreeAddress(t),
-		Operator:    FreeAddress(t),
-		Peer:        FreeAddress(t),
-		Place:       d.place(len(d.daemons)),
-		Platform:    d.platform.Address(),
-		CursorKeys:  []string{"a-cursor-key-for-tests-of-32-byte"},
-		OperatorKey: "operator-key-for-tests",
-	}
+	s := DefaultSettings()
+	s.Listen, s.Operator, s.Peer = FreeAddress(t), FreeAddress(t), FreeAddress(t)
+	s.Place, s.Platform = d.place(len(d.daemons)), d.platform.Address()
 	if d.Adjust != nil {
 		d.Adjust(len(d.daemons), &s)
 	}
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -7,18 +7,39 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+)
+
+// Keys of the daemons and workspaces that the harness writes into settings and sheets.
+const (
+	OperatorKey = "operator-key-for-tests"
+	cursorKey   = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 )
 
 // Settings are the settings of one daemon as a test needs them.
 type Settings struct {
 	// Listen, Operator and Peer are the addresses of the three listeners.
-	Listen      string   `toml:"listen"`
-	Operator    string   `toml:"operator"`
-	Peer        string   `toml:"peer"`
-	Place       string   `toml:"place"`
-	Platform    string   `toml:"platform"`
-	CursorKeys  []string `toml:"cursor-keys"`
-	OperatorKey string   `toml:"operator-key"`
+	Listen            string            `toml:"listen"`
+	Operator          string            `toml:"operator-listen"`
+	Peer              string            `toml:"peer-listen"`
+	Place             string            `toml:"place"`
+	Platform          string            `toml:"platform"`
+	Peers             []string          `toml:"peers"`
+	CursorKeys        []string          `toml:"cursor-keys"`
+	OperatorKeyDigest string            `toml:"operator-key-digest"`
+	Timeouts          map[string]string `toml:"timeouts"`
+	Limits            map[string]int    `toml:"limits"`
+}
+
+// DefaultSettings returns settings whose intervals are short enough for tests.
+func DefaultSettings() Settings {
+	return Settings{
+		CursorKeys:        []string{cursorKey},
+		OperatorKeyDigest: config.KeyDigest(OperatorKey),
+		Timeouts:          map[string]string{"drain-delay": "300ms"},
+		Limits:            map[string]int{},
+	}
 }
 
 // WriteSettings writes the settings of a daemon as TOML and returns the path of the file.
