test: cover chat prompts and adapters of the engine stand-in

Cause: tests of callers need the ids of a chat prompt to verify its output, and loading adapters was untested. Change: TokenizeChat is exported; tests cover both tokenizer forms and an adapter that waits for its weights.

--- a/standin/engine/order_test.go
+++ b/standin/engine/order_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,3 +129,32 @@
 	call(t, http.MethodPost, url+"/faults", map[string]any{"slow-factor": 2})
 	require.Eventually(t, func() bool { return gap() == 16 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// Guards against an adapter that is served before its weights were fetched, or under the spec of the bare model.
+func TestAdapter(t *testing.T) {
+	t.Parallel()
+	var fetches atomic.Int32
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if fetches.Add(1) == 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	}))
+	t.Cleanup(store.Close)
+	url := start(t, func(s *engine.Server) { s.Platform = store.Listener.Addr().String() })
+	body := map[string]any{
+		"model": "briefing:legal", "prompt": []uint32{1}, "max_tokens": 3, "request_id": "g", "attempt": 1,
+	}
+	refused := call(t, http.MethodPost, url+"/v1/completions", body)
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+	require.Equal(t, "1", refused.Header.Get("Not-Run"))
+	call(t, http.MethodPost, url+"/v1/orders", map[string]any{
+		"kind": "load-adapter", "model": "briefing", "adapter": "legal", "adapter-version": "4", "fence": 1,
+	})
+	require.Eventually(t, func() bool {
+		return len(get[load](t, url+"/v1/load").Models[0].Adapters) == 1
+	}, 5*time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 2, fetches.Load())
+	c, ok := next(t, bufio.NewScanner(call(t, http.MethodPost, url+"/v1/completions", body).Body))
+	require.True(t, ok)
+	require.Equal(t, "briefing@1+legal@4", c.Fingerprint)
+}
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -240,3 +240,26 @@
 	rest, _ := collect(t, lines)
 	require.NoError(t, engine.Verify(spec, prompt, append(c.Choices[0].TokenIDs, rest...)))
 }
+
+// Guards against a chat prompt whose ids differ between the engine and the tests that verify its output.
+func TestTokenize(t *testing.T) {
+	t.Parallel()
+	url := start(t, nil)
+	messages := []engine.Message{{Role: "system", Content: "be brief"}, {Role: "user", Content: "write a brief"}}
+	for _, tt := range []struct {
+		body map[string]any
+		want []uint32
+	}{
+		{body: map[string]any{"prompt": "write a brief"}, want: engine.Tokenize("write a brief")},
+		{body: map[string]any{"messages": messages}, want: engine.TokenizeChat(messages)},
+	} {
+		var answer struct {
+			Tokens []uint32
+			Count  int
+		}
+		resp := call(t, http.MethodPost, url+"/tokenize", tt.body)
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&answer))
+		require.Equal(t, tt.want, answer.Tokens)
+		require.Len(t, tt.want, answer.Count)
+	}
+}
--- a/standin/engine/tokenize.go
+++ b/standin/engine/tokenize.go
@@ -9,8 +9,8 @@
 	"radishhollow/standin"
 )
 
-// message is one turn of a chat.
-type message struct {
+// Message is one turn of a chat.
+type Message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
 }
@@ -26,8 +26,8 @@
 	return ids
 }
 
-// tokenizeChat puts a marker with the role before each message and one for the assistant at the end.
-func tokenizeChat(messages []message) []uint32 {
+// TokenizeChat puts a marker with the role before each message and one for the assistant at the end.
+func TokenizeChat(messages []Message) []uint32 {
 	var ids []uint32
 	for _, m := range messages {
 		ids = append(ids, Tokenize("<|"+m.Role+"|>")...)
@@ -40,14 +40,14 @@
 	var body struct {
 		Model    string    `json:"model"`
 		Prompt   string    `json:"prompt"`
-		Messages []message `json:"messages"`
+		Messages []Message `json:"messages"`
 	}
 	if !standin.ReadJSON(w, r, &body) {
 		return
 	}
 	ids := Tokenize(body.Prompt)
 	if body.Messages != nil {
-		ids = tokenizeChat(body.Messages)
+		ids = TokenizeChat(body.Messages)
 	}
 	standin.WriteJSON(w, http.StatusOK, map[string]any{"tokens": ids, "count": len(ids)})
 }
