--- a/core/config/store_test.go
+++ b/core/config/store_test.go
@@ -57,6 +57,17 @@
 	require.ErrorAs(t, err, &malformed)
 }
 
+func TestDecodeChecksTheDigest(t *testing.T) {
+	value, err := record{Revision: 3, Digest: "other", Document: sheet(3, "a")}.encode()
+	require.NoError(t, err)
+	_, err = Decode(value)
+	var digest DigestError
+	require.ErrorAs(t, err, &digest)
+	_, err = Decode([]byte("{"))
+	var malformed MalformedError
+	require.ErrorAs(t, err, &malformed)
+}
+
 func TestDiff(t *testing.T) {
 	old := Fields{SheetNumber: 1, Places: []string{"a"}, Workspaces: []Workspace{{Name: "w", KeyDigest: "1"}, {Name: "v", KeyDigest: "2"}}}
 	updated := Fields{SheetNumber: 2, Places: []string{"b"}, Workspaces: []Workspace{{Name: "x", KeyDigest: "1"}, {Name: "v", KeyDigest: "3"}}}
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -45,7 +45,7 @@
 
 func (t *table) fault(number int, column, value, reason string) {
 	if len(t.faults) < maxFaults {
-		t.faults = append(t.faults, Fault{Row: number, Column: column, Value: value, Reason: reason})
+		t.faults = append(t.faults, Fault{Row: number, Column: clip(column), Value: clip(value), Reason: reason})
 	}
 }
 
@@ -184,10 +184,10 @@
 		case cell == "":
 			continue
 		case column == "":
-			t.fault(line, fmt.Sprintf("%d", i+1), clip(cell), "the cell has no column header")
+			t.fault(line, fmt.Sprintf("%d", i+1), cell, "the cell has no column header")
 			continue
 		case len(cell) > maxCellBytes:
-			t.fault(line, column, clip(cell), fmt.Sprintf("the cell has more than %d bytes", maxCellBytes))
+			t.fault(line, column, cell, fmt.Sprintf("the cell has more than %d bytes", maxCellBytes))
 			cell = clip(cell)
 		case strings.ContainsFunc(cell, unicode.IsControl):
 			t.fault(line, column, cell, "the cell has a control character or line break")
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -141,6 +141,22 @@
 	require.Len(t, seen, 2)
 }
 
+// A repeated mark must not live longer than the first, else two daemons could keep it alive for ever.
+func TestRepeatedMarkKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		table.Mark("127.0.0.9:1", "7", false)
+		time.Sleep(9 * minute)
+		table.Mark("127.0.0.9:1", "7", false)
+		m, found := table.Marked("127.0.0.9:1", "7")
+		require.True(t, found)
+		require.Equal(t, 9*minute, m.Age)
+		time.Sleep(2 * minute)
+		_, found = table.Marked("127.0.0.9:1", "7")
+		require.False(t, found)
+	})
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	table := newTable()
 	for i := range maxMarks + 10 {
--- a/io/peer/rules_test.go
+++ b/io/peer/rules_test.go
@@ -103,6 +103,24 @@
 	})
 }
 
+// A revision that arrives by watch must not wait for the next regular exchange.
+func TestRevisionBringsTheNextExchangeForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		b, _ := n.join(2)
+		a, x := n.join(1, b.Address)
+		defer runAll(x)()
+		for revision := uint64(1); revision <= 20; revision++ {
+			time.Sleep(5 * time.Second)
+			calls := len(n.times(b.Address))
+			_, err := a.Store.Offer(document(revision, "liberia"))
+			require.NoError(t, err)
+			time.Sleep(time.Second/urgency + time.Millisecond)
+			require.Greater(t, len(n.times(b.Address)), calls)
+		}
+	})
+}
+
 func TestIsolationBeginsAndEndsWithThePeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
