test(cmd): apply a sheet across five daemons and name a silent one

Cause: the command's tests ran against a scripted entry only. Change: five exchanging nodes on loopback behind a real operator server; a listed instance that never answers must make apply fail and be named. Result: go test -race -count=5 ./cmd passes.

--- /dev/null
+++ b/cmd/apply_test.go
@@ -0,0 +1,105 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/io/operator"
+	"radishhollow/io/peer"
+	"radishhollow/io/telemetry"
+)
+
+// memoryKV is a key-value service with one key.
+func memoryKV() kv.Store {
+	var mu sync.Mutex
+	var current kv.Entry
+	return kv.Store{
+		Get: func(context.Context, string) (kv.Entry, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if current.Revision() == 0 {
+				return current, kv.NotFoundError{}
+			}
+			return current, nil
+		},
+		Put: func(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if ifRevision != current.Revision() {
+				return 0, kv.ConflictError{}
+			}
+			current = kv.NewEntry(key, value, ifRevision+1, false)
+			return current.Revision(), nil
+		},
+	}
+}
+
+// startNode runs a daemon's part in the exchange until the test ends.
+func startNode(t *testing.T, seeds ...string) *peer.Node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	node := &peer.Node{
+		Address: address, Incarnation: "1", Place: "liberia", Draining: func() bool { return false },
+		Demand: func() []member.Demand { return nil }, Metrics: telemetry.New(), Store: &config.Store{},
+		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: time.Minute},
+		Reach: &member.Reach{Bound: time.Minute},
+	}
+	x := peer.NewExchanger(node, peer.HTTPClient(node.Metrics), peer.Options{
+		Seeds: seeds, Interval: 100 * time.Millisecond, Fanout: 2, Timeout: time.Second,
+	})
+	server := &http.Server{Handler: (&peer.Server{Node: node, Ahead: x.Ahead}).Handler(), ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() { _ = x.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = server.Close()
+		group.Wait()
+	})
+	return node
+}
+
+// An operator relies on the exit code of apply: it must be 0 only where every known instance has the revision.
+func TestApplyWaitsForEveryInstance(t *testing.T) {
+	t.Setenv(operatorKeyVariable, "k")
+	first := startNode(t)
+	for range 4 {
+		startNode(t, first.Address)
+	}
+	server := httptest.NewServer((&operator.Server{KeyDigest: config.KeyDigest("k"), Node: first, Writer: &config.Writer{
+		KV: memoryKV(), InForce: first.Store.Current, NewID: func() string { return time.Now().String() },
+	}}).Handler())
+	defer server.Close()
+	entry := strings.TrimPrefix(server.URL, "http://")
+	require.Eventually(t, func() bool { return len(first.Table.Peers()) == 4 }, 5*time.Second, 10*time.Millisecond)
+
+	code, stdout, stderr := runSheet(t, "apply", "../examples/kjaergaard.csv", "--entry", entry, "--base", "0")
+	require.Equal(t, ExitOK, code, stderr)
+	require.Equal(t, 5, strings.Count(stdout, "liberia        revision 1 "), stdout)
+
+	// The platform lists one more instance, which never answers.
+	first.Table.List([]member.Entry{{Address: "127.0.0.1:1", Incarnation: "1", Place: "canas"}})
+	data, err := os.ReadFile("../examples/kjaergaard.csv")
+	require.NoError(t, err)
+	second := filepath.Join(t.TempDir(), "second.csv")
+	require.NoError(t, os.WriteFile(second, []byte(strings.Replace(string(data), ";1\r\n", ";2\r\n", 1)), 0o600))
+	code, _, stderr = runSheet(t, "apply", second, "--entry", entry, "--wait", "1s")
+	require.Equal(t, ExitFailed, code)
+	require.Contains(t, stderr, "1 of 6 instances lack revision 2 after 1s: 127.0.0.1:1;")
+}
