refactor(peer): set the exchanger's fields before Run

Cause: the house style builds components as structs with exported fields, and the exchanger had a constructor. Change: Exchanger has exported fields and prepares its queues at the first call.

--- a/cmd/apply_test.go
+++ b/cmd/apply_test.go
@@ -59,9 +59,9 @@
 		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: time.Minute},
 		Reach: &member.Reach{Bound: time.Minute},
 	}
-	x := peer.NewExchanger(node, peer.HTTPClient(node.Metrics), peer.Options{
+	x := &peer.Exchanger{Node: node, HTTP: peer.HTTPClient(node.Metrics),
 		Seeds: seeds, Interval: 100 * time.Millisecond, Fanout: 2, Timeout: time.Second,
-	})
+	}
 	server := &http.Server{Handler: (&peer.Server{Node: node, Ahead: x.Ahead}).Handler(), ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/io/peer/exchanger.go
+++ b/io/peer/exchanger.go
@@ -23,20 +23,11 @@
 // maxAhead bounds the peers whose configuration waits to be fetched; one is enough to catch up.
 const maxAhead = 16
 
-// Exchanger calls random peers. Use NewExchanger.
+// Exchanger calls random peers. Fields are set before use.
 type Exchanger struct {
-	node     *Node
-	http     rpc.HTTPClient
-	seeds    []string
-	interval time.Duration
-	fanout   int
-	timeout  time.Duration
-	ahead    *ring.Ring[string]
-	news     chan struct{}
-}
-
-// Options are the settings of an Exchanger.
-type Options struct {
+	Node *Node
+	// HTTP calls the peers; HTTPClient makes a suitable client.
+	HTTP rpc.HTTPClient
 	// Seeds are addresses that are called beside those in the table.
 	Seeds []string
 	// Interval is the mean pause between exchanges.
@@ -45,21 +36,29 @@
 	Fanout int
 	// Timeout bounds one call.
 	Timeout time.Duration
+
+	once  sync.Once
+	ahead *ring.Ring[string]
+	news  chan struct{}
 }
 
-// NewExchanger returns an Exchanger. HTTPClient makes a suitable client.
-func NewExchanger(node *Node, client rpc.HTTPClient, o Options) *Exchanger {
-	return &Exchanger{
-		node: node, http: client, seeds: o.Seeds, interval: o.Interval, fanout: o.Fanout, timeout: o.Timeout,
-		ahead: ring.New[string](maxAhead), news: make(chan struct{}, 1),
-	}
+// prepare makes the queues, which calls from other components may reach before Run.
+func (x *Exchanger) prepare() {
+	x.once.Do(func() {
+		x.ahead = ring.New[string](maxAhead)
+		x.news = make(chan struct{}, 1)
+	})
 }
 
 // Ahead asks for the configuration of a peer that has a newer one.
-func (x *Exchanger) Ahead(address string) { x.ahead.TryPush(address) }
+func (x *Exchanger) Ahead(address string) {
+	x.prepare()
+	x.ahead.TryPush(address)
+}
 
 // News brings the next exchange forward, for example after a new mark.
 func (x *Exchanger) News() {
+	x.prepare()
 	select {
 	case x.news <- struct{}{}:
 	default:
@@ -68,6 +67,7 @@
 
 // Run exchanges and fetches until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) error {
+	x.prepare()
 	var group sync.WaitGroup
 	group.Go(func() { x.runFetch(ctx) })
 	group.Go(func() { x.runExchange(ctx) })
@@ -77,7 +77,7 @@
 
 func (x *Exchanger) runExchange(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := x.node.Store.Changed()
+		changed := x.Node.Store.Changed()
 		x.round(ctx)
 		if !x.wait(ctx, changed) {
 			return
@@ -87,14 +87,14 @@
 
 // wait ends after the interval, or after a fraction of it where there is news.
 func (x *Exchanger) wait(ctx context.Context, changed <-chan struct{}) bool {
-	early := time.NewTimer(x.interval / urgency)
+	early := time.NewTimer(x.Interval / urgency)
 	defer early.Stop()
 	select {
 	case <-early.C:
 	case <-ctx.Done():
 		return false
 	}
-	rest := time.NewTimer(x.interval*3/4 + rand.N(x.interval/2+1) - x.interval/urgency)
+	rest := time.NewTimer(x.Interval*3/4 + rand.N(x.Interval/2+1) - x.Interval/urgency)
 	defer rest.Stop()
 	select {
 	case <-rest.C:
@@ -116,32 +116,32 @@
 }
 
 func (x *Exchanger) targets() []string {
-	list := append(x.node.Table.Addresses(), x.seeds...)
+	list := append(x.Node.Table.Addresses(), x.Seeds...)
 	slices.Sort(list)
 	list = slices.Compact(list)
-	list = slices.DeleteFunc(list, func(address string) bool { return address == x.node.Address })
+	list = slices.DeleteFunc(list, func(address string) bool { return address == x.Node.Address })
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(x.fanout, len(list))]
+	return list[:min(x.Fanout, len(list))]
 }
 
 func (x *Exchanger) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
-	w, err := x.client(address).Exchange(ctx, toWire(x.node.view()))
+	w, err := x.client(address).Exchange(ctx, toWire(x.Node.view()))
 	if err != nil || !valid(w) {
-		x.node.Metrics.Count(telemetry.Exchanges, "failed")
+		x.Node.Metrics.Count(telemetry.Exchanges, "failed")
 		return
 	}
-	x.node.Metrics.Count(telemetry.Exchanges, "ok")
-	x.node.Reach.Contact()
+	x.Node.Metrics.Count(telemetry.Exchanges, "ok")
+	x.Node.Reach.Contact()
 	v := fromWire(w)
 	if v.Address == address {
-		x.node.Table.Answer(v)
+		x.Node.Table.Answer(v)
 	} else {
 		// A daemon behind a translated address answers under its own; the call says nothing about that address.
-		x.node.Table.Receive(v)
+		x.Node.Table.Receive(v)
 	}
-	if x.node.behind(v) {
+	if x.Node.behind(v) {
 		x.Ahead(address)
 	}
 }
@@ -158,30 +158,30 @@
 
 // fetch gets a configuration above the one in force. A queued address is stale where another fetch has caught up.
 func (x *Exchanger) fetch(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
-	next := x.node.Store.Current().Revision() + 1
+	next := x.Node.Store.Current().Revision() + 1
 	answer, err := x.client(address).Config(ctx, &rpc.ConfigRequest{Revision: next})
 	if err != nil {
 		if failed, ok := errors.AsType[twirp.Error](err); !ok || failed.Code() != twirp.NotFound {
-			x.node.Metrics.Count(telemetry.Exchanges, "failed")
+			x.Node.Metrics.Count(telemetry.Exchanges, "failed")
 		}
 		return
 	}
 	document, err := config.Restore(answer.GetRevision(), answer.GetDigest(), answer.GetFields())
 	if err != nil {
-		x.node.Metrics.Count(telemetry.Revisions, config.Refused)
+		x.Node.Metrics.Count(telemetry.Revisions, config.Refused)
 		return
 	}
-	accepted, err := x.node.Store.Offer(document)
+	accepted, err := x.Node.Store.Offer(document)
 	switch {
 	case err != nil:
-		x.node.Metrics.Count(telemetry.Revisions, config.Refused)
+		x.Node.Metrics.Count(telemetry.Revisions, config.Refused)
 	case accepted:
-		x.node.Metrics.Count(telemetry.Revisions, config.FromPeer)
+		x.Node.Metrics.Count(telemetry.Revisions, config.FromPeer)
 	}
 }
 
 func (x *Exchanger) client(address string) rpc.Peer {
-	return rpc.NewPeerProtobufClient("http://"+address, x.http)
+	return rpc.NewPeerProtobufClient("http://"+address, x.HTTP)
 }
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -37,9 +37,9 @@
 		},
 		Store: &config.Store{}, Reach: &member.Reach{Bound: time.Minute}, Metrics: metrics,
 	}
-	d.exchanger = NewExchanger(d.Node, HTTPClient(metrics), Options{
+	d.exchanger = &Exchanger{Node: d.Node, HTTP: HTTPClient(metrics),
 		Seeds: seeds, Interval: 100 * time.Millisecond, Fanout: 2, Timeout: time.Second,
-	})
+	}
 	server := &http.Server{
 		Handler:           (&Server{Node: d.Node, Ahead: d.exchanger.Ahead}).Handler(),
 		ReadHeaderTimeout: time.Second,
--- a/io/peer/rules_test.go
+++ b/io/peer/rules_test.go
@@ -59,7 +59,7 @@
 		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: 10 * time.Minute},
 		Store: &config.Store{}, Reach: &member.Reach{Bound: 15 * time.Second}, Metrics: telemetry.New(),
 	}
-	x := NewExchanger(node, n, Options{Seeds: seeds, Interval: time.Second, Fanout: 2, Timeout: time.Second})
+	x := &Exchanger{Node: node, HTTP: n, Seeds: seeds, Interval: time.Second, Fanout: 2, Timeout: time.Second}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.handlers[address] = (&Server{Node: node, Ahead: x.Ahead}).Handler()
