--- a/io/peer/rules_test.go
+++ b/io/peer/rules_test.go
@@ -59,7 +59,7 @@
 		Table: &member.Table{Self: address, PeerExpiry: time.Minute, MarkExpiry: 10 * time.Minute},
 		Store: &config.Store{}, Reach: &member.Reach{Bound: 15 * time.Second}, Metrics: telemetry.New(),
 	}
-	x := NewExchanger(node, n, Options{Seeds: seeds, Interval: time.Second, Fanout: 2, Timeout: time.Second})
+	x := &Exchanger{Node: node, HTTP: n, Seeds: seeds, Interval: time.Second, Fanout: 2, Timeout: time.Second}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.handlers[address] = (&Server{Node: node, Ahead: x.Ahead}).Handler()
@@ -103,6 +103,24 @@
 	})
 }
 
+// A revision that arrives by watch must not wait for the next regular exchange.
+func TestRevisionBringsTheNextExchangeForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		b, _ := n.join(2)
+		a, x := n.join(1, b.Address)
+		defer runAll(x)()
+		for revision := uint64(1); revision <= 20; revision++ {
+			time.Sleep(5 * time.Second)
+			calls := len(n.times(b.Address))
+			_, err := a.Store.Offer(document(revision, "liberia"))
+			require.NoError(t, err)
+			time.Sleep(time.Second/urgency + time.Millisecond)
+			require.Greater(t, len(n.times(b.Address)), calls)
+		}
+	})
+}
+
 func TestIsolationBeginsAndEndsWithThePeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
