feat(route): take marks from peers with their age

Cause: peers that mark at the time of hearing renew one another's marks, so a dead mark of a paused endpoint never ends.

Change: add Adopt with the age of the mark, ignore dead marks older than the last report, tell peers only recent marks and drop those of unlisted incarnations.

Result: go test -race ./core/route passes; two tables that exchange marks for 120 s hold none at the end and still refuse the leaving endpoint.

--- a/core/route/mark.go
+++ b/core/route/mark.go
@@ -22,6 +22,9 @@
 // Age returns the time since the mark was first set here.
 func (m Mark) Age() time.Duration { return m.age }
 
+// markRetention is the multiple of Policy.MarkFor for which a mark outlives its listing, because the list lags.
+const markRetention = 10
+
 type markKey struct{ address, incarnation string }
 
 type markState struct {
@@ -44,28 +47,43 @@
 	t.mark(markKey{address, incarnation}, true, time.Now())
 }
 
-// Marks returns all marks in force.
+// Adopt takes a peer's mark of the given age. A dead mark older than the last report of that incarnation is
+// ignored; without the age, peers would renew one another's marks for ever.
+func (t *Table) Adopt(address, incarnation string, dead bool, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := time.Now().Add(-age)
+	e := t.endpoints[address]
+	reported := e != nil && e.reported && e.listing.Incarnation == incarnation && e.reportedAt.After(at)
+	if dead && (reported || age >= t.policy.DeadFor) {
+		return
+	}
+	t.mark(markKey{address, incarnation}, dead, at)
+}
+
+// Marks returns the recent marks in force, for the peers.
 func (t *Table) Marks() []Mark {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.dropPastMarks(now)
 	marks := make([]Mark, 0, len(t.marks))
 	for key, state := range t.marks {
 		dead := state.dead && now.Sub(state.at) < t.policy.DeadFor
-		if dead || state.leaving {
+		if now.Sub(state.at) < t.policy.MarkFor && (dead || state.leaving) {
 			marks = append(marks, Mark{key.address, key.incarnation, dead, now.Sub(state.at)})
 		}
 	}
 	return marks
 }
 
-func (t *Table) mark(key markKey, dead bool, now time.Time) {
+func (t *Table) mark(key markKey, dead bool, at time.Time) {
 	state, exists := t.marks[key]
-	if exists && dead && now.Sub(state.at) >= t.policy.DeadFor {
-		state.at = now
+	if exists && dead && at.Sub(state.at) >= t.policy.DeadFor {
+		state.at = at
 	}
 	if !exists {
-		state.at = now
+		state.at = at
 		t.dropOldestMark()
 	}
 	state.dead = state.dead || dead
@@ -73,6 +91,17 @@
 	t.marks[key] = state
 }
 
+// dropPastMarks removes old marks of incarnations that are no longer listed.
+func (t *Table) dropPastMarks(now time.Time) {
+	for key, state := range t.marks {
+		e := t.endpoints[key.address]
+		current := e != nil && e.listing.Incarnation == key.incarnation
+		if !current && now.Sub(state.at) > markRetention*t.policy.MarkFor {
+			delete(t.marks, key)
+		}
+	}
+}
+
 // dropOldestMark makes space for a mark where the table is full.
 func (t *Table) dropOldestMark() {
 	if len(t.marks) < t.policy.MaxMarks {
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -33,6 +33,8 @@
 	AliveFor time.Duration
 	// DeadFor ends a dead mark, because a paused endpoint may return under the same incarnation.
 	DeadFor time.Duration
+	// MarkFor is the age up to which a mark is told to the peers.
+	MarkFor time.Duration
 	// MaxMarks bounds the marks; the oldest is dropped first.
 	MaxMarks int
 	// PrefixBlocks bounds the prefix index.
@@ -61,6 +63,7 @@
 		ReportLag:        400 * time.Millisecond,
 		AliveFor:         3 * time.Second,
 		DeadFor:          30 * time.Second,
+		MarkFor:          time.Minute,
 		MaxMarks:         4096,
 		PrefixBlocks:     1 << 17,
 		PrefixTTL:        2 * time.Minute,
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -146,6 +146,36 @@
 	})
 }
 
+// Guards against peers that renew one another's marks for ever, or mark an endpoint that has reported since.
+func TestAdoptedMarks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := table(2, nil), table(2, nil)
+		address := listing(0).Address
+		time.Sleep(time.Second)
+		a.MarkDead(address, "1")
+		a.MarkLeaving(listing(1).Address, "1")
+		for second := range 120 {
+			for _, pair := range [][2]*route.Table{{a, b}, {b, a}} {
+				for _, m := range pair[0].Marks() {
+					pair[1].Adopt(m.Address(), m.Incarnation(), m.Dead(), m.Age())
+				}
+			}
+			if second == 0 {
+				require.Len(t, b.Marks(), 2)
+			}
+			time.Sleep(time.Second)
+		}
+		require.Empty(t, a.Marks())
+		require.Empty(t, b.Marks())
+		b.Update(report(0, 2, 0))
+		b.Adopt(address, "1", true, time.Second)
+		require.True(t, b.Alive(address))
+		c, err := b.Pick(t.Context(), anyNeed)
+		require.NoError(t, err)
+		require.Equal(t, address, c.Address(), "the other one is still leaving")
+	})
+}
+
 // Guards against marks of many incarnations taking unbounded memory.
 func TestMarksAreBounded(t *testing.T) {
 	tab := table(1, func(p *route.Policy) { p.MaxMarks = 10 })
