test: cover turns, credit, report age and index gaps

Cause: trial faults in a scratch copy passed the tests: a lost turn when grant and cancellation coincide, credit for idle time, folding work into an older report, no tolerance for gaps in the index, and a release that counts twice.

Change: add or sharpen a test for each; the limit property collects its violations outside the bubble so that rapid can shrink them.

--- a/core/limit/limiter_test.go
+++ b/core/limit/limiter_test.go
@@ -89,6 +89,7 @@
 		n := rapid.IntRange(2, 6).Draw(rt, "daemons")
 		load := rapid.SliceOfN(rapid.IntRange(0, 40), 60, 60).Draw(rt, "load")
 		delays := rapid.SliceOfN(rapid.IntRange(0, 1900), 20, 20).Draw(rt, "delays")
+		var excess []string
 		synctest.Test(t, func(*testing.T) {
 			f, draws := newFleet(n), 0
 			delay := func() time.Duration {
@@ -108,12 +109,14 @@
 				}
 				f.deliver()
 				sum := f.sum()
-				require.LessOrEqual(rt, sum.RequestsPerSecond, totals.RequestsPerSecond*1.000001, "step %d", step)
-				require.LessOrEqual(rt, sum.TokensPerSecond, totals.TokensPerSecond*1.000001, "step %d", step)
-				require.LessOrEqual(rt, sum.Concurrency, totals.Concurrency, "step %d", step)
+				if sum.RequestsPerSecond > totals.RequestsPerSecond*1.000001 ||
+					sum.TokensPerSecond > totals.TokensPerSecond*1.000001 || sum.Concurrency > totals.Concurrency {
+					excess = append(excess, fmt.Sprintf("step %d: %+v", step, sum))
+				}
 				time.Sleep(250 * time.Millisecond)
 			}
 		})
+		require.Empty(rt, excess)
 	})
 }
 
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -190,22 +190,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		tab := table(2, func(p *route.Policy) { p.Candidates, p.Headroom = 0, 0 })
 		tab.Update(report(0, 2, 4))
-		counts := make(map[string]int)
-		var choices []route.Choice
-		for range 10 {
-			c, err := tab.Pick(t.Context(), anyNeed)
-			require.NoError(t, err)
-			counts[c.Address()]++
-			choices = append(choices, c)
-		}
-		require.Equal(t, 3, counts[listing(0).Address])
-		for _, c := range choices {
-			c.Release()
-			c.Release()
+		for range 3 {
+			counts := make(map[string]int)
+			var choices []route.Choice
+			for range 10 {
+				c, err := tab.Pick(t.Context(), anyNeed)
+				require.NoError(t, err)
+				counts[c.Address()]++
+				choices = append(choices, c)
+			}
+			require.Equal(t, 3, counts[listing(0).Address], "released work is given back once")
+			for _, c := range choices {
+				c.Release()
+				c.Release()
+			}
 		}
-		c, err := tab.Pick(t.Context(), anyNeed)
-		require.NoError(t, err)
-		require.Equal(t, listing(1).Address, c.Address(), "released work is given back once")
 	})
 }
 
@@ -220,8 +219,10 @@
 			choices = append(choices, c)
 		}
 		require.Equal(t, route.ReasonHeadroom, reasonOf(t, tab, anyNeed))
+		tab.Update(report(0, 2, 0))
+		require.Equal(t, route.ReasonHeadroom, reasonOf(t, tab, anyNeed), "the report may be older than the work")
 		time.Sleep(time.Second)
-		tab.Update(report(0, 2, 4))
+		tab.Update(report(0, 3, 4))
 		c, err := tab.Pick(t.Context(), anyNeed)
 		require.NoError(t, err)
 		require.Equal(t, route.ReasonHeadroom, reasonOf(t, tab, anyNeed))
@@ -333,6 +334,7 @@
 		}
 		tab.CacheEvents(listing(7).Address, "1", events)
 		tab.CacheEvents(listing(8).Address, "0", events)
+		tab.CacheEvents(listing(3).Address, "1", events[:8])
 		for range 5 {
 			c, err := tab.Pick(t.Context(), need)
 			require.NoError(t, err)
--- a/core/share/queue_test.go
+++ b/core/share/queue_test.go
@@ -163,6 +163,44 @@
 	})
 }
 
+// Guards against a turn lost when its grant and its cancellation coincide.
+func TestGrantMeetsCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := share.New(limits(1))
+		for range 100 {
+			hold, err := q.Acquire(t.Context(), share.Ask{Workspace: "a", Deadline: time.Now().Add(time.Second)})
+			require.NoError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				if release, err := q.Acquire(ctx, share.Ask{Workspace: "b"}); err == nil {
+					release()
+				}
+			}()
+			synctest.Wait()
+			cancel()
+			hold()
+			synctest.Wait()
+		}
+	})
+}
+
+// Guards against a workspace that was idle claiming the turns of its idle time.
+func TestIdleTimeGivesNoCredit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		q := share.New(limits(2))
+		var first, second atomic.Int64
+		work(ctx, q, "a", 1, 10, 50, &first)
+		time.Sleep(20 * time.Second)
+		before := first.Load()
+		work(ctx, q, "b", 1, 10, 50, &second)
+		time.Sleep(10 * time.Second)
+		require.InEpsilon(t, second.Load(), first.Load()-before, 0.05)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against resumes and bookings waiting behind generations, and against a capacity change without effect.
 func TestClassesAndCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
