--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -59,12 +59,21 @@
 }
 
 func newExchanger(s settings.Settings, node *peer.Node) *peer.Exchanger {
-	return peer.NewExchanger(node, peer.HTTPClient(node.Metrics), peer.Options{
+	exchanger := &peer.Exchanger{
+		Node:     node,
+		HTTP:     peer.HTTPClient(node.Metrics),
 		Seeds:    s.Peers,
 		Interval: s.Timeouts.ExchangeInterval.Duration,
 		Fanout:   s.Limits.ExchangeFanout,
 		Timeout:  s.Timeouts.Peer.Duration,
-	})
+	}
+	// A mark that is new here is most likely new to others too.
+	mark := node.Table.OnMark
+	node.Table.OnMark = func(m member.Mark) {
+		mark(m)
+		exchanger.News()
+	}
+	return exchanger
 }
 
 func newRegistrar(s settings.Settings, store kv.Store, node *peer.Node) *peer.Registrar {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -25,6 +26,7 @@
 	address string
 	server  *http.Server
 	log     *logrus.Logger
+	wrap    func(net.Listener) net.Listener
 }
 
 // Start listens and serves in the background.
@@ -33,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if l.wrap != nil {
+		socket = l.wrap(socket)
+	}
 	go l.run(func() error { return l.server.Serve(socket) })
 	return nil
 }
@@ -52,7 +57,7 @@
 	for _, l := range []*listener{
 		{address: s.PeerListen, log: log, server: &http.Server{
 			Handler: peers.Handler(), ReadHeaderTimeout: headerTimeout,
-		}},
+		}, wrap: func(socket net.Listener) net.Listener { return peer.Counted(socket, peers.Node.Metrics) }},
 		{address: s.OperatorListen, log: log, server: &http.Server{
 			Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout,
 		}},
