--- a/io/engine/poller.go
+++ b/io/engine/poller.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -135,6 +136,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(targets))
+	var due []dueTarget
 	for _, target := range targets {
 		if target.Kind() != p.Kind {
 			continue
@@ -149,8 +151,8 @@
 			// An endpoint that just got work doesn't wait for the end of its idle interval.
 			s.due = earlier(s.due, now.Add(p.Interval))
 		}
-		if !s.polling && !now.Before(s.due) && jobs.TryPush(target) {
-			s.polling = true
+		if !s.polling && !now.Before(s.due) {
+			due = append(due, dueTarget{target: target, state: s})
 		}
 	}
 	for address := range p.states {
@@ -158,6 +160,25 @@
 			delete(p.states, address)
 		}
 	}
+	p.push(due, jobs)
+}
+
+// dueTarget is an endpoint whose report is due.
+type dueTarget struct {
+	target route.Target
+	state  *pollState
+}
+
+// push hands out the targets that have waited longest first, so that endpoints that hang don't keep the workers from
+// the others.
+func (p *Poller) push(due []dueTarget, jobs *ring.Ring[route.Target]) {
+	slices.SortFunc(due, func(a, b dueTarget) int { return a.state.due.Compare(b.state.due) })
+	for _, d := range due {
+		if !jobs.TryPush(d.target) {
+			return
+		}
+		d.state.polling = true
+	}
 }
 
 func (p *Poller) runWorker(ctx context.Context, jobs *ring.Ring[route.Target]) {
