--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -26,11 +26,7 @@
 		PeerExpiry: s.Timeouts.PeerExpiry.Duration,
 		MarkExpiry: s.Timeouts.MarkExpiry.Duration,
 		OnMark: func(mark member.Mark) {
-			if mark.Dead {
-				table.MarkDead(mark.Address, mark.Incarnation)
-				return
-			}
-			table.MarkLeaving(mark.Address, mark.Incarnation)
+			table.Adopt(mark.Address, mark.Incarnation, mark.Dead, mark.Age)
 		},
 	}
 }
