--- a/core/claim/keeper_test.go
+++ b/core/claim/keeper_test.go
@@ -158,3 +158,19 @@
 		requireCode(t, err, "outcome-unknown", failure.Unknown)
 	})
 }
+
+// Guards against a key that is blocked by an open record whose write took effect after its claim was given up.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, 0)
+		store.late = 5 * time.Second
+		store.fail["put"] = []fault{faultDelayed, faultRefused, faultRefused, faultRefused, faultRefused}
+		k := &claim.Keeper{Store: store.store()}
+		_, err := k.Claim(t.Context(), "w", "s", "key", "digest")
+		requireCode(t, err, "claim-failed", failure.NotRun)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		require.Error(t, k.Run(ctx))
+		require.True(t, claimOn(t, &claim.Keeper{Store: store.store()}).Owned())
+	})
+}
--- a/core/claim/store_test.go
+++ b/core/claim/store_test.go
@@ -21,6 +21,8 @@
 	grants   int
 	// fail overrides the drawn fault of the next calls, by call kind.
 	fail map[string][]fault
+	// late is the delay of a write that is applied late; zero draws one.
+	late time.Duration
 }
 
 type fault int
@@ -90,6 +92,9 @@
 	case faultDelayed:
 		f.mu.Lock()
 		delay := time.Duration(f.rng.IntN(3000)) * time.Millisecond
+		if f.late > 0 {
+			delay = f.late
+		}
 		f.mu.Unlock()
 		time.AfterFunc(delay, func() { _, _ = f.apply(key, value, ifRevision) })
 		return 0, lost("put", true)
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -269,3 +269,26 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against several holders when all instances of a place start at once.
+func TestSimultaneousStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		var holders []*lease.Holder
+		for range 5 {
+			h, stop := start(t, f.store())
+			defer stop()
+			holders = append(holders, h)
+		}
+		for range 100 {
+			time.Sleep(500 * time.Millisecond)
+			held := 0
+			for _, h := range holders {
+				if _, err := h.Check(true); err == nil {
+					held++
+				}
+			}
+			require.Equal(t, 1, held)
+		}
+	})
+}
