perf(route): list poll targets without scanning all endpoints

Cause: the poller asks for its targets several times a second, and the scan over 12000 endpoints compared each one with the subset.

Change: keep the endpoints with work of this daemon, and list the subset and these; the poller schedules four times per interval instead of eight.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -35,10 +35,14 @@
 		b.probe, e.breaker.probing = true, true
 	}
 	e.reserve(b, now)
+	t.busy[e] = true
 	return NewChoice(e.listing.Address, e.listing.Incarnation, e.listing.Place, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		e.release(b, time.Now())
+		if e.inFlight == 0 {
+			delete(t.busy, e)
+		}
 	}), nil
 }
 
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -42,6 +42,7 @@
 	inFlight    int
 	resumes     int
 	breaker     breaker
+	inSubset    bool
 }
 
 func (e *endpoint) superseded(incarnation string) bool {
--- a/core/route/subset.go
+++ b/core/route/subset.go
@@ -20,6 +20,7 @@
 }
 
 func (m *members) replace(old, fresh *endpoint) {
+	fresh.inSubset = fresh.inSubset || slices.Contains(m.subset, old)
 	for _, list := range [][]*endpoint{m.all, m.subset} {
 		if i := slices.Index(list, old); i >= 0 {
 			list[i] = fresh
@@ -53,20 +54,27 @@
 	defer t.mu.Unlock()
 	var targets []Target
 	for _, m := range t.groups {
-		for i, e := range m.all {
-			if e.inFlight > 0 || slices.Contains(m.subset, m.all[i]) {
-				targets = append(targets, Target{
-					address:     e.listing.Address,
-					incarnation: e.listing.Incarnation,
-					kind:        e.listing.Kind,
-					busy:        e.inFlight > 0,
-				})
-			}
+		for _, e := range m.subset {
+			targets = append(targets, e.target())
+		}
+	}
+	for e := range t.busy {
+		if !e.inSubset && t.endpoints[e.listing.Address] == e {
+			targets = append(targets, e.target())
 		}
 	}
 	return targets
 }
 
+func (e *endpoint) target() Target {
+	return Target{
+		address:     e.listing.Address,
+		incarnation: e.listing.Incarnation,
+		kind:        e.listing.Kind,
+		busy:        e.inFlight > 0,
+	}
+}
+
 func (t *Table) regroup() {
 	t.groups = make(map[group]*members)
 	for _, e := range t.endpoints {
@@ -75,10 +83,14 @@
 			t.groups[key] = &members{}
 		}
 		t.groups[key].all = append(t.groups[key].all, e)
+		e.inSubset = false
 	}
 	for _, m := range t.groups {
 		t.rank(m.all)
 		m.subset = coverPlaces(m.all, t.policy.Subset)
+		for _, e := range m.subset {
+			e.inSubset = true
+		}
 	}
 }
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -15,9 +15,11 @@
 	random    *rand.Rand
 	endpoints map[string]*endpoint
 	groups    map[group]*members
-	marks     map[markKey]markState
-	prefix    *prefixIndex
-	nextID    uint64
+	// busy holds the endpoints with work of this daemon.
+	busy   map[*endpoint]bool
+	marks  map[markKey]markState
+	prefix *prefixIndex
+	nextID uint64
 }
 
 // New returns an empty Table. The daemon's id decides its subset.
@@ -28,6 +30,7 @@
 		random:    rand.New(rand.NewPCG(policy.Seed, 0)),
 		endpoints: make(map[string]*endpoint),
 		groups:    make(map[group]*members),
+		busy:      make(map[*endpoint]bool),
 		marks:     make(map[markKey]markState),
 		prefix:    newPrefixIndex(policy.PrefixBlocks, policy.PrefixTTL),
 	}
--- a/io/engine/poller.go
+++ b/io/engine/poller.go
@@ -118,7 +118,7 @@
 
 // loop hands due targets to the workers.
 func (p *Poller) loop(ctx context.Context, jobs *ring.Ring[route.Target]) {
-	ticker := time.NewTicker(max(p.Interval/8, time.Millisecond))
+	ticker := time.NewTicker(max(p.Interval/4, time.Millisecond))
 	defer ticker.Stop()
 	for {
 		p.schedule(time.Now(), jobs)
