--- /dev/null
+++ b/cmd/bench.go
@@ -0,0 +1,45 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+)
+
+// benches returns the experiments of the bench command. Each prints one JSON line per run.
+func benches() []command {
+	return []command{}
+}
+
+// RunBench executes one experiment.
+func RunBench(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 {
+		for _, b := range benches() {
+			if b.name == args[0] {
+				return b.run(args[1:], stdout, stderr)
+			}
+		}
+	}
+	out, code := stdout, ExitOK
+	if len(args) == 0 || args[0] != "--help" && args[0] != "-h" {
+		out, code = stderr, ExitUsage
+	}
+	_, _ = fmt.Fprint(out, "Usage: radishhollow bench EXPERIMENT [OPTIONS]\n\nExperiments:\n")
+	for _, b := range benches() {
+		_, _ = fmt.Fprintf(out, "  %-10s %s\n", b.name, b.help)
+	}
+	return code
+}
+
+// benchContext ends with SIGINT or SIGTERM.
+func benchContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+// printLine writes one result as a JSON line.
+func printLine(w io.Writer, result any) error {
+	return json.NewEncoder(w).Encode(result)
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -23,6 +23,7 @@
 func commands() []command {
 	return []command{
 		{name: "serve", help: "run one daemon", run: RunServe},
+		{name: "bench", help: "run an experiment and print its results as JSON lines", run: RunBench},
 		{name: "sheet", help: "check, plan and apply the operators' sheet", run: RunSheet},
 		{name: "settings", help: "check a settings file", run: RunSettings},
 		{name: "standin", help: "run a stand-in of an engine, a service or the platform", run: RunStandin},
