feat(cmd): add the demo

Cause: a newcomer needs to see the promises at work without any setup. Change: demo runs 24 long streams and 30 doubled bookings on a deployment in one process, kills the busiest engine and checks every answer and every run.

--- /dev/null
+++ b/bench/demo.go
@@ -0,0 +1,237 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"radishhollow/examples"
+)
+
+// Sizes of the demo, which ends well within 30 s.
+const (
+	demoStreams   = 24
+	demoTokens    = 160
+	demoPrompt    = 256
+	demoBookings  = 30
+	demoKillAfter = 1500 * time.Millisecond
+	demoTimeout   = 25 * time.Second
+	// demoRetryPause is about the time in which a workspace's limit admits one more request.
+	demoRetryPause = 200 * time.Millisecond
+	demoWorkspace  = "asociación-norte"
+)
+
+// Demo loads a small deployment, kills an engine in the middle of long outputs and checks every answer and booking.
+type Demo struct {
+	// Progress is told each step; it may be nil.
+	Progress func(line string)
+
+	fleet   *Fleet
+	caller  Caller
+	report  DemoReport
+	refused atomic.Int64
+}
+
+// DemoReport is what the demo saw.
+type DemoReport struct {
+	Streams int
+	Whole   int
+	Wrong   int
+	Failed  int
+	Resumed int
+	// MeanWait is the mean wait of a resumed stream for its next token.
+	MeanWait time.Duration
+	Prefill  int
+	Again    int
+	Tokens   int
+	Bookings int
+	// Refused counts the bookings that were refused as not run and then repeated.
+	Refused int
+	Replays int
+	Ran     int
+	Doubled int
+	Lost    int
+}
+
+// Kept tells whether every promise was kept.
+func (r DemoReport) Kept() bool {
+	return r.Wrong == 0 && r.Failed == 0 && r.Doubled == 0 && r.Lost == 0 && r.Whole == r.Streams
+}
+
+// Run executes the demo.
+func (d *Demo) Run(ctx context.Context) (DemoReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	d.fleet = &Fleet{Sheet: examples.Association, Engines: 8, Services: 2, Daemons: 3}
+	d.caller = Caller{Key: "example-key-" + demoWorkspace, HTTP: NewHTTP()}
+	d.tell("starting a platform, 8 engines, 2 service runners and 3 daemons on loopback")
+	if err := d.fleet.Start(ctx); err != nil {
+		return d.report, err
+	}
+	d.tell("the sheet examples/association.csv is in force in all daemons")
+	err := d.load(ctx)
+	if err == nil {
+		err = d.count(ctx)
+	}
+	if closeErr := d.fleet.Close(); err == nil {
+		err = closeErr
+	}
+	return d.report, err
+}
+
+func (d *Demo) tell(line string) {
+	if d.Progress != nil {
+		d.Progress(line)
+	}
+}
+
+// load runs streams and bookings side by side and kills the busiest engine in the middle.
+func (d *Demo) load(ctx context.Context) error {
+	d.tell(fmt.Sprintf("running %d generations of %d tokens and %d bookings, each booking asked for twice",
+		demoStreams, demoTokens, demoBookings))
+	results := make([]Generation, demoStreams)
+	errs := make([]error, demoStreams)
+	var group sync.WaitGroup
+	for i := range demoStreams {
+		group.Go(func() { results[i], errs[i] = d.generate(ctx, i) })
+	}
+	booked := make([]error, demoBookings)
+	for i := range demoBookings {
+		group.Go(func() { booked[i] = d.book(ctx, i) })
+	}
+	killed := make(chan error, 1)
+	group.Go(func() { killed <- d.kill(ctx) })
+	group.Wait()
+	if err := <-killed; err != nil {
+		return err
+	}
+	for i, g := range results {
+		d.judge(g, errs[i])
+	}
+	for _, err := range booked {
+		if err != nil {
+			d.report.Lost++
+		}
+	}
+	return nil
+}
+
+func (d *Demo) generate(ctx context.Context, i int) (Generation, error) {
+	random := rand.New(rand.NewPCG(uint64(i), 1))
+	prompt := make([]uint32, demoPrompt)
+	for n := range prompt {
+		prompt[n] = random.Uint32N(1<<20) + 1
+	}
+	daemons := d.fleet.DaemonNodes()
+	return d.caller.Generate(ctx, daemons[i%len(daemons)].Address(), d.fleet.Fields().Models[0].Name, prompt, demoTokens)
+}
+
+// book asks for the same delivery at two daemons; the second answer is the replay of the first.
+func (d *Demo) book(ctx context.Context, i int) error {
+	daemons, key := d.fleet.DaemonNodes(), fmt.Sprintf("delivery-%d", i)
+	time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+	body := map[string]any{"drums": 2, "gate": i}
+	first, err := d.bookOnce(ctx, daemons[i%3].Address(), key, body)
+	if err != nil {
+		return err
+	}
+	second, err := d.bookOnce(ctx, daemons[(i+1)%3].Address(), key, body)
+	if err != nil {
+		return err
+	}
+	if first.Outcome != "ran" || string(first.Body) != string(second.Body) {
+		return ReplayError{Key: key}
+	}
+	return nil
+}
+
+// bookOnce repeats a booking that was refused as not run, for example above the workspace's limit, as a caller would.
+func (d *Demo) bookOnce(ctx context.Context, address, key string, body any) (Booking, error) {
+	name := d.fleet.Fields().Services[0].Name
+	for {
+		booking, err := d.caller.Book(ctx, address, name, http.MethodPost, "/deliveries", key, body)
+		if err != nil || booking.Outcome != "not-run" {
+			return booking, err
+		}
+		d.refused.Add(1)
+		select {
+		case <-time.After(demoRetryPause):
+		case <-ctx.Done():
+			return booking, ctx.Err()
+		}
+	}
+}
+
+// kill ends the engine that runs most streams.
+func (d *Demo) kill(ctx context.Context) error {
+	time.Sleep(demoKillAfter)
+	var busiest *Node
+	most := -1
+	for _, n := range d.fleet.EngineNodes() {
+		stats, err := EngineStats(ctx, n.Address())
+		if err != nil {
+			return err
+		}
+		if stats.Started > most {
+			busiest, most = n, stats.Started
+		}
+	}
+	busiest.Kill()
+	d.tell(fmt.Sprintf("killed engine %s in %s with %d streams on it", busiest.Address(), busiest.Place(), most))
+	return nil
+}
+
+func (d *Demo) judge(g Generation, err error) {
+	r := &d.report
+	r.Streams++
+	switch {
+	case err != nil || g.Code != "" || !g.Done:
+		r.Failed++
+		return
+	case g.Check(demoTokens) != nil:
+		r.Wrong++
+		return
+	}
+	r.Whole++
+	r.Tokens += len(g.Tokens)
+}
+
+// count reads the daemons' and the stand-ins' own counters.
+func (d *Demo) count(ctx context.Context) error {
+	r := &d.report
+	runs, err := d.fleet.Runs(ctx)
+	if err != nil {
+		return err
+	}
+	r.Bookings, r.Refused = demoBookings, int(d.refused.Load())
+	for _, n := range runs {
+		r.Ran += n
+		if n > 1 {
+			r.Doubled++
+		}
+	}
+	for prefix, to := range map[string]*int{
+		`radishhollow_attempts_total{class="resume"}`:       &r.Resumed,
+		`radishhollow_prefill_tokens_total{class="first"}`:  &r.Prefill,
+		`radishhollow_prefill_tokens_total{class="resume"}`: &r.Again,
+		`radishhollow_claims_total{class="replayed"}`:       &r.Replays,
+	} {
+		value, err := d.fleet.Metric(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		*to = int(value)
+	}
+	sum, err := d.fleet.Metric(ctx, "radishhollow_resume_latency_seconds_sum")
+	if err != nil {
+		return err
+	}
+	if r.Resumed > 0 {
+		r.MeanWait = time.Duration(sum / float64(r.Resumed) * float64(time.Second))
+	}
+	return nil
+}
--- a/bench/error.go
+++ b/bench/error.go
@@ -44,3 +44,17 @@
 
 // Outcome implements failure.Failure.
 func (e LengthError) Outcome() failure.Outcome { return failure.Ran }
+
+// ReplayError reports a repeated booking whose answer differs from the first.
+type ReplayError struct{ Key string }
+
+// Error implements error.
+func (e ReplayError) Error() string {
+	return fmt.Sprintf("booking %q has two different answers", e.Key)
+}
+
+// Code implements failure.Failure.
+func (e ReplayError) Code() string { return "replay-differs" }
+
+// Outcome implements failure.Failure.
+func (e ReplayError) Outcome() failure.Outcome { return failure.Unknown }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -23,6 +23,7 @@
 func commands() []command {
 	return []command{
 		{name: "serve", help: "run one daemon", run: RunServe},
+		{name: "demo", help: "run a small deployment, kill an engine and check every answer", run: RunDemo},
 		{name: "bench", help: "run an experiment and print its results as JSON lines", run: RunBench},
 		{name: "sheet", help: "check, plan and apply the operators' sheet", run: RunSheet},
 		{name: "settings", help: "check a settings file", run: RunSettings},
