--- a/bench/demo.go
+++ b/bench/demo.go
@@ -38,23 +38,23 @@
 
 // DemoReport is what the demo saw.
 type DemoReport struct {
-	Streams int
-	Whole   int
-	Wrong   int
-	Failed  int
-	Resumed int
+	Streams int `json:"streams"`
+	Whole   int `json:"whole"`
+	Wrong   int `json:"wrong"`
+	Failed  int `json:"failed"`
+	Resumed int `json:"resumed"`
 	// MeanWait is the mean wait of a resumed stream for its next token.
-	MeanWait time.Duration
-	Prefill  int
-	Again    int
-	Tokens   int
-	Bookings int
+	MeanWait time.Duration `json:"mean-wait-ns"`
+	Prefill  int           `json:"prefill"`
+	Again    int           `json:"again"`
+	Tokens   int           `json:"tokens"`
+	Bookings int           `json:"bookings"`
 	// Refused counts the bookings that were refused as not run and then repeated.
-	Refused int
-	Replays int
-	Ran     int
-	Doubled int
-	Lost    int
+	Refused int `json:"refused"`
+	Replays int `json:"replays"`
+	Ran     int `json:"ran"`
+	Doubled int `json:"doubled"`
+	Lost    int `json:"lost"`
 }
 
 // Kept tells whether every promise was kept.
