perf(telemetry): use fixed buckets and cache the series

Cause: the vmrange buckets are not read by the usual quantile functions, and each observation formatted its series' name, once for every token. Change: histograms with le buckets dense around the targets, series looked up by name and label.

--- a/io/telemetry/metrics_test.go
+++ b/io/telemetry/metrics_test.go
@@ -22,3 +22,20 @@
 	a.Write(&out)
 	require.Contains(t, out.String(), `radishhollow_token_gap_seconds_count{workspace="north"} 1`)
 }
+
+// Guards against buckets that the usual quantile functions cannot read.
+func TestBuckets(t *testing.T) {
+	m := telemetry.New()
+	m.Observe(telemetry.ResumeLatency, "north", 400*time.Millisecond)
+	var out strings.Builder
+	m.Write(&out)
+	require.Contains(t, out.String(), `radishhollow_resume_latency_seconds_bucket{workspace="north",le="0.5"} 1`)
+	require.Contains(t, out.String(), `radishhollow_resume_latency_seconds_bucket{workspace="north",le="0.35"} 0`)
+}
+
+func BenchmarkObserve(b *testing.B) {
+	m := telemetry.New()
+	for b.Loop() {
+		m.Observe(telemetry.TokenGap, "north", time.Millisecond)
+	}
+}
