fix(generation): let a wait's error reach the caller within the bound

The driver waited for the whole bound and only then wrote the error, so that the caller saw it 3.0008 s after the last token at a bound of 3 s (TestGenerationVersionReplaced, caller's side). The daemon's clock and the network were ruled out: both processes run on one machine, and the excess is the time of the write.

The driver now keeps 100 ms of the bound, at most a tenth, for the error's way. The same test passes.

--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -11,6 +11,8 @@
 const (
 	DefaultWaitBound    = 3 * time.Second
 	DefaultCallerReturn = 10 * time.Second
+	// deliveryMargin is the part of the wait bound that is left for an error's way to the caller, at most a tenth of it.
+	deliveryMargin = 100 * time.Millisecond
 )
 
 // Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, MayRetry and
@@ -76,7 +78,11 @@
 	}
 }
 
-func (d *Driver) waitBound() time.Duration { return orDefault(d.WaitBound, DefaultWaitBound) }
+// waitBound returns the time after which the error of a wait must be on its way to the caller.
+func (d *Driver) waitBound() time.Duration {
+	bound := orDefault(d.WaitBound, DefaultWaitBound)
+	return bound - min(deliveryMargin, bound/10)
+}
 
 func (d *Driver) observe(event Event) {
 	if d.Observe != nil {
