fix(generation): keep first resumes apart from the retry budget

The loss of an engine interrupts all of its streams at once. Early refusal and the survivors' capacity were ruled out: the error names the retry budget in the driver, and the survivors had 32 slots each.

A generation now has up to three resumes of its own, each after output or after its first broken connection. Further ones, and repeated attempts without output, still draw on the budget.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -17,6 +17,9 @@
 	lastPickPause  = 200 * time.Millisecond
 	// maxAttachTries bounds the search for an attempt number above that of other entries that attached.
 	maxAttachTries = 6
+	// ownResumes is the number of resumes that a generation has apart from the retry budget. The loss of one engine
+	// interrupts all of its streams at once, which would exhaust a budget that is sized for single failures.
+	ownResumes = 3
 )
 
 // run is the state of one Driver.Run.
@@ -29,6 +32,8 @@
 	opened   bool      // an attempt may have run
 	resumed  bool      // an attempt has failed after it may have run
 	tries    int       // opened attempts, for the retry budget
+	granted  int       // resumes made apart from the retry budget
+	earned   bool      // the next resume is apart from the retry budget, if ownResumes are not used up
 	last     error     // the last attempt's failure
 	exclude  map[string]bool
 	choice   route.Choice
@@ -112,7 +117,7 @@
 				return r.cause(ctx.Err())
 			}
 			r.hold(choice)
-			if r.tries > 0 && r.MayRetry != nil && !r.MayRetry() {
+			if !r.mayRetry() {
 				return r.giveUp(BudgetError{Attempt: r.Log.Attempt() + 1})
 			}
 			if err = r.start(ctx); err == nil {
@@ -135,6 +140,17 @@
 	}
 }
 
+// mayRetry draws on the retry budget, unless output has arrived since the last attempt: a resume then repeats no work
+// but the prefill.
+func (r *run) mayRetry() bool {
+	if r.tries == 0 || r.MayRetry == nil || r.owns() {
+		return true
+	}
+	return r.MayRetry()
+}
+
+func (r *run) owns() bool { return r.earned && r.granted < ownResumes }
+
 // bounded limits the context to what is left of the caller's wait bound.
 func (r *run) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(ctx, r.progress.Add(r.waitBound()), WaitExceededError{Bound: r.waitBound()})
@@ -150,21 +166,24 @@
 	sampling := r.Sampling
 	sampling.MaxTokens = r.remaining()
 	r.tries++
-	attempt := l.Raise()
+	attempt, owns := l.Raise(), r.owns()
 	openCtx, cancel := context.WithTimeout(ctx, r.pace.FirstDeadline())
 	defer cancel()
 	stream, err := r.Open(openCtx, r.choice.Address(), Start{
 		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
 		Sampling: sampling, Priority: priority,
 	})
+	if err != nil && failure.Of(err).Outcome() == failure.NotRun {
+		r.refuse(err)
+		return err
+	}
+	if r.earned = false; owns {
+		r.granted++
+	}
 	if err == nil {
 		r.use(stream, class)
 		return nil
 	}
-	if failure.Of(err).Outcome() == failure.NotRun {
-		r.refuse(err)
-		return err
-	}
 	r.opened, r.owned, r.fresh = true, attempt, true
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return err
--- a/core/generation/driver_test.go
+++ b/core/generation/driver_test.go
@@ -306,3 +306,24 @@
 		require.Empty(t, f.canceled)
 	})
 }
+
+// Guards against streams that end because one engine's loss exhausts the retry budget, and against resumes without end
+// that the budget doesn't limit.
+func TestDriverOwnResumes(t *testing.T) {
+	for losses, draws := range map[int]int{1: 0, 3: 0, 5: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fixture{endpoints: []string{"a", "b"}}
+			f.open = func(_ string, start generation.Start) ([]step, error) {
+				if start.Attempt <= losses {
+					return append(run(start.Attempt, start.Offset, start.Offset+1, 9), step{err: io.ErrUnexpectedEOF}), nil
+				}
+				return run(start.Attempt, start.Offset, 9, 9), nil
+			}
+			d, drawn := f.driver(9), 0
+			d.MayRetry = func() bool { drawn++; return true }
+			require.NoError(t, d.Run(t.Context()))
+			require.Equal(t, reference(9), f.got)
+			require.Equal(t, draws, drawn)
+		})
+	}
+}
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -130,7 +130,7 @@
 	if !r.lost || event.Kind == EventFirst {
 		r.observe(event)
 	}
-	r.lost, r.fresh, r.last = false, false, nil
+	r.lost, r.fresh, r.earned, r.last = false, false, true, nil
 	clear(r.exclude)
 	err := r.Deliver(part)
 	r.progress = time.Now()
@@ -145,6 +145,10 @@
 func (r *run) fail(class string, err error) {
 	r.closeStream()
 	r.lost, r.resumed, r.last = true, true, err
+	if class == ClassConnection && r.granted == 0 {
+		// The first broken connection counts like output: the work that waited on a dead engine is not repeated.
+		r.earned = true
+	}
 	r.observe(Event{
 		Kind: EventLoss, Class: class, Address: r.choice.Address(), Incarnation: r.choice.Incarnation(),
 		Attempt: r.Log.Attempt(), Cause: err,
