--- /dev/null
+++ b/test/caller_test.go
@@ -0,0 +1,114 @@
+package test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/standin/engine"
+	"radishhollow/test/harness"
+)
+
+const spec = "briefing@1"
+
+// deployments bounds the deployments of parallel tests, so that the processes don't slow each other down.
+var deployments = make(chan struct{}, 4)
+
+// parallel runs the test beside others once a place for its deployment is free.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
+}
+
+// engines returns a deployment of engines without natural stops, before its start.
+func engines(n int, args ...string) *harness.Deployment {
+	d := harness.New()
+	d.Engines, d.Services, d.Daemons = n, 0, 1
+	d.EngineArgs = append([]string{"--stop-longest", "0"}, args...)
+	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["instance-poll"] = "100ms" }
+	return d
+}
+
+// askAll asks for streamed and whole answers of both formats.
+func askAll(t *testing.T, d *harness.Deployment, tokens int) []*harness.Stream {
+	t.Helper()
+	var streams []*harness.Stream
+	for i := range 4 {
+		streams = append(streams, d.Ask(t, 0, harness.Ask{
+			Prompt: fmt.Sprintf("inspect gate %d", i), MaxTokens: tokens, Chat: i%2 == 1, Whole: i >= 2,
+		}))
+	}
+	return streams
+}
+
+// askMany asks for n streams and waits until each has some output.
+func askMany(t *testing.T, d *harness.Deployment, n, tokens int) []*harness.Stream {
+	t.Helper()
+	// The daemon takes its capacity from the reports every 200 ms.
+	time.Sleep(400 * time.Millisecond)
+	var streams []*harness.Stream
+	for i := range n {
+		streams = append(streams, d.Ask(t, 0, harness.Ask{Prompt: fmt.Sprintf("long report %d", i), MaxTokens: tokens}))
+	}
+	for _, s := range streams {
+		s.Await(t, 5)
+	}
+	return streams
+}
+
+// addEngines adds engines and waits until the daemon has their reports.
+func addEngines(t *testing.T, d *harness.Deployment, n int) {
+	t.Helper()
+	for range n {
+		d.AddEngine(t)
+	}
+	time.Sleep(600 * time.Millisecond)
+}
+
+// launch starts a deployment and waits until its first daemon serves the model.
+func launch(t *testing.T, d *harness.Deployment) *harness.Deployment {
+	t.Helper()
+	start(t, d)
+	awaitModel(t, d, "briefing")
+	return d
+}
+
+// stats returns the counters of engine i.
+func stats(t *testing.T, d *harness.Deployment, i int) (s engine.Stats) {
+	t.Helper()
+	harness.Get(t, d.Engine(i), "/stats", &s)
+	return s
+}
+
+func started(t *testing.T, d *harness.Deployment, i int) int { return stats(t, d, i).Started }
+
+// tick is the interval at which conditions are checked.
+const tick = 5 * time.Millisecond
+
+// engineAt returns the index of the engine with an address.
+func engineAt(t *testing.T, d *harness.Deployment, address string) int {
+	t.Helper()
+	for i := range d.EngineCount() {
+		if d.Engine(i).Address() == address {
+			return i
+		}
+	}
+	require.Fail(t, "unknown engine", address)
+	return -1
+}
+
+func engineVerify(spec string, ask harness.Ask, r harness.Reply) error {
+	return engine.Verify(spec, ask.PromptIDs(), r.Tokens)
+}
+
+// awaitModel waits until daemon 0 knows from reports who serves a model or adapter.
+func awaitModel(t *testing.T, d *harness.Deployment, model string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return d.Ask(t, 0, harness.Ask{Model: model, Prompt: "probe", MaxTokens: 1}).Wait(t).Ended
+	}, 10*time.Second, 50*time.Millisecond)
+}
--- /dev/null
+++ b/test/generation_repeated_test.go
@@ -0,0 +1,113 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/standin/engine"
+	"radishhollow/test/harness"
+)
+
+// Guards against output of another generation, repeated output or gaps that reach the caller.
+func TestGenerationDisturbedChunks(t *testing.T) {
+	parallel(t)
+	d := launch(t, engines(2))
+	streams := askAll(t, d, 110)
+	streams[0].Await(t, 5)
+	for n, faults := range []engine.Faults{{Duplicate: new(4)}, {Drop: new(2)}, {Crossed: new(2)}} {
+		for i := range 2 {
+			harness.SetFaults(t, d.Engine(i), faults)
+		}
+		streams[0].Await(t, 25*(n+1))
+	}
+	for _, s := range streams {
+		s.RequireWhole(t, spec)
+	}
+	require.Positive(t, d.Metric(t, 0, `radishhollow_dropped_tokens_total{class="crossed"}`))
+	require.Positive(t, d.Metric(t, 0, `radishhollow_dropped_tokens_total{class="duplicate"}`))
+	require.Positive(t, d.Metric(t, 0, `radishhollow_attempts_total{class="attach"}`))
+}
+
+// Guards against a generation that survives one loss, but not the loss of the engine that took it over.
+func TestGenerationTwoLosses(t *testing.T) {
+	for name, between := range map[string]int{"at once": 0, "after some output": 10} {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			d := launch(t, engines(3))
+			streams := askAll(t, d, 110)
+			n := len(streams[0].Await(t, 5).Tokens)
+			first := engineAt(t, d, streams[0].Position(t).Address)
+			d.Engine(first).Kill()
+			second := (first + 1) % 3
+			if between > 0 {
+				streams[0].Await(t, n+between)
+				second = engineAt(t, d, streams[0].Position(t).Address)
+			}
+			d.Engine(second).Kill()
+			for _, s := range streams {
+				s.RequireWhole(t, spec)
+			}
+		})
+	}
+}
+
+// Guards against streams of a lost engine that all resume on the same survivor, and against a retry budget that ends
+// some of them.
+func TestGenerationManyStreams(t *testing.T) {
+	for name, lose := range map[string]func(t *testing.T, e *harness.Process){
+		"killed": func(_ *testing.T, e *harness.Process) { e.Kill() },
+		"stalled under load": func(t *testing.T, e *harness.Process) {
+			harness.SetFaults(t, e, engine.Faults{StallMS: new(8000)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			d := launch(t, engines(1, "--slots", "32"))
+			streams := askMany(t, d, 24, 80)
+			addEngines(t, d, 3)
+			lose(t, d.Engine(0))
+			for _, s := range streams {
+				s.RequireWhole(t, spec)
+			}
+			for i := 1; i <= 3; i++ {
+				// An even spread is 8.
+				n := started(t, d, i)
+				require.GreaterOrEqual(t, n, 4, "engine %d", i)
+				require.LessOrEqual(t, n, 12, "engine %d", i)
+			}
+		})
+	}
+}
+
+// Guards against a caller that waits without end, or takes a part for the whole answer, when the only place with the
+// model is lost. An engine with another model stays.
+func TestGenerationPlaceLost(t *testing.T) {
+	parallel(t)
+	d := engines(2)
+	d.Places, d.Daemons = []string{"canas"}, 0
+	d.Start(t)
+	sheet := d.Sheet(1, "model,drafting,,1,,,,,,,,,,yes,")
+	d.Model = "drafting@1"
+	d.AddEngine(t)
+	d.Model = "briefing@1"
+	d.AddDaemon(t)
+	d.Apply(t, 0, sheet)
+	d.AwaitReady(t, 0)
+	awaitModel(t, d, "briefing")
+	streams := askAll(t, d, 400)
+	streams[0].Await(t, 5)
+	d.Engine(0).Kill()
+	d.Engine(1).Kill()
+	lost := time.Now()
+	for i, s := range streams {
+		r := s.Wait(t)
+		require.Less(t, time.Since(lost), harness.WaitBound)
+		require.Contains(t, []string{"engine-lost", "wait-exceeded"}, r.Code)
+		require.False(t, r.Ended)
+		require.Empty(t, r.Finish)
+		require.Equal(t, i >= 2, r.Status == 502)
+	}
+	require.Zero(t, started(t, d, 2))
+}
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -36,6 +36,8 @@
 	PlatformArgs []string
 	// Adjust changes the settings of daemon i before they are written.
 	Adjust func(i int, s *Settings)
+	// Linked, where set, gets the link that then stands between the daemons and engine i.
+	Linked func(i int, l *Link)
 
 	platform *Process
 	engines  []*Process
@@ -63,6 +65,9 @@
 // Engine returns the process of engine i.
 func (d *Deployment) Engine(i int) *Process { return d.engines[i] }
 
+// EngineCount returns the number of engines that were started.
+func (d *Deployment) EngineCount() int { return len(d.engines) }
+
 // ServiceRunner returns the process of service runner i.
 func (d *Deployment) ServiceRunner(i int) *Process { return d.services[i] }
 
@@ -79,9 +84,8 @@
 		d.Binary = Binary(t)
 	}
 	d.platform = Start(t, d.Binary, append([]string{"standin", "platform"}, d.PlatformArgs...)...)
-	for i := range d.Engines {
-		args := append(d.standinArgs("engine", d.modelName(), i), "--model", d.Model, "--seed", strconv.Itoa(i+1))
-		d.engines = append(d.engines, Start(t, d.Binary, append(args, d.EngineArgs...)...))
+	for range d.Engines {
+		d.AddEngine(t)
 	}
 	for i := range d.Services {
 		args := d.standinArgs("service", d.Service, i)
@@ -92,6 +96,32 @@
 	}
 }
 
+// AddEngine starts one more engine.
+func (d *Deployment) AddEngine(t testing.TB) *Process {
+	t.Helper()
+	i := len(d.engines)
+	args := append(d.standinArgs("engine", d.modelName(), i), "--model", d.Model, "--seed", strconv.Itoa(i+1))
+	p := Start(t, d.Binary, append(args, d.EngineArgs...)...)
+	d.engines = append(d.engines, p)
+	if d.Linked != nil {
+		d.link(t, i)
+	}
+	return p
+}
+
+// link puts a link before an engine and lists the link's address in place of the engine's.
+func (d *Deployment) link(t testing.TB, i int) {
+	t.Helper()
+	var report struct{ Incarnation string }
+	Get(t, d.engines[i], "/v1/load", &report)
+	l := Proxy(t, d.engines[i].Address())
+	d.RemoveInstance(t, d.engines[i])
+	d.PutInstance(t, standin.Instance{
+		Address: l.Address(), Incarnation: report.Incarnation, Place: d.place(i), Kind: "model", Name: d.modelName(), State: "live",
+	})
+	d.Linked(i, l)
+}
+
 // AddDaemon starts one more daemon.
 func (d *Deployment) AddDaemon(t testing.TB) *Process {
 	t.Helper()
@@ -110,9 +140,15 @@
 // SetFaults sends a body to a stand-in's POST /faults.
 func SetFaults(t testing.TB, p *Process, faults any) {
 	t.Helper()
-	body, err := json.Marshal(faults)
+	Post(t, p, "/faults", faults)
+}
+
+// Post sends a JSON body to a stand-in.
+func Post(t testing.TB, p *Process, path string, body any) {
+	t.Helper()
+	data, err := json.Marshal(body)
 	require.NoError(t, err)
-	call(t, http.MethodPost, "http://"+p.Address()+"/faults", body, nil)
+	call(t, http.MethodPost, "http://"+p.Address()+path, data, nil)
 }
 
 // Get reads a JSON answer of a stand-in, for example /stats, /runs or /calls.
