test(standin): cross chunks at the offset that the receiver expects

A crossed chunk always had offset 0, where the receiver drops it as a repetition even without a check of generation and attempt: TestGenerationDisturbedChunks passed on a scratch copy without the check. The fault now prefers the offset of the frame that follows. Without the check, Verify finds the foreign id; with it, the test passes.

--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -112,7 +112,7 @@
 func (s *Server) disturb(c *connection, f frame) []frame {
 	var frames []frame
 	if s.crossed > 0 {
-		if other, ok := s.foreignFrame(c.stream); ok {
+		if other, ok := s.foreignFrame(c.stream, f.Offset); ok {
 			s.crossed--
 			frames = append(frames, other)
 		}
@@ -129,12 +129,22 @@
 	return frames
 }
 
-// foreignFrame returns the first id of another generation that has output.
-func (s *Server) foreignFrame(st *stream) (frame, bool) {
+// foreignFrame returns one id of another generation, where possible at the offset that the receiver expects, because
+// any other offset would also be refused as a gap or dropped as a repetition.
+func (s *Server) foreignFrame(st *stream, offset int) (frame, bool) {
+	var found *stream
 	for _, other := range s.streams {
-		if other != st && len(other.output) > 0 {
-			return other.frame(other.specs[0], other.attempt, 0, 1, ""), true
+		if other == st || len(other.output) == 0 {
+			continue
 		}
+		i := offset - other.base
+		if i >= 0 && i < len(other.output) {
+			return other.frame(other.specs[i], other.attempt, i, i+1, ""), true
+		}
+		found = other
+	}
+	if found == nil {
+		return frame{}, false
 	}
-	return frame{}, false
+	return found.frame(found.specs[0], found.attempt, 0, 1, ""), true
 }
