fix(caller): check a cursor before the prompt is encoded

A request with a forged, expired, altered or foreign cursor and a text prompt first asked an engine for the prompt's ids. With all engines paused it got tokenize-failed in place of cursor-forged (TestEntryRefusedCursors); anybody with an API key could make an engine work with an invented cursor. Retries of the caller's client were ruled out: it sends once.

Signature, expiry and workspace are now checked before admission and encoding; only the prompt's digest needs the ids. The test passes with all engines paused.

--- a/core/generation/cursor.go
+++ b/core/generation/cursor.go
@@ -74,6 +74,19 @@
 
 // Decode checks the text's signature and expiry and that it belongs to the workspace and the prompt.
 func (c CursorCodec) Decode(text, workspace string, prompt Digest, now time.Time) (Cursor, error) {
+	cursor, err := c.Open(text, workspace, now)
+	if err != nil {
+		return Cursor{}, err
+	}
+	if err := cursor.Check(prompt); err != nil {
+		return Cursor{}, err
+	}
+	return cursor, nil
+}
+
+// Open does the checks of Decode that need no prompt. The ids of a text prompt are known only after a call to an
+// engine, which a refused cursor must not cause.
+func (c CursorCodec) Open(text, workspace string, now time.Time) (Cursor, error) {
 	if len(text) > maxCursorSize {
 		return Cursor{}, CursorError{Kind: CursorMalformed}
 	}
@@ -94,12 +107,18 @@
 		return Cursor{}, CursorError{Kind: CursorExpired}
 	case cursor.Workspace != workspace:
 		return Cursor{}, CursorError{Kind: CursorForeign}
-	case cursor.PromptDigest != prompt:
-		return Cursor{}, CursorError{Kind: CursorOtherPrompt}
 	}
 	return cursor, nil
 }
 
+// Check refuses a cursor of another prompt.
+func (c Cursor) Check(prompt Digest) error {
+	if c.PromptDigest != prompt {
+		return CursorError{Kind: CursorOtherPrompt}
+	}
+	return nil
+}
+
 func (c CursorCodec) signed(mac, payload []byte) bool {
 	valid := false
 	for _, key := range c.Keys {
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -44,6 +44,12 @@
 		return err
 	}
 	workspace := WorkspaceOf(c)
+	if r.cursor != "" {
+		codec := generation.CursorCodec{Keys: s.CursorKeys}
+		if r.position, err = codec.Open(r.cursor, workspace.Name, time.Now()); err != nil {
+			return err
+		}
+	}
 	ctx, stop := s.callerContext(c.Request.Context())
 	defer stop()
 	release, err := s.Admit(ctx, workspace, r.cost(), r.cursor != "")
@@ -60,7 +66,7 @@
 			return err
 		}
 	}
-	log, from, err := s.position(r, workspace)
+	log, from, err := s.position(r)
 	if err != nil {
 		return err
 	}
@@ -123,13 +129,12 @@
 }
 
 // position returns the log to continue, and the endpoint to attach to if the request has a cursor.
-func (s *Server) position(r *request, workspace config.Workspace) (*generation.Log, route.Choice, error) {
+func (s *Server) position(r *request) (*generation.Log, route.Choice, error) {
 	if r.cursor == "" {
 		return generation.NewLog(uuid.NewString(), r.prompt), route.Choice{}, nil
 	}
-	codec := generation.CursorCodec{Keys: s.CursorKeys}
-	cursor, err := codec.Decode(r.cursor, workspace.Name, generation.PromptDigest(r.prompt), time.Now())
-	if err != nil {
+	cursor := r.position
+	if err := cursor.Check(generation.PromptDigest(r.prompt)); err != nil {
 		return nil, route.Choice{}, err
 	}
 	log, err := generation.ResumeLog(cursor, r.prompt, r.held)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -60,6 +60,7 @@
 	usage    bool
 	held     []uint32
 	cursor   string
+	position generation.Cursor // what cursor says
 	arrived  time.Time
 }
 
