fix(claim): bound each store call so that a lost answer can be read back

Cause: a claim's timeout (2 s) equalled the platform client's timeout of one call, so a claim write whose answer never came left no time to read the key back, and a booking was refused as not run although its record existed. Ruled out: cut connections, which the client reports at once and which were read back before this change as well.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -119,7 +119,7 @@
 // settle reads the key and writes the job's record unless it is there already or another claim holds the key. Where
 // the key is absent, creating the record also keeps a delayed write of the open record from taking effect.
 func (k *Keeper) settle(ctx context.Context, j job) error {
-	entry, err := k.Store.Get(ctx, j.key)
+	entry, err := k.get(ctx, j.key)
 	if _, missing := errors.AsType[kv.NotFoundError](err); missing {
 		return k.putRecord(ctx, j, 0)
 	}
@@ -141,11 +141,11 @@
 	if err != nil {
 		return err
 	}
-	lease, err := k.leases.current(ctx, k.Store)
+	lease, err := k.leases.current(ctx, k.Store, k.callTimeout())
 	if err != nil {
 		return err
 	}
-	_, err = k.Store.Put(ctx, j.key, data, revision, lease)
+	_, err = k.put(ctx, j.key, data, revision, lease)
 	if lost, ok := errors.AsType[kv.LeaseLostError](err); ok {
 		k.leases.drop(lost.Lease)
 	}
--- a/core/claim/keeper.go
+++ b/core/claim/keeper.go
@@ -14,6 +14,8 @@
 const (
 	DefaultTimeout  = 2 * time.Second
 	DefaultAwaitFor = 5 * time.Second
+	// DefaultCallTimeout lets DefaultTimeout hold a write whose answer never comes, its read-back and another write.
+	DefaultCallTimeout = 600 * time.Millisecond
 	// DefaultSendWithin is far below the life of a record, so that a daemon that was paused does not send after
 	// its record has expired and another entry has claimed the key.
 	DefaultSendWithin = time.Minute
@@ -38,6 +40,8 @@
 	Store kv.Store
 	// Timeout bounds Claim and each write of an outcome. Zero means DefaultTimeout.
 	Timeout time.Duration
+	// CallTimeout bounds each call to the store, apart from a watch. Zero means DefaultCallTimeout.
+	CallTimeout time.Duration
 	// AwaitFor bounds the wait of a second arrival. Zero means DefaultAwaitFor.
 	AwaitFor time.Duration
 	// SendWithin bounds the age of a claim at the time of sending. Zero means DefaultSendWithin.
@@ -130,11 +134,11 @@
 
 // put writes once and reads back where the write's effect is open.
 func (a *attempt) put(ctx context.Context, data []byte) (Ticket, bool, error) {
-	lease, err := a.keeper.leases.current(ctx, a.keeper.Store)
+	lease, err := a.keeper.leases.current(ctx, a.keeper.Store, a.keeper.callTimeout())
 	if err != nil {
 		return Ticket{}, false, err
 	}
-	revision, err := a.keeper.Store.Put(ctx, a.key, data, a.revision, lease)
+	revision, err := a.keeper.put(ctx, a.key, data, a.revision, lease)
 	if err == nil {
 		return a.owned(revision), true, nil
 	}
@@ -152,7 +156,7 @@
 }
 
 func (a *attempt) readBack(ctx context.Context) (Ticket, bool, error) {
-	entry, err := a.keeper.Store.Get(ctx, a.key)
+	entry, err := a.keeper.get(ctx, a.key)
 	if _, missing := errors.AsType[kv.NotFoundError](err); missing {
 		a.revision, a.taken = 0, false
 		return Ticket{}, false, err
@@ -209,6 +213,20 @@
 	return Ticket{keeper: a.keeper, key: a.key, record: a.record, revision: revision, since: a.since, owned: true}
 }
 
+func (k *Keeper) get(ctx context.Context, key string) (kv.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.callTimeout())
+	defer cancel()
+	return k.Store.Get(ctx, key)
+}
+
+func (k *Keeper) put(ctx context.Context, key string, data []byte, revision uint64, lease string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.callTimeout())
+	defer cancel()
+	return k.Store.Put(ctx, key, data, revision, lease)
+}
+
+func (k *Keeper) callTimeout() time.Duration { return orDefault(k.CallTimeout, DefaultCallTimeout) }
+
 func maybeWritten(err error) bool {
 	lost, ok := errors.AsType[kv.UnavailableError](err)
 	return !ok || lost.Written
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -31,7 +31,7 @@
 	err  error
 }
 
-func (l *leases) current(ctx context.Context, store kv.Store) (string, error) {
+func (l *leases) current(ctx context.Context, store kv.Store, timeout time.Duration) (string, error) {
 	l.mu.Lock()
 	if l.id != "" && ageOf(l.since) < leaseFor {
 		defer l.mu.Unlock()
@@ -44,7 +44,7 @@
 	}
 	l.mu.Unlock()
 	if first {
-		l.request(context.WithoutCancel(ctx), store, g)
+		l.request(context.WithoutCancel(ctx), store, g, timeout)
 	}
 	select {
 	case <-g.done:
@@ -55,8 +55,8 @@
 }
 
 // request counts the lease's age from before the call, because the platform may grant it at any time during it.
-func (l *leases) request(ctx context.Context, store kv.Store, g *grant) {
-	ctx, cancel := context.WithTimeout(ctx, DefaultTimeout)
+func (l *leases) request(ctx context.Context, store kv.Store, g *grant, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	since := time.Now()
 	g.id, g.err = store.Grant(ctx, leaseTTL)
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -122,6 +122,7 @@
 	sum := sha256.Sum256(body)
 	standin.WriteJSON(w, http.StatusOK, map[string]any{
 		"method": r.Method, "path": r.URL.RequestURI(), "key": key, "run": n, "body-digest": hex.EncodeToString(sum[:]),
+		"test-id": r.Header.Get("Test-Id"),
 	})
 }
 
@@ -141,14 +142,18 @@
 	s.running--
 }
 
-// count adds a run to the key of the request; runs without a key share the empty key.
+// count adds a run to the key of the request, and to its Test-Id where it has both, which tells apart the requests of
+// one key. Runs without either share the empty key.
 func (s *Server) count(r *http.Request) (string, int) {
-	key := r.Header.Get("Idempotency-Key")
+	key, id := r.Header.Get("Idempotency-Key"), r.Header.Get("Test-Id")
 	if key == "" {
-		key = r.Header.Get("Test-Id")
+		key, id = id, ""
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if id != "" {
+		s.runs[id]++
+	}
 	s.runs[key]++
 	return key, s.runs[key]
 }
--- /dev/null
+++ b/test/booking_platform_test.go
@@ -0,0 +1,93 @@
+package test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/test/harness"
+)
+
+// Guards against a keyed booking that fails, or runs twice, because the platform's answer to the claim or to the
+// recorded outcome is lost, with the connection cut or in silence.
+func TestBookingPlatformAnswersLost(t *testing.T) {
+	t.Parallel()
+	d, gates := gated(t, 2)
+	order{key: "first"}.at(t, d, 0).requireClass(t, "ran")
+	tests := []struct {
+		name string
+		cut  int
+		hook []func(*http.Request)
+	}{
+		{name: "claim", cut: 1},
+		{name: "claim and outcome", cut: 2},
+		{name: "four in a row", cut: 4},
+		{name: "claim in silence", hook: []func(*http.Request){swallow}},
+		{name: "claim and outcome in silence", hook: []func(*http.Request){swallow, swallow}},
+	}
+	for i, tt := range tests {
+		gates[0].push(tt.hook...)
+		harness.SetFaults(t, d.Platform(), map[string]any{"lose-answers": tt.cut})
+		begin := time.Now()
+		first := order{key: tt.name}.at(t, d, 0)
+		require.Less(t, time.Since(begin), 3*time.Second, tt.name)
+		first.requireClass(t, "ran")
+		harness.SetFaults(t, d.Platform(), map[string]any{})
+		again := order{key: tt.name}.at(t, d, 1)
+		require.Equal(t, first, again, tt.name)
+		require.Equal(t, 1, d.Runs(t, tt.name), tt.name)
+		require.Len(t, states(t, d), i+2)
+		require.NotContains(t, states(t, d), "open")
+	}
+}
+
+// Guards against a keyed booking that runs without a record while the platform is down or too slow, and against
+// unkeyed bookings and reads that stop with it.
+func TestBookingPlatformOutage(t *testing.T) {
+	t.Parallel()
+	d, _ := gated(t, 2)
+	for name, faults := range map[string]any{
+		"down": map[string]any{"down": true}, "slow": map[string]any{"delay-ms": 3000},
+	} {
+		harness.SetFaults(t, d.Platform(), faults)
+		keyed := order{key: name}.at(t, d, 0)
+		keyed.requireClass(t, "not-run")
+		require.Equal(t, "claim-failed", keyed.code)
+		require.NotEmpty(t, keyed.header.Get("Retry-After"))
+		require.Zero(t, d.Runs(t, name))
+		order{id: name + "-unkeyed"}.at(t, d, 0).requireClass(t, "ran")
+		require.Equal(t, 1, d.Runs(t, name+"-unkeyed"))
+		order{method: http.MethodGet, path: "/registry/9"}.at(t, d, 1).requireClass(t, "ran")
+
+		// Late writes of the refused claim must not block the key once the platform answers again.
+		harness.SetFaults(t, d.Platform(), map[string]any{})
+		require.Eventually(t, func() bool {
+			return order{key: name}.at(t, d, 0).class == "ran"
+		}, 10*time.Second, 50*time.Millisecond, name)
+		require.Equal(t, 1, d.Runs(t, name))
+	}
+}
+
+// Guards against an outcome that is lost because the platform fails between the claim and the finish write.
+func TestBookingOutcomeRecordedLate(t *testing.T) {
+	t.Parallel()
+	d, _ := gated(t, 2)
+	for i := range 2 {
+		harness.SetFaults(t, d.ServiceRunner(i), map[string]any{
+			"faults": []map[string]any{{"kind": "delay-answer", "count": 1, "delay-ms": 300}},
+		})
+	}
+	done := make(chan reply, 1)
+	go func() { done <- order{key: "late"}.at(t, d, 0) }()
+	require.Eventually(t, func() bool { return d.Runs(t, "late") == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, []string{"open"}, states(t, d))
+	harness.SetFaults(t, d.Platform(), map[string]any{"down": true})
+	first := <-done
+	first.requireClass(t, "ran")
+	harness.SetFaults(t, d.Platform(), map[string]any{})
+	require.Eventually(t, func() bool { return states(t, d)[0] == "finished ran" }, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, first, order{key: "late"}.at(t, d, 1))
+	require.Equal(t, 1, d.Runs(t, "late"))
+}
