fix(daemon): take the instance list from a peer during an outage

Cause: a daemon that started while the platform was down took the configuration from its seed peers and reported ready with an empty endpoint table, so it refused every request as no-endpoint. Ruled out: the configuration path; revision 2 was in force in the new daemon 30 ms after its start. Change: new call Peer.Instances; a daemon without any list asks its peers after each failed read of the platform, and readiness needs a list. Before: readyz of the new daemon was 200 without an instance list.

--- a/core/route/query.go
+++ b/core/route/query.go
@@ -34,6 +34,24 @@
 	return reports
 }
 
+// Synced tells whether there was an instance list.
+func (t *Table) Synced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.synced
+}
+
+// Listings returns the instance list, and false where there was none yet.
+func (t *Table) Listings() ([]Listing, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Listing, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		list = append(list, e.listing)
+	}
+	return list, t.synced
+}
+
 // ModelOf returns the name that the instance list gives an address, or an empty string.
 func (t *Table) ModelOf(address string) string {
 	t.mu.Lock()
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -11,8 +11,10 @@
 	daemon string
 	policy Policy
 
-	mu        sync.Mutex
-	random    *rand.Rand
+	mu     sync.Mutex
+	random *rand.Rand
+	// synced tells that there was an instance list, which may have been empty.
+	synced    bool
 	endpoints map[string]*endpoint
 	groups    map[group]*members
 	// busy holds the endpoints with work of this daemon.
@@ -40,6 +42,7 @@
 func (t *Table) Sync(list []Listing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.synced = true
 	changed := false
 	seen := make(map[string]bool, len(list))
 	for _, l := range list {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -7,6 +7,7 @@
 
 	"radishhollow/core/config"
 	"radishhollow/core/member"
+	"radishhollow/core/route"
 	"radishhollow/io/settings"
 )
 
@@ -16,11 +17,12 @@
 	closing  atomic.Bool
 	delay    time.Duration
 	store    *config.Store
+	table    *route.Table
 	reach    *member.Reach
 }
 
-func newDrain(s settings.Settings, store *config.Store, reach *member.Reach) *Drain {
-	return &Drain{delay: s.Timeouts.DrainDelay.Duration, store: store, reach: reach}
+func newDrain(s settings.Settings, store *config.Store, table *route.Table, reach *member.Reach) *Drain {
+	return &Drain{delay: s.Timeouts.DrainDelay.Duration, store: store, table: table, reach: reach}
 }
 
 // Draining tells whether a planned stop has begun.
@@ -29,9 +31,10 @@
 // Closing tells whether the daemon closes connections that are still in use.
 func (d *Drain) Closing() bool { return d.closing.Load() }
 
-// Ready tells whether the load balancer should send new requests to this daemon.
+// Ready tells whether the load balancer should send new requests to this daemon. Without an instance list it would
+// refuse all of them.
 func (d *Drain) Ready() bool {
-	return !d.Draining() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
+	return !d.Draining() && d.table.Synced() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
 }
 
 // closeIdle asks clients to close their connections during a planned stop, so that none sends a request on a
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -33,12 +33,13 @@
 
 func newNode(
 	id Identity, drain *Drain, members *member.Table, store *config.Store, reach *member.Reach,
-	limiter *limit.Limiter, m *telemetry.Metrics,
+	table *route.Table, limiter *limit.Limiter, m *telemetry.Metrics,
 ) *peer.Node {
 	return &peer.Node{
 		Address: id.address, Incarnation: id.incarnation, Place: id.place,
 		Draining: drain.Draining,
 		Demand:   func() []member.Demand { return demandOf(limiter) },
+		Listings: table.Listings,
 		Table:    members, Store: store, Reach: reach, Metrics: m,
 	}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,6 +11,7 @@
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
+	"radishhollow/io/peer"
 	"radishhollow/io/platform"
 	"radishhollow/io/settings"
 	"radishhollow/io/telemetry"
@@ -32,6 +33,7 @@
 // instances reads the platform's instance list into the table of endpoints. During an outage the last list stays.
 type instances struct {
 	client   *platform.Client
+	peers    *peer.Exchanger
 	table    *route.Table
 	reach    *member.Reach
 	interval time.Duration
@@ -40,10 +42,11 @@
 }
 
 func newInstances(
-	s settings.Settings, client *platform.Client, table *route.Table, reach *member.Reach, log *logrus.Logger,
+	s settings.Settings, client *platform.Client, peers *peer.Exchanger, table *route.Table, reach *member.Reach,
+	log *logrus.Logger,
 ) *instances {
 	return &instances{
-		client: client, table: table, reach: reach, interval: s.Timeouts.InstancePoll.Duration, log: log,
+		client: client, peers: peers, table: table, reach: reach, interval: s.Timeouts.InstancePoll.Duration, log: log,
 	}
 }
 
@@ -68,6 +71,7 @@
 			i.log.WithError(err).Warn("platform does not answer; keeping the last instance list")
 		}
 		i.failing = true
+		i.readFromPeers(ctx)
 		return
 	}
 	if i.failing {
@@ -77,3 +81,14 @@
 	i.table.Sync(endpoints)
 	i.reach.Contact()
 }
+
+// readFromPeers lets a daemon that starts during an outage work with the last list that a peer has read.
+func (i *instances) readFromPeers(ctx context.Context) {
+	if i.table.Synced() {
+		return
+	}
+	if endpoints, known := i.peers.Instances(ctx); known {
+		i.table.Sync(endpoints)
+		i.log.WithField("endpoints", len(endpoints)).Info("instance list taken from a peer")
+	}
+}
--- a/io/peer/exchange_test.go
+++ b/io/peer/exchange_test.go
@@ -12,6 +12,7 @@
 
 	"radishhollow/core/config"
 	"radishhollow/core/member"
+	"radishhollow/core/route"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
 )
@@ -86,6 +87,35 @@
 	return &rpc.ConfigDocument{Revision: 9, Digest: "d", Fields: []byte(`{"sheet-number":9}`)}, nil
 }
 
+func (p *lyingPeer) Instances(context.Context, *rpc.InstancesRequest) (*rpc.InstanceList, error) {
+	return &rpc.InstanceList{Instances: []*rpc.Instance{
+		{Address: "localhost:80"}, {Address: "127.0.0.1:1", Kind: "model", Name: strings.Repeat("n", maxTextBytes+1)},
+		{Address: "127.0.0.1:2", Incarnation: "1", Place: "p", Kind: "model", Name: "briefing", Leaving: true},
+	}}, nil
+}
+
+// Guards against an instance list that loses a field on the wire, takes malformed rows, or comes from a peer that has
+// none itself.
+func TestInstancesComeFromAPeerThatHasThem(t *testing.T) {
+	good := newDaemon(t)
+	good.Listings = func() ([]route.Listing, bool) { return nil, false }
+	_, err := (&Server{Node: good.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
+	require.Error(t, err)
+	server := httptest.NewServer(rpc.NewPeerServer(&lyingPeer{}))
+	defer server.Close()
+	d := newDaemon(t, strings.TrimPrefix(server.URL, "http://"))
+	list, known := d.exchanger.Instances(t.Context())
+	require.True(t, known)
+	require.Equal(t, []route.Listing{{
+		Address: "127.0.0.1:2", Incarnation: "1", Place: "p", Kind: route.KindModel, Name: "briefing", Leaving: true,
+	}}, list)
+	d.Listings = func() ([]route.Listing, bool) { return list, true }
+	answer, err := (&Server{Node: d.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
+	require.NoError(t, err)
+	require.Len(t, answer.GetInstances(), 1)
+	require.True(t, answer.GetInstances()[0].GetLeaving())
+}
+
 func TestFetchRefusesADocumentWithAnotherDigest(t *testing.T) {
 	liar := &lyingPeer{}
 	server := httptest.NewServer(rpc.NewPeerServer(liar))
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -7,6 +7,7 @@
 
 	"radishhollow/core/config"
 	"radishhollow/core/member"
+	"radishhollow/core/route"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
 )
@@ -34,11 +35,13 @@
 	// Draining tells whether the daemon takes no new requests.
 	Draining func() bool
 	// Demand returns the daemon's own demand by workspace.
-	Demand  func() []member.Demand
-	Table   *member.Table
-	Store   *config.Store
-	Reach   *member.Reach
-	Metrics *telemetry.Metrics
+	Demand func() []member.Demand
+	// Listings returns the endpoints of the platform's instance list, and false where there was no list yet.
+	Listings func() ([]route.Listing, bool)
+	Table    *member.Table
+	Store    *config.Store
+	Reach    *member.Reach
+	Metrics  *telemetry.Metrics
 }
 
 func (n *Node) view() member.View {
