--- /dev/null
+++ b/test/drain_leave_test.go
@@ -0,0 +1,115 @@
+package test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/standin"
+	"radishhollow/standin/engine"
+	"radishhollow/test/harness"
+)
+
+// leaveBound is the time after the first sign within which a leaving endpoint must get no new work.
+const leaveBound = 2 * time.Second
+
+// Guards against new work for an endpoint that leaves, against streams that its leaving cuts off, and against a
+// returned endpoint under the same address that stays without work.
+//
+// Engine 0 leaves by the instance list, which only daemon 0 reads: daemon 1 hears of it from its peer. Engine 1 leaves
+// by its load report, and engine 2 by the response header alone, because its report never changes.
+func TestLeavingEndpoint(t *testing.T) {
+	parallel(t)
+	d := harness.New()
+	d.Engines, d.EngineArgs = 6, []string{"--stop-longest", "0"}
+	var link *harness.Link
+	d.Adjust = func(i int, s *harness.Settings) {
+		if i == 1 {
+			link = harness.Proxy(t, s.Platform)
+			s.Platform = link.Address()
+		}
+	}
+	start(t, d)
+	d.ReplaceEngine(t, 2, "--model", d.Model, "--report-lag", "1h")
+	l := newLoad(t, d, 150)
+	l.run(24, 0, 0)
+	for i := range 3 {
+		require.Eventuallyf(t, func() bool { return started(t, d, i) > 0 }, 10*time.Second, 20*time.Millisecond, "engine %d", i)
+	}
+	link.Cut()
+	sign := time.Now()
+	leaving := map[string]any{"leaving": true}
+	d.PutInstance(t, leavingRow(t, d, 0))
+	harness.SetFaults(t, d.Engine(1), leaving)
+	harness.SetFaults(t, d.Engine(2), leaving)
+	var before, after [6]int
+	time.Sleep(time.Until(sign.Add(leaveBound)))
+	for i := range before {
+		before[i] = started(t, d, i)
+	}
+	time.Sleep(2 * time.Second)
+	for i := range after {
+		after[i] = started(t, d, i)
+	}
+	l.end()
+	require.Equal(t, before[:3], after[:3], "new work after %s", leaveBound)
+	require.Greater(t, after[3], before[3])
+	require.Empty(t, l.broken)
+	require.Empty(t, l.refused)
+	for i := range 2 {
+		require.Zero(t, d.Metric(t, i, `radishhollow_attempts_total{class="resume"}`), "a leaving endpoint's stream was moved")
+	}
+
+	link.Restore(t)
+	d.ReplaceEngine(t, 0, "--model", d.Model)
+	l = newLoad(t, d, 30)
+	l.run(24, 0, 0)
+	require.Eventually(t, func() bool { return started(t, d, 0) > 0 }, effectBound, 20*time.Millisecond, "no work after its return")
+	l.end()
+	require.Empty(t, l.broken)
+}
+
+// Guards against a service runner that gets new calls after it has said in a response or its report that it leaves.
+func TestLeavingServiceRunner(t *testing.T) {
+	parallel(t)
+	d := harness.New()
+	d.Engines, d.Services = 0, 3
+	start(t, d)
+	l := newLoad(t, d, 0)
+	l.run(0, 2, 0)
+	harness.SetFaults(t, d.ServiceRunner(0), map[string]any{"leaving": true})
+	time.Sleep(leaveBound)
+	before := ran(t, d, 0)
+	time.Sleep(time.Second)
+	require.Equal(t, before, ran(t, d, 0))
+	l.end()
+	require.Empty(t, l.broken)
+	requireOnce(t, l, true)
+}
+
+func ran(t *testing.T, d *harness.Deployment, i int) int {
+	t.Helper()
+	var answer struct{ Runs map[string]int }
+	harness.Get(t, d.ServiceRunner(i), "/runs", &answer)
+	return len(answer.Runs)
+}
+
+func started(t *testing.T, d *harness.Deployment, i int) int {
+	t.Helper()
+	var stats engine.Stats
+	harness.Get(t, d.Engine(i), "/stats", &stats)
+	return stats.Started
+}
+
+// leavingRow returns the instance list's row of an engine with the state leaving.
+func leavingRow(t *testing.T, d *harness.Deployment, i int) standin.Instance {
+	t.Helper()
+	var list struct{ Instances []standin.Instance }
+	harness.Get(t, d.Platform(), "/instances", &list)
+	at := slices.IndexFunc(list.Instances, func(row standin.Instance) bool { return row.Address == d.Engine(i).Address() })
+	require.GreaterOrEqual(t, at, 0)
+	list.Instances[at].State = "leaving"
+	return list.Instances[at]
+}
