feat(bench): measure the resume after losses of engines

Cause: the resume latency and the extra engine work of a loss were not measured on whole deployments.

The baselines are decorations of the daemon's parts, which daemon.Run takes as options; the route policy is a part of its own for that.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -42,6 +42,8 @@
 	Status  int
 	// Done is set by the published end mark.
 	Done bool
+	// Observe is called after each event with tokens or a finish reason; it may be nil.
+	Observe func(g *Generation)
 }
 
 // Check compares a finished answer with the stand-in's model.
@@ -144,6 +146,9 @@
 	if chunk.Choices[0].Finish != nil {
 		g.Finish = *chunk.Choices[0].Finish
 	}
+	if g.Observe != nil {
+		g.Observe(g)
+	}
 	return nil
 }
 
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
 
 	"radishhollow/core/config"
 	"radishhollow/daemon"
@@ -41,6 +42,8 @@
 	Engine func(i int, s *engine.Server)
 	// Settings changes a daemon's settings before it starts; it may be nil.
 	Settings func(i int, s *settings.Settings)
+	// Options are added to each daemon; they may decorate its parts for a measurement.
+	Options []fx.Option
 	// Log receives the daemons' log; nil discards it.
 	Log *logrus.Logger
 
@@ -73,6 +76,7 @@
 // Daemon is one daemon of the fleet.
 type Daemon struct {
 	settings settings.Settings
+	options  []fx.Option
 	cancel   context.CancelFunc
 	done     chan struct{}
 	err      error
@@ -204,7 +208,7 @@
 		f.Settings(i, &s)
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
-	d := &Daemon{settings: s, cancel: cancel, done: make(chan struct{})}
+	d := &Daemon{settings: s, options: f.Options, cancel: cancel, done: make(chan struct{})}
 	f.daemons = append(f.daemons, d)
 	ready := make(chan struct{})
 	f.group.Go(func() { d.run(ctx, f.Log, ready) })
@@ -223,7 +227,7 @@
 		log.SetLevel(logrus.PanicLevel)
 		log.SetOutput(os.Stderr)
 	}
-	d.err = daemon.Run(ctx, d.settings, log, func() { close(ready) })
+	d.err = daemon.Run(ctx, d.settings, log, func() { close(ready) }, d.options...)
 }
 
 // launch runs a stand-in and registers it where it has a kind.
--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -11,7 +11,9 @@
 
 // benches returns the experiments of the bench command. Each prints one JSON line per run.
 func benches() []command {
-	return []command{}
+	return []command{
+		{name: "resume", help: "lose engines under load and measure the callers' wait", run: RunBenchResume},
+	}
 }
 
 // RunBench executes one experiment.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,7 +49,8 @@
 }
 
 // New returns the application of one daemon. Its Stop drains: it waits until every request in flight is complete.
-func New(s settings.Settings, log *logrus.Logger) *fx.App {
+// The options come after the daemon's own and may decorate its parts.
+func New(s settings.Settings, log *logrus.Logger, options ...fx.Option) *fx.App {
 	stopTimeout := s.Timeouts.Drain.Duration
 	if stopTimeout == 0 {
 		stopTimeout = unboundedStop
@@ -67,13 +68,16 @@
 		callerParts,
 		controlParts,
 		fx.Provide(newDrain, newSupervisor),
+		fx.Options(options...),
 		fx.Invoke(runSupervisor, serveAll),
 	)
 }
 
 // Run starts a daemon and serves until ctx ends, then drains. Ready is called once all listeners serve.
-func Run(ctx context.Context, s settings.Settings, log *logrus.Logger, ready func()) error {
-	app := New(s, log)
+func Run(
+	ctx context.Context, s settings.Settings, log *logrus.Logger, ready func(), options ...fx.Option,
+) error {
+	app := New(s, log, options...)
 	if err := app.Err(); err != nil {
 		return err
 	}
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -17,15 +17,17 @@
 	"radishhollow/io/settings"
 )
 
-var policyParts = fx.Provide(newTable, newQueue, newLimiter, retry.Default, newRefresh)
+var policyParts = fx.Provide(newPolicy, newTable, newQueue, newLimiter, retry.Default, newRefresh)
 
-func newTable(id Identity, s settings.Settings) *route.Table {
+func newPolicy(s settings.Settings) route.Policy {
 	policy := route.DefaultPolicy()
 	policy.Subset = s.Limits.SubsetSize
 	policy.Seed = uint64(time.Now().UnixNano())
-	return route.New(id.address, policy)
+	return policy
 }
 
+func newTable(id Identity, policy route.Policy) *route.Table { return route.New(id.address, policy) }
+
 func newQueue(s settings.Settings) *share.Queue {
 	limits := share.DefaultLimits()
 	limits.Total = s.Limits.QueueLength
