--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -11,7 +11,11 @@
 
 // benches returns the experiments of the bench command. Each prints one JSON line per run.
 func benches() []command {
-	return []command{}
+	return []command{
+		{name: "resume", help: "lose engines under load and measure the callers' wait", run: RunBenchResume},
+		{name: "share", help: "overload the workspaces and measure the division of capacity", run: RunBenchShare},
+		{name: "choice", help: "compare the ways to choose an endpoint", run: RunBenchChoice},
+	}
 }
 
 // RunBench executes one experiment.
