feat(bench): measure control cost and the spread of a revision

bench control runs peers, endpoints and the platform as fakes on loopback addresses and reads the daemon's processor time, memory, bytes and calls. Processor time is read in ticks of 10 ms, which over 15 s is 0.07 % of a core.

--- /dev/null
+++ b/bench/cost_sample.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// sample is one reading of the daemon's own metrics and of the fakes' counters.
+type sample struct {
+	at      time.Time
+	cpu     float64
+	rss     float64
+	heap    float64
+	calls   map[string]float64
+	traffic map[string]float64
+}
+
+func (c *Cost) sample(ctx context.Context) (sample, error) {
+	s := sample{calls: map[string]float64{}, traffic: map[string]float64{}}
+	data, err := call(ctx, http.MethodGet, "http://"+c.settings.OperatorListen+"/metrics", nil)
+	if err != nil {
+		return s, err
+	}
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) != 2 {
+			continue
+		}
+		value, err := strconv.ParseFloat(fields[1], 64)
+		if err != nil {
+			continue
+		}
+		switch fields[0] {
+		case "process_cpu_seconds_total":
+			s.cpu = value
+		case "process_resident_memory_bytes":
+			s.rss = value
+		case "go_memstats_heap_alloc_bytes":
+			s.heap = value
+		}
+		if kind, ok := strings.CutPrefix(fields[0], `radishhollow_key_value_calls_total{class="`); ok {
+			s.calls[strings.TrimSuffix(kind, `"}`)] = value
+		}
+	}
+	s.at = time.Now()
+	c.countTraffic(&s)
+	return s, c.countStore(ctx, &s)
+}
+
+// countTraffic takes the counters of the fakes.
+func (c *Cost) countTraffic(s *sample) {
+	for name, t := range map[string]*Traffic{
+		"peers": &c.traffic.peers, "endpoints": &c.traffic.endpoints, "platform": &c.traffic.platform,
+	} {
+		s.traffic[name+"-sent"] = float64(t.sent.Load())
+		s.traffic[name+"-received"] = float64(t.received.Load())
+		s.calls[name] = float64(t.calls.Load())
+	}
+	s.traffic["instance-list-bodies"] = float64(c.platform.list.received.Load())
+}
+
+// countStore checks the calls against the platform's own counts, which the daemon cannot leave out.
+func (c *Cost) countStore(ctx context.Context, s *sample) error {
+	data, err := call(ctx, http.MethodGet, "http://"+c.platform.store+"/calls", nil)
+	if err != nil {
+		return err
+	}
+	counts := map[string]float64{}
+	if err := json.Unmarshal(data, &counts); err != nil {
+		return err
+	}
+	for _, kind := range []string{"get", "list", "watch", "grant", "renew"} {
+		s.calls["platform-"+kind] = counts[kind]
+	}
+	return nil
+}
+
+func (c *Cost) result(before, after sample) CostResult {
+	seconds := after.at.Sub(before.at).Seconds()
+	return CostResult{
+		Experiment: "control", CostSizes: c.CostSizes, Separate: c.SettingsFile != "",
+		CorePercent: 100 * (after.cpu - before.cpu) / seconds,
+		ResidentMB:  after.rss / (1 << 20), HeapMB: after.heap / (1 << 20),
+		Bytes: perSecond(before.traffic, after.traffic, seconds),
+		Calls: perSecond(before.calls, after.calls, seconds), Polled: len(c.targets()),
+	}
+}
+
+func perSecond(before, after map[string]float64, seconds float64) map[string]float64 {
+	rates := map[string]float64{}
+	for name, value := range after {
+		if rate := (value - before[name]) / seconds; rate > 0 {
+			rates[name] = float64(int(rate*1000+0.5)) / 1000
+		}
+	}
+	return rates
+}
--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -11,7 +11,10 @@
 
 // benches returns the experiments of the bench command. Each prints one JSON line per run.
 func benches() []command {
-	return []command{}
+	return []command{
+		{name: "control", help: "control cost of one daemon among fakes", run: runBenchControl},
+		{name: "config", help: "time until a revision is in force in every daemon", run: runBenchConfig},
+	}
 }
 
 // RunBench executes one experiment.
