--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -15,6 +15,8 @@
 		{name: "resume", help: "lose engines under load and measure the callers' wait", run: RunBenchResume},
 		{name: "share", help: "overload the workspaces and measure the division of capacity", run: RunBenchShare},
 		{name: "choice", help: "compare the ways to choose an endpoint", run: RunBenchChoice},
+		{name: "control", help: "control cost of one daemon among fakes", run: runBenchControl},
+		{name: "config", help: "time until a revision is in force in every daemon", run: runBenchConfig},
 	}
 }
 
