--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -37,6 +37,8 @@
 	Started             int `json:"streams-started"`
 	Attached            int `json:"streams-attached"`
 	Cancelled           int `json:"streams-cancelled"`
+	// Stale counts the refused cancels of older attempts.
+	Stale int `json:"cancels-stale"`
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
--- a/test/harness/stream.go
+++ b/test/harness/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -21,15 +22,18 @@
 // Ask is one generation request of a test's caller.
 type Ask struct {
 	// Model is the deployment's model where empty.
-	Model     string
-	Prompt    string
+	Model  string
+	Prompt string
+	// IDs, where set, are sent in place of the text prompt.
+	IDs       []uint32
 	MaxTokens int
 	Chat      bool
 	// Whole asks for one body instead of a stream.
 	Whole bool
-	// Cursor is sent as Last-Event-ID, and Held as resume_token_ids.
+	// Cursor is sent as Last-Event-ID. Held are the ids received before; SendHeld sends them as resume_token_ids.
 	Cursor    string
 	Held      []uint32
+	SendHeld  bool
 	Workspace string
 	// Address replaces the daemon's address, for example by that of a Link.
 	Address string
@@ -37,6 +41,9 @@
 
 // PromptIDs returns the token ids that the stand-in engine gives the prompt.
 func (a Ask) PromptIDs() []uint32 {
+	if a.IDs != nil {
+		return a.IDs
+	}
 	if a.Chat {
 		return engine.TokenizeChat([]engine.Message{{Role: "user", Content: a.Prompt}})
 	}
@@ -76,6 +83,8 @@
 	mu     sync.Mutex
 	reply  Reply
 	last   time.Time
+	// id and data are the lines of an event that is not complete yet.
+	id, data string
 }
 
 // CursorKey returns the key that signs the daemons' cursors.
@@ -114,10 +123,13 @@
 	} else {
 		body["prompt"] = a.Prompt
 	}
+	if a.IDs != nil {
+		body["prompt"] = a.IDs
+	}
 	if !a.Whole {
 		body["stream_options"] = map[string]any{"include_usage": true}
 	}
-	if a.Held != nil {
+	if a.SendHeld {
 		body["resume_token_ids"] = a.Held
 	}
 	data, err := json.Marshal(body)
@@ -146,16 +158,24 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.set(func(r *Reply) { r.Status = resp.StatusCode })
+	if s.ask.Whole || resp.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(resp.Body)
+		s.set(func(r *Reply) {
+			if r.Err = err; err == nil {
+				s.event(r, "", string(data))
+				r.Ended = r.Code == ""
+			}
+		})
+		return
+	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
-		line := scanner.Text()
-		if resp.Header.Get("Content-Type") == "application/json" {
-			line = "data: " + line
-		}
-		s.set(func(r *Reply) { s.line(r, line) })
+		s.set(func(r *Reply) { s.line(r, scanner.Text()) })
+	}
+	if err := scanner.Err(); err != nil {
+		s.set(func(r *Reply) { r.Err = err })
 	}
-	s.set(func(r *Reply) { r.Err = scanner.Err() })
 }
 
 func (s *Stream) set(change func(*Reply)) {
@@ -164,23 +184,31 @@
 	change(&s.reply)
 }
 
-// line handles one line of an event stream.
+// line handles one line of an event stream. An event counts only after its blank line.
 func (s *Stream) line(r *Reply, line string) {
 	if id, ok := strings.CutPrefix(line, "id: "); ok {
-		r.Cursor = id
+		s.id = id
 	}
-	data, ok := strings.CutPrefix(line, "data: ")
-	if !ok {
-		return
+	if data, ok := strings.CutPrefix(line, "data: "); ok {
+		s.data = data
 	}
+	if line == "" {
+		s.event(r, s.id, s.data)
+		s.id, s.data = "", ""
+	}
+}
+
+func (s *Stream) event(r *Reply, id, data string) {
 	now := time.Now()
 	r.Longest, s.last = max(r.Longest, now.Sub(s.last)), now
+	if id != "" {
+		r.Cursor = id
+	}
 	if data == "[DONE]" {
 		r.Ended = true
 		return
 	}
 	r.add([]byte(data), s.ask)
-	r.Ended = r.Ended || s.ask.Whole && r.Code == ""
 }
 
 func (r *Reply) add(data []byte, ask Ask) {
