--- a/bench/fake_peer.go
+++ b/bench/fake_peer.go
@@ -67,6 +67,11 @@
 	return &rpc.ConfigDocument{}, nil
 }
 
+// Instances implements rpc.Peer.
+func (p *peerAt) Instances(context.Context, *rpc.InstancesRequest) (*rpc.InstanceList, error) {
+	return &rpc.InstanceList{}, nil
+}
+
 func (p *fakePeer) view(i int) *rpc.View {
 	current := p.store.Current()
 	v := &rpc.View{
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -15,17 +15,6 @@
 // effectBound is the time within which a revision must be in force in every instance.
 const effectBound = 5 * time.Second
 
-// slots bounds the deployments of the configuration, drain and order tests that run at a time.
-var slots = make(chan struct{}, 4)
-
-// parallel lets a test with a deployment of its own run beside others.
-func parallel(t *testing.T) {
-	t.Helper()
-	t.Parallel()
-	slots <- struct{}{}
-	t.Cleanup(func() { <-slots })
-}
-
 // control returns a deployment without endpoints, for tests of daemons and platform only.
 func control(daemons int) *harness.Deployment {
 	d := harness.New()
--- a/test/drain_leave_test.go
+++ b/test/drain_leave_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/standin"
-	"radishhollow/standin/engine"
 	"radishhollow/test/harness"
 )
 
@@ -96,13 +95,6 @@
 	return len(answer.Runs)
 }
 
-func started(t *testing.T, d *harness.Deployment, i int) int {
-	t.Helper()
-	var stats engine.Stats
-	harness.Get(t, d.Engine(i), "/stats", &stats)
-	return stats.Started
-}
-
 // leavingRow returns the instance list's row of an engine with the state leaving.
 func leavingRow(t *testing.T, d *harness.Deployment, i int) standin.Instance {
 	t.Helper()
--- a/test/entry_cursor_test.go
+++ b/test/entry_cursor_test.go
@@ -21,7 +21,7 @@
 	first.Await(t, 10)
 	position, text := first.Position(t), first.Reply().Cursor
 	first.Close()
-	before := [2]any{stats(t, d, 0).Started, stats(t, d, 1).Started}
+	runs := started(t, d, 0) + started(t, d, 1)
 	sign := func(key string, expiry time.Time) string {
 		c := position
 		c.Expiry = expiry.Unix()
@@ -51,7 +51,7 @@
 	}
 	d.Engine(0).Continue()
 	d.Engine(1).Continue()
-	require.Equal(t, before, [2]any{stats(t, d, 0).Started, stats(t, d, 1).Started})
+	require.Equal(t, runs, started(t, d, 0)+started(t, d, 1))
 	require.Zero(t, stats(t, d, 0).Attached+stats(t, d, 1).Attached)
 }
 
--- a/test/generation_version_test.go
+++ b/test/generation_version_test.go
@@ -8,9 +8,9 @@
 	"radishhollow/test/harness"
 )
 
-// order sends an order straight to engine i. Its fencing token is above those of the daemons, so that the planner
+// orderEngine sends an order straight to engine i. Its fencing token is above those of the daemons, so that the planner
 // can't undo it.
-func order(t *testing.T, d *harness.Deployment, i int, body map[string]any) {
+func orderEngine(t *testing.T, d *harness.Deployment, i int, body map[string]any) {
 	t.Helper()
 	body["fence"] = uint64(1) << 40
 	harness.Post(t, d.Engine(i), "/v1/orders", body)
@@ -43,13 +43,13 @@
 			whole := d.Ask(t, 0, ask)
 			stream.Await(t, 5)
 			first := engineAt(t, d, stream.Position(t).Address)
-			order(t, d, first, tt.order)
+			orderEngine(t, d, first, tt.order)
 			require.Eventually(t, func() bool {
 				return stream.Position(t).Address == d.Engine(1-first).Address()
 			}, harness.WaitBound, tick)
 			second := d.Ask(t, 0, harness.Ask{Model: tt.model, Prompt: "short plan", MaxTokens: 20})
 			second.Await(t, 20)
-			order(t, d, 1-first, tt.order)
+			orderEngine(t, d, 1-first, tt.order)
 			r := stream.Wait(t)
 			require.Equal(t, "spec-lost", r.Code)
 			require.False(t, r.Ended)
