feat(daemon): count spurious failovers

The counter existed, but nothing counted. After a stream is lost by silence, the daemon now asks its endpoint once for a load report. A report of the same incarnation within 500 ms shows that the endpoint was alive, and each stream that was taken from it counts. The losses of one endpoint share a report.

--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -119,6 +119,7 @@
 	Table     *route.Table
 	Engines   *engine.Client
 	Canceler  *generation.Canceler
+	Suspects  *suspects
 	Admission *admission
 	Budgets   *retry.Budgets
 	Sender    *booking.Sender
@@ -146,6 +147,7 @@
 		Known:      d.Table.Known,
 		Alive:      d.Table.Health,
 		Result:     d.observeResult,
+		Silent:     d.Suspects.Add,
 		MayRetry:   d.Budgets.Take,
 		Ready:      d.Drain.Ready,
 		Stopping:   d.Drain.Closing,
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -12,7 +12,7 @@
 	"radishhollow/io/settings"
 )
 
-var endpointParts = fx.Provide(newEngine, newService, newCanceler, newPollers)
+var endpointParts = fx.Provide(newEngine, newService, newCanceler, newSuspects, newPollers)
 
 func newEngine(table *route.Table) *engine.Client {
 	return &engine.Client{HTTP: engine.NewHTTP(), Observe: observeState(table)}
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -186,6 +186,9 @@
 		m.Observe(telemetry.ResumeLatency, workspace, event.Wait)
 	case generation.EventLoss:
 		m.Count(telemetry.EngineLosses, event.Class)
+		if event.Class == generation.ClassSilence && s.Silent != nil {
+			s.Silent(event.Address, event.Incarnation)
+		}
 	case generation.EventDropped:
 		m.Add(telemetry.DroppedTokens, event.Class, event.Tokens)
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -48,6 +48,8 @@
 	Alive func(address string) (alive bool, slow float64)
 	// Result is told how each attempt on an endpoint went; it may be nil.
 	Result func(choice route.Choice, err error)
+	// Silent is told of each stream that was taken from a silent endpoint; it may be nil.
+	Silent func(address, incarnation string)
 	// MayRetry takes one attempt from the workspace's retry budget.
 	MayRetry func(workspace string) bool
 	// Ready tells whether this instance takes new work.
