--- a/test/harness/proxy.go
+++ b/test/harness/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -62,12 +61,3 @@
 		require.NoError(t, err)
 	}
 }
-
-// FreeAddress returns a loopback address with a port that the kernel has just found free.
-func FreeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	return listener.Addr().String()
-}
