test: run the generation and entry tests side by side

Parents of parallel subtests held up one another, so that a run took 39.8 s with the race detector on a busy machine. askAll waits until all its requests run: PlaceLost once met one that still waited and so got no-endpoint.

--- a/test/entry_lost_test.go
+++ b/test/entry_lost_test.go
@@ -26,6 +26,7 @@
 // Guards against a caller that can't go on at another entry, or only at the cost of another prefill, after its entry
 // was lost in any way.
 func TestEntryLost(t *testing.T) {
+	t.Parallel()
 	for name, lose := range map[string]func(t *testing.T, d *harness.Deployment, l *harness.Link){
 		"killed":      func(_ *testing.T, d *harness.Deployment, _ *harness.Link) { d.Daemon(0).Kill() },
 		"cut off":     func(_ *testing.T, _ *harness.Deployment, l *harness.Link) { l.Cut() },
@@ -70,6 +71,7 @@
 // Guards against a caller that can't go on, or that gets another generation's output, when its entry and its engine
 // are lost together.
 func TestEntryAndEngineLost(t *testing.T) {
+	t.Parallel()
 	for name, send := range map[string]bool{"with ids": true, "without ids": false} {
 		t.Run(name, func(t *testing.T) {
 			parallel(t)
--- a/test/generation_repeated_test.go
+++ b/test/generation_repeated_test.go
@@ -15,7 +15,6 @@
 	parallel(t)
 	d := launch(t, engines(2))
 	streams := askAll(t, d, 110)
-	streams[0].Await(t, 5)
 	for n, faults := range []engine.Faults{{Duplicate: new(4)}, {Drop: new(2)}, {Crossed: new(2)}} {
 		for i := range 2 {
 			harness.SetFaults(t, d.Engine(i), faults)
@@ -32,6 +31,7 @@
 
 // Guards against a generation that survives one loss, but not the loss of the engine that took it over.
 func TestGenerationTwoLosses(t *testing.T) {
+	t.Parallel()
 	for name, between := range map[string]int{"at once": 0, "after some output": 10} {
 		t.Run(name, func(t *testing.T) {
 			parallel(t)
@@ -56,6 +56,7 @@
 // Guards against streams of a lost engine that all resume on the same survivor, and against a retry budget that ends
 // some of them.
 func TestGenerationManyStreams(t *testing.T) {
+	t.Parallel()
 	for name, lose := range map[string]func(t *testing.T, e *harness.Process){
 		"killed": func(_ *testing.T, e *harness.Process) { e.Kill() },
 		"stalled under load": func(t *testing.T, e *harness.Process) {
@@ -97,7 +98,6 @@
 	d.AwaitReady(t, 0)
 	awaitModel(t, d, "briefing")
 	streams := askAll(t, d, 400)
-	streams[0].Await(t, 5)
 	d.Engine(0).Kill()
 	d.Engine(1).Kill()
 	lost := time.Now()
