--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -42,15 +42,7 @@
 			Prompt: fmt.Sprintf("inspect gate %d", i), MaxTokens: tokens, Chat: i%2 == 1, Whole: i >= 2,
 		}))
 	}
-	require.Eventually(t, func() bool {
-		running := 0
-		for i := range d.EngineCount() {
-			var report struct{ Running int }
-			harness.Get(t, d.Engine(i), "/v1/load", &report)
-			running += report.Running
-		}
-		return running >= len(streams)
-	}, 10*time.Second, 20*time.Millisecond)
+	awaitRunning(t, d, len(streams))
 	streams[0].Await(t, 5)
 	return streams
 }
@@ -68,6 +60,20 @@
 	return streams
 }
 
+// awaitRunning waits until the engines report n running streams.
+func awaitRunning(t *testing.T, d *harness.Deployment, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		running := 0
+		for i := range d.EngineCount() {
+			var report struct{ Running int }
+			harness.Get(t, d.Engine(i), "/v1/load", &report)
+			running += report.Running
+		}
+		return running >= n
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
 // addEngines adds engines and waits until the daemon has their reports.
 func addEngines(t *testing.T, d *harness.Deployment, n int) {
 	t.Helper()
--- a/test/generation_repeated_test.go
+++ b/test/generation_repeated_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,6 +83,23 @@
 	}
 }
 
+// Guards against a retry budget that ends requests whose engine dies during their prefill, when many are in it.
+func TestGenerationLostBeforeOutput(t *testing.T) {
+	parallel(t)
+	d := launch(t, engines(1, "--slots", "32", "--prefill-rate", "10"))
+	var streams []*harness.Stream
+	for i := range 24 {
+		streams = append(streams, d.Ask(t, 0, harness.Ask{Prompt: fmt.Sprintf("long report %d", i), MaxTokens: 20}))
+	}
+	awaitRunning(t, d, len(streams))
+	d.Engine(0).Kill()
+	d.EngineArgs = engines(0, "--slots", "32").EngineArgs
+	addEngines(t, d, 2)
+	for _, s := range streams {
+		s.RequireWhole(t, spec)
+	}
+}
+
 // Guards against a caller that waits without end, or takes a part for the whole answer, when the only place with the
 // model is lost. An engine with another model stays.
 func TestGenerationPlaceLost(t *testing.T) {
