--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -120,6 +120,7 @@
 	Table     *route.Table
 	Engines   *engine.Client
 	Canceler  *generation.Canceler
+	Suspects  *suspects
 	Admission *admission
 	Budgets   *retry.Budgets
 	Sender    *booking.Sender
@@ -147,6 +148,7 @@
 		Known:      d.Table.Known,
 		Alive:      d.Table.Health,
 		Result:     d.observeResult,
+		Silent:     d.Suspects.Add,
 		MayRetry:   d.Budgets.Take,
 		Ready:      d.Drain.Ready,
 		Stopping:   d.Drain.Closing,
