fix(claim): replay response headers byte for byte

Cause: the record held the header as JSON text, and encoding/json replaces bytes that are not UTF-8 by U+FFFD. Ruled out: the body, which was in base64 already, and net/http, which passes on such header values unchanged. Change: header values are encoded in base64 in the record. Before: a header 'K\xe6r' (ISO 8859-1) was replayed as 'K\ufffdr' in TestBookingCutAtEachStage. After: status, header and body are equal.

--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -40,15 +40,38 @@
 
 // record is the value in the key-value service.
 type record struct {
-	Unique     string      `json:"unique"`
-	Digest     string      `json:"digest"`
-	State      state       `json:"state"`
-	Outcome    string      `json:"outcome,omitempty"`
-	Status     int         `json:"status,omitempty"`
-	Header     http.Header `json:"header,omitempty"`
-	Body       []byte      `json:"body,omitempty"`
-	BodyDigest string      `json:"body-digest,omitempty"`
-	Omitted    bool        `json:"omitted,omitempty"`
+	Unique     string     `json:"unique"`
+	Digest     string     `json:"digest"`
+	State      state      `json:"state"`
+	Outcome    string     `json:"outcome,omitempty"`
+	Status     int        `json:"status,omitempty"`
+	Header     wireHeader `json:"header,omitempty"`
+	Body       []byte     `json:"body,omitempty"`
+	BodyDigest string     `json:"body-digest,omitempty"`
+	Omitted    bool       `json:"omitted,omitempty"`
+}
+
+// wireHeader is a header in a record. Values are encoded in base64, because JSON would replace bytes that are not UTF-8.
+type wireHeader map[string][][]byte
+
+func encodeHeader(header http.Header) wireHeader {
+	encoded := make(wireHeader, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			encoded[name] = append(encoded[name], []byte(value))
+		}
+	}
+	return encoded
+}
+
+func (h wireHeader) decode() http.Header {
+	header := make(http.Header, len(h))
+	for name, values := range h {
+		for _, value := range values {
+			header[name] = append(header[name], string(value))
+		}
+	}
+	return header
 }
 
 // Digest binds a key to one call. Each part is preceded by its length, so that parts cannot be shifted.
@@ -82,7 +105,7 @@
 	r.BodyDigest = hex.EncodeToString(sum[:])
 	r.Omitted = size > MaxRecorded
 	if !r.Omitted {
-		r.Header, r.Body = outcome.Header, outcome.Body
+		r.Header, r.Body = encodeHeader(outcome.Header), outcome.Body
 	}
 	return r
 }
@@ -102,7 +125,7 @@
 	case r.Omitted:
 		return Recorded{}, errors.Trace(OmittedError{Status: r.Status, BodyDigest: r.BodyDigest})
 	default:
-		return Recorded{Outcome: failure.Ran, Status: r.Status, Header: r.Header, Body: r.Body}, nil
+		return Recorded{Outcome: failure.Ran, Status: r.Status, Header: r.Header.decode(), Body: r.Body}, nil
 	}
 }
 
