fix(booking): answer a 307 or 308 of a booking as outcome-unknown

Cause: a redirect of a non-idempotent call counted as ran and was passed on, although the runner's count was 0, and a caller's library that follows it sends the booking again past the idempotency record. Ruled out: the daemon following it; io/service does not. Change: 307 and 308 of a non-idempotent call are outcome-unknown (502). Idempotent calls get the redirect as before. Before: 307 with 'Outcome: ran' and 0 runs in TestBookingCutBeforeConnect. After: 502 outcome-unknown and 0 runs.

--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -32,3 +32,8 @@
 	return (r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable) &&
 		r.Header.Get("Not-Run") == "1"
 }
+
+// redirect tells whether the response asks to send the same request, with its method and body, to another URL.
+func (r Response) redirect() bool {
+	return r.Status == http.StatusTemporaryRedirect || r.Status == http.StatusPermanentRedirect
+}
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -147,23 +147,26 @@
 		return result{err: err, outcome: failure.NotRun}
 	}
 	response, err := s.Send(ctx, choice.Address(), call.Request)
-	response.Outcome = classify(call.Service, response, err)
+	response.Outcome = classify(call, response, err)
 	return result{
 		address: choice.Address(), response: response, err: err, outcome: response.Outcome, sent: true,
 	}
 }
 
 // classify tells whether the endpoint ran the request.
-func classify(service config.Service, response Response, err error) failure.Outcome {
+func classify(call Call, response Response, err error) failure.Outcome {
 	switch {
 	case err != nil && failure.Of(err).Outcome() == failure.NotRun:
 		return failure.NotRun
 	case err != nil:
 		return failure.Unknown
-	case response.refused() && service.Refusal:
+	case response.refused() && call.Service.Refusal:
 		return failure.NotRun
 	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
 		return failure.Unknown
+	case response.redirect() && !call.Request.Reuse:
+		// The caller's library would follow it and send the booking again, past the idempotency record.
+		return failure.Unknown
 	default:
 		return failure.Ran
 	}
