--- a/io/caller/service_test.go
+++ b/io/caller/service_test.go
@@ -29,7 +29,7 @@
 			return config.Service{Name: name}, name == "rooms"
 		},
 		WorkspaceOf: func(*gin.Context) config.Workspace { return config.Workspace{Name: "north"} },
-		WriteError:  func(c *gin.Context, err error) { c.String(http.StatusTeapot, failure.Of(err).Code()) },
+		WriteError:  caller.WriteError,
 		Metrics:     telemetry.New(),
 	}
 	engine := gin.New()
@@ -73,11 +73,14 @@
 	tests := []struct {
 		name, path, body, code string
 		keys                   []string
+		status                 int
 	}{
-		{name: "service", path: "/services/other/x", code: "unknown-service"},
-		{name: "large body", path: "/services/rooms/x", body: strings.Repeat("x", 1<<20+1), code: "body-too-large"},
-		{name: "two keys", path: "/services/rooms/x", keys: []string{"a", "b"}, code: "invalid-idempotency-key"},
-		{name: "empty key", path: "/services/rooms/x", keys: []string{""}, code: "invalid-idempotency-key"},
+		{name: "service", path: "/services/other/x", code: "unknown-service", status: 404},
+		{name: "large body", path: "/services/rooms/x", body: strings.Repeat("x", 1<<20+1), code: "body-too-large",
+			status: 413},
+		{name: "two keys", path: "/services/rooms/x", keys: []string{"a", "b"}, code: "invalid-idempotency-key",
+			status: 400},
+		{name: "empty key", path: "/services/rooms/x", keys: []string{""}, code: "invalid-idempotency-key", status: 400},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -87,7 +90,8 @@
 				t.Error("the call must not be sent")
 				return booking.Response{}, nil
 			})
-			require.Equal(t, tt.code, recorder.Body.String())
+			require.Contains(t, recorder.Body.String(), `"code":"`+tt.code+`"`)
+			require.Equal(t, tt.status, recorder.Code)
 			require.Equal(t, "not-run", recorder.Header().Get("Outcome"))
 			require.EqualValues(t, 1, metrics.Value(telemetry.Bookings, "not-run"))
 		})
