--- a/test/booking_helper_test.go
+++ b/test/booking_helper_test.go
@@ -159,7 +159,9 @@
 	d := harness.New()
 	d.Engines, d.Daemons = 1, daemons
 	d.Adjust = func(i int, s *harness.Settings) {
-		gates[i], s.Platform = newGate(t, s.Platform)
+		if i < daemons {
+			gates[i], s.Platform = newGate(t, s.Platform)
+		}
 		s.Timeouts["claim-wait"] = "1s"
 	}
 	return start(t, d), gates
--- /dev/null
+++ b/test/booking_runner_test.go
@@ -0,0 +1,94 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/config"
+	"radishhollow/test/harness"
+)
+
+// runsOf returns the runs of one runner by key.
+func runsOf(t testing.TB, p *harness.Process) map[string]int {
+	t.Helper()
+	var answer struct{ Runs map[string]int }
+	harness.Get(t, p, "/runs", &answer)
+	return answer.Runs
+}
+
+// Guards against reads that fail, and bookings whose class is untrue, after a runner is killed, and against new work
+// for a runner that is leaving.
+func TestBookingRunnerLost(t *testing.T) {
+	t.Parallel()
+	d := harness.New()
+	d.Engines, d.Services = 1, 3
+	start(t, d)
+	book := func(prefix string, i int) reply {
+		id := prefix + strconv.Itoa(i)
+		r := order{id: id, key: map[bool]string{true: id}[i%2 == 0]}.at(t, d, i%2)
+		require.Equal(t, map[bool]int{true: 1}[r.class == "ran"], runsOf(t, d.ServiceRunner(0))[id]+
+			runsOf(t, d.ServiceRunner(1))[id], "%s is %s", id, r.class)
+		return r
+	}
+	d.ServiceRunner(2).Kill()
+	refused := 0
+	for i := range 8 {
+		order{method: http.MethodGet, path: "/registry/" + strconv.Itoa(i)}.at(t, d, i%2).requireClass(t, "ran")
+		book("killed", i).requireClass(t, "ran")
+	}
+	harness.SetFaults(t, d.ServiceRunner(1), map[string]any{"leaving": true})
+	for i := range 8 {
+		if book("leaving", i).class != "ran" {
+			refused++
+		}
+	}
+	require.Zero(t, refused)
+	time.Sleep(2 * time.Second)
+	before := runsOf(t, d.ServiceRunner(1))
+	for i := range 8 {
+		book("left", i).requireClass(t, "ran")
+	}
+	require.Equal(t, before, runsOf(t, d.ServiceRunner(1)))
+}
+
+// Guards against a booking that waits behind generations, and against a limit that is answered like an outage.
+func TestBookingPassesGenerations(t *testing.T) {
+	t.Parallel()
+	d := harness.New()
+	d.Engines, d.Services, d.Daemons = 1, 1, 1
+	d.EngineArgs = []string{"--slots", "2", "--gap", "20ms"}
+	start(t, d, fmt.Sprintf("workspace,tiny,,,,1,5,1,,,%s,,,,", config.KeyDigest(harness.WorkspaceKey("tiny"))))
+	client := d.Client(0, "large")
+	done := make(chan error, 8)
+	for range cap(done) {
+		go func() {
+			_, err := client.Completions.New(t.Context(), openai.CompletionNewParams{
+				Model: "briefing", MaxTokens: openai.Int(25),
+				Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("inspect gate nine")},
+			})
+			done <- err
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, key := range []string{"", "pass"} {
+		begin := time.Now()
+		order{key: key, id: "pass-" + key}.at(t, d, 0).requireClass(t, "ran")
+		require.Less(t, time.Since(begin), time.Second)
+	}
+	require.Less(t, len(done), cap(done)-4, "generations must still wait")
+	for range cap(done) {
+		require.NoError(t, <-done)
+	}
+	statuses := map[int]int{}
+	for range 4 {
+		statuses[order{workspace: "tiny"}.at(t, d, 0).status]++
+	}
+	require.Positive(t, statuses[http.StatusTooManyRequests])
+	require.Equal(t, 4, statuses[http.StatusTooManyRequests]+statuses[http.StatusOK], "%v", statuses)
+}
