--- a/test/booking_cut_test.go
+++ b/test/booking_cut_test.go
@@ -20,7 +20,7 @@
 // Guards against an error that says not run of a booking that ran, against a second send after a cut, and against a
 // replay that differs from the first outcome, for cuts at every stage of a call without and with a key.
 func TestBookingCutAtEachStage(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d := harness.New()
 	d.Engines, d.Services = 1, 1
 	start(t, d, services()...)
@@ -67,7 +67,7 @@
 
 // Guards against a booking that is not told as not run, or whose key stays blocked, where no connection is possible.
 func TestBookingCutBeforeConnect(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d := harness.New()
 	d.Engines, d.Services = 1, 1
 	start(t, d, services()...)
--- a/test/booking_helper_test.go
+++ b/test/booking_helper_test.go
@@ -18,6 +18,17 @@
 	"radishhollow/test/harness"
 )
 
+// deployments bounds the deployments of these tests that run at a time.
+var deployments = make(chan struct{}, 4)
+
+// parallel runs a test beside others. Its turn ends after its processes have been stopped.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
+}
+
 // order is one plain-service call of a test. Zero fields mean POST, "/deliveries", service "app", workspace "large".
 type order struct {
 	method, path, service, workspace string
--- a/test/booking_history_test.go
+++ b/test/booking_history_test.go
@@ -206,7 +206,7 @@
 // Guards against combinations of faults of runners, daemons and the platform in which a key runs twice, a call that ran
 // is told as not run, or a replay is another answer than the first.
 func TestBookingHistories(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, _ := gated(t, 5)
 	h := &history{d: d, owner: t, daemons: []int{0, 1, 2, 3, 4}, addresses: make([]atomic.Pointer[string], 5)}
 	for i := range h.addresses {
--- a/test/booking_platform_test.go
+++ b/test/booking_platform_test.go
@@ -13,7 +13,7 @@
 // Guards against a keyed booking that fails, or runs twice, because the platform's answer to the claim or to the
 // recorded outcome is lost, with the connection cut or in silence.
 func TestBookingPlatformAnswersLost(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, gates := gated(t, 2)
 	order{key: "first"}.at(t, d, 0).requireClass(t, "ran")
 	tests := []struct {
@@ -46,7 +46,7 @@
 // Guards against a keyed booking that runs without a record while the platform is down or too slow, and against
 // unkeyed bookings and reads that stop with it.
 func TestBookingPlatformOutage(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, _ := gated(t, 2)
 	for name, faults := range map[string]any{
 		"down": map[string]any{"down": true}, "slow": map[string]any{"delay-ms": 1200},
@@ -72,7 +72,7 @@
 
 // Guards against an outcome that is lost because the platform fails between the claim and the finish write.
 func TestBookingOutcomeRecordedLate(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, _ := gated(t, 2)
 	for i := range 2 {
 		harness.SetFaults(t, d.ServiceRunner(i), map[string]any{
--- a/test/booking_retry_test.go
+++ b/test/booking_retry_test.go
@@ -25,7 +25,7 @@
 // Guards against a second run, or another answer, when a caller repeats a booking at many daemons at once or later,
 // and against keys of different bookings or workspaces being mixed up.
 func TestBookingRepeated(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, _ := gated(t, 5)
 	for _, key := range []string{"a", "b"} {
 		delayAll(t, d, "delay", 100, 1)
@@ -61,7 +61,7 @@
 // Guards against a daemon that is frozen or killed between the claim and the send: another daemon must not take the
 // record over, and the daemon that wakes must not run a booking that was reported as not run.
 func TestBookingDaemonLostBeforeSend(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, gates := gated(t, 3)
 	order{key: "first"}.at(t, d, 0).requireClass(t, "ran")
 	for i, frozen := range []time.Duration{0, 1500 * time.Millisecond, 0} {
@@ -105,7 +105,7 @@
 // Guards against a second run by another daemon after the first one was frozen or killed between the run and the
 // recording of its outcome, and against an outcome that the woken daemon does not record.
 func TestBookingDaemonLostAfterSend(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	d, _ := gated(t, 3)
 	for _, killed := range []bool{false, true} {
 		key := fmt.Sprintf("killed-%t", killed)
