--- a/test/booking_helper_test.go
+++ b/test/booking_helper_test.go
@@ -18,6 +18,17 @@
 	"radishhollow/test/harness"
 )
 
+// deployments bounds the deployments of these tests that run at a time.
+var deployments = make(chan struct{}, 4)
+
+// parallel runs a test beside others. Its turn ends after its processes have been stopped.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
+}
+
 // order is one plain-service call of a test. Zero fields mean POST, "/deliveries", service "app", workspace "large".
 type order struct {
 	method, path, service, workspace string
@@ -159,7 +170,9 @@
 	d := harness.New()
 	d.Engines, d.Daemons = 1, daemons
 	d.Adjust = func(i int, s *harness.Settings) {
-		gates[i], s.Platform = newGate(t, s.Platform)
+		if i < daemons {
+			gates[i], s.Platform = newGate(t, s.Platform)
+		}
 		s.Timeouts["claim-wait"] = "1s"
 	}
 	return start(t, d), gates
