fix(order): repeat an undone order after the order bound and the settle time

Cause: a late order of an earlier lease holder can undo a load before any report has shown it. The new holder then took its own order as still open and repeated it only after a fixed 15 s, above any setting. Ruled out: the lease (one holder at a time) and the planner, which wanted the right version throughout. Change: timeouts.order (10 s) and timeouts.order-settle (5 s) become settings; the repetition follows after their sum, 15 s by default as before.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -21,13 +21,13 @@
 func newHolder(s settings.Settings, id Identity, store kv.Store, log *logrus.Logger) *lease.Holder {
 	return &lease.Holder{
 		Store: store, Place: id.place, Address: id.address, TTL: s.Timeouts.LeaseTTL.Duration,
-		Margin:  s.Timeouts.LeaseTTL.Duration / 5,
+		Margin: s.Timeouts.LeaseTTL.Duration / 5, LongestOrder: s.Timeouts.Order.Duration,
 		Observe: func(class string) { log.WithField("place", id.place).WithField("lease", class).Info("place lease") },
 	}
 }
 
 func newDispatcher(
-	id Identity, store *config.Store, table *route.Table, holder *lease.Holder, engines *engine.Client,
+	s settings.Settings, id Identity, store *config.Store, table *route.Table, holder *lease.Holder, engines *engine.Client,
 	m *telemetry.Metrics,
 ) *order.Dispatcher {
 	return &order.Dispatcher{
@@ -35,6 +35,9 @@
 		Document: store.Current,
 		Reports:  func() []route.Report { return table.Reports(route.KindModel) },
 		Check:    holder.Check,
+		// An order that no report shows by then was lost, or undone by a late order of an earlier holder.
+		RepeatAfter: s.Timeouts.Order.Duration + s.Timeouts.OrderSettle.Duration,
+		Settle:      s.Timeouts.OrderSettle.Duration, LongestOrder: s.Timeouts.Order.Duration,
 		Send: func(ctx context.Context, o order.Order, fence uint64) error {
 			return sendOrder(ctx, engines, o, fence)
 		},
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -49,6 +49,11 @@
 	LoadPoll Duration `toml:"load-poll"`
 	// LeaseTTL is the time to live of the place lease and of the registration.
 	LeaseTTL Duration `toml:"lease-ttl"`
+	// Order bounds one order to an engine. A new lease holder waits this long on top of the lease before it sends
+	// orders to engines that ignore the fencing token.
+	Order Duration `toml:"order"`
+	// OrderSettle is the time that a new lease holder lets the load reports show its predecessor's orders.
+	OrderSettle Duration `toml:"order-settle"`
 	// Isolation is the time without platform and peers after which the daemon is not ready.
 	Isolation Duration `toml:"isolation"`
 	// MarkExpiry is the age at which a mark on an endpoint is forgotten.
@@ -110,6 +115,8 @@
 			InstancePoll: Duration{time.Second},
 			LoadPoll:     Duration{250 * time.Millisecond},
 			LeaseTTL:     Duration{10 * time.Second},
+			Order:        Duration{10 * time.Second},
+			OrderSettle:  Duration{5 * time.Second},
 			Isolation:    Duration{15 * time.Second},
 			MarkExpiry:   Duration{10 * time.Minute},
 			PeerExpiry:   Duration{time.Minute},
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -107,6 +107,8 @@
 	c.duration("instance-poll", t.InstancePoll, 50*time.Millisecond, time.Minute)
 	c.duration("load-poll", t.LoadPoll, 20*time.Millisecond, time.Minute)
 	c.duration("lease-ttl", t.LeaseTTL, 500*time.Millisecond, time.Hour)
+	c.duration("order", t.Order, 100*time.Millisecond, 10*time.Minute)
+	c.duration("order-settle", t.OrderSettle, 100*time.Millisecond, 10*time.Minute)
 	c.duration("isolation", t.Isolation, time.Second, day)
 	c.duration("mark-expiry", t.MarkExpiry, 10*time.Second, day)
 	c.duration("peer-expiry", t.PeerExpiry, time.Second, day)
