--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -37,6 +37,7 @@
 	Started             int `json:"streams-started"`
 	Attached            int `json:"streams-attached"`
 	Cancelled           int `json:"streams-cancelled"`
+	StaleOrders         int `json:"stale-orders"`
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -110,6 +110,9 @@
 
 func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
 	if !s.weights.Allow() {
+		s.mu.Lock()
+		s.calls["weights-refused"]++
+		s.mu.Unlock()
 		standin.WriteError(w, http.StatusTooManyRequests, "rate-limited")
 		return
 	}
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/standin"
 	"radishhollow/test/harness"
 )
 
@@ -101,3 +103,13 @@
 	}
 	return list
 }
+
+// rowOf returns the row of an address in the platform's instance list.
+func rowOf(t *testing.T, d *harness.Deployment, address string) standin.Instance {
+	t.Helper()
+	var list struct{ Instances []standin.Instance }
+	harness.Get(t, d.Platform(), "/instances", &list)
+	at := slices.IndexFunc(list.Instances, func(row standin.Instance) bool { return row.Address == address })
+	require.GreaterOrEqual(t, at, 0, "no row of %s", address)
+	return list.Instances[at]
+}
--- a/test/drain_leave_test.go
+++ b/test/drain_leave_test.go
@@ -1,13 +1,11 @@
 package test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"radishhollow/standin"
 	"radishhollow/standin/engine"
 	"radishhollow/test/harness"
 )
@@ -41,7 +39,9 @@
 	link.Cut()
 	sign := time.Now()
 	leaving := map[string]any{"leaving": true}
-	d.PutInstance(t, leavingRow(t, d, 0))
+	row := rowOf(t, d, d.Engine(0).Address())
+	row.State = "leaving"
+	d.PutInstance(t, row)
 	harness.SetFaults(t, d.Engine(1), leaving)
 	harness.SetFaults(t, d.Engine(2), leaving)
 	var before, after [6]int
@@ -102,14 +102,3 @@
 	harness.Get(t, d.Engine(i), "/stats", &stats)
 	return stats.Started
 }
-
-// leavingRow returns the instance list's row of an engine with the state leaving.
-func leavingRow(t *testing.T, d *harness.Deployment, i int) standin.Instance {
-	t.Helper()
-	var list struct{ Instances []standin.Instance }
-	harness.Get(t, d.Platform(), "/instances", &list)
-	at := slices.IndexFunc(list.Instances, func(row standin.Instance) bool { return row.Address == d.Engine(i).Address() })
-	require.GreaterOrEqual(t, at, 0)
-	list.Instances[at].State = "leaving"
-	return list.Instances[at]
-}
--- a/test/drain_load_test.go
+++ b/test/drain_load_test.go
@@ -25,6 +25,7 @@
 	balance  *harness.Chooser
 	tokens   int
 	stop     chan struct{}
+	once     sync.Once
 	group    sync.WaitGroup
 	sequence atomic.Int64
 
@@ -38,10 +39,13 @@
 }
 
 func newLoad(t *testing.T, d *harness.Deployment, tokens int) *load {
-	return &load{
+	l := &load{
 		t: t, d: d, balance: d.Balance(t), tokens: tokens, stop: make(chan struct{}),
 		refused: map[string]int{}, booked: map[string]int{},
 	}
+	// After a failure the callers must not outlive the processes.
+	t.Cleanup(l.halt)
+	return l
 }
 
 // run starts callers; end waits until their last requests are complete.
@@ -67,9 +71,13 @@
 	}
 }
 
-func (l *load) end() {
-	close(l.stop)
+func (l *load) halt() {
+	l.once.Do(func() { close(l.stop) })
 	l.group.Wait()
+}
+
+func (l *load) end() {
+	l.halt()
 	l.t.Logf("%d generations whole, %d bookings, %d reads, refused %v, broken %q",
 		l.whole, len(l.booked), l.reads, l.refused, l.broken)
 }
--- a/test/drain_stop_test.go
+++ b/test/drain_stop_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"radishhollow/standin"
 	"radishhollow/test/harness"
 )
 
@@ -45,11 +43,7 @@
 	start(t, d)
 	// The link loses the runner and keeps its counts.
 	link := harness.Proxy(t, d.ServiceRunner(0).Address())
-	var list struct{ Instances []standin.Instance }
-	harness.Get(t, d.Platform(), "/instances", &list)
-	row := list.Instances[slices.IndexFunc(list.Instances, func(i standin.Instance) bool {
-		return i.Address == d.ServiceRunner(0).Address()
-	})]
+	row := rowOf(t, d, d.ServiceRunner(0).Address())
 	row.Address = link.Address()
 	d.PutInstance(t, row)
 	d.RemoveInstance(t, d.ServiceRunner(0))
--- a/test/harness/replace.go
+++ b/test/harness/replace.go
@@ -57,3 +57,9 @@
 	}
 	return run.ProcessState.ExitCode(), buffer.String()
 }
+
+// RemoveAddress removes the row of an address from the platform's instance list.
+func (d *Deployment) RemoveAddress(t testing.TB, address string) {
+	t.Helper()
+	call(t, http.MethodDelete, "http://"+d.platform.Address()+"/instances?address="+address, nil, nil)
+}
--- /dev/null
+++ b/test/order_version_test.go
@@ -0,0 +1,84 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/test/harness"
+)
+
+// engineState is the part of an engine's load report that orders change.
+type engineState struct {
+	Fence  uint64 `json:"fence"`
+	Models []struct {
+		Name    string `json:"name"`
+		Version string `json:"version"`
+	} `json:"models"`
+}
+
+func stateOf(t *testing.T, p *harness.Process) engineState {
+	t.Helper()
+	var state engineState
+	harness.Get(t, p, "/v1/load", &state)
+	return state
+}
+
+// serves tells whether the engine has this version of the model and nothing else.
+func (s engineState) serves(version string) bool {
+	return len(s.Models) == 1 && s.Models[0].Name == "briefing" && s.Models[0].Version == version
+}
+
+// Guards against a version that does not reach every engine of every place, loads above the weight store's rate, a
+// restarted engine that stays empty, and an answer that changes its version.
+func TestVersionReachesAllPlaces(t *testing.T) {
+	parallel(t)
+	d := harness.New()
+	d.Daemons, d.Engines, d.Services = 4, 12, 0
+	// The store allows a little more than the sheet, because a load may start late.
+	d.PlatformArgs = append(d.PlatformArgs, "--weight-loads-per-minute", "140")
+	d.EngineArgs = []string{"--load-time", "100ms", "--report-lag", "100ms", "--stop-longest", "0"}
+	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["order-settle"] = "1s" }
+	pace := "setting,weight-loads-per-minute,,,,,,,,,,,,,120"
+	start(t, d, pace)
+	l := newLoad(t, d, 50)
+	l.run(8, 0, 0)
+	d.Model = "briefing@2"
+	d.Apply(t, 1, d.Sheet(2, pace))
+	awaitVersion(t, d, "2", 20*time.Second)
+	l.end()
+	requireTyped(t, l)
+
+	d.ReplaceEngine(t, 5)
+	require.Empty(t, stateOf(t, d.Engine(5)).Models)
+	awaitVersion(t, d, "2", 10*time.Second)
+
+	var calls map[string]int
+	harness.Get(t, d.Platform(), "/calls", &calls)
+	require.Equal(t, 13, calls["weights"], "each engine loads once")
+	require.Zero(t, calls["weights-refused"])
+}
+
+func awaitVersion(t *testing.T, d *harness.Deployment, version string, timeout time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for i := range d.Engines {
+			if !stateOf(t, d.Engine(i)).serves(version) {
+				return false
+			}
+		}
+		return true
+	}, timeout, 50*time.Millisecond, "not every engine has version %s", version)
+}
+
+// requireTyped allows streams that ended with an error event because their version is gone everywhere or because every
+// engine that they moved to changed its version too, and no other failure.
+func requireTyped(t *testing.T, l *load) {
+	t.Helper()
+	require.Positive(t, l.whole)
+	require.Empty(t, l.refused)
+	for _, text := range l.broken {
+		require.Regexp(t, `"code":"(spec-lost|engine-lost)"`, text)
+	}
+}
