fix(daemon): stop calls to a service runner that accepts no connection

Cause: only the pollers took a dead service runner out, after three failed reports about a second apart. Until then calls were still sent to it, each cost a retry, and once the workspace's retry budget was empty callers were refused with endpoint-unreachable although other runners were idle. Ruled out: capacity; three of four runners had free slots. Change: a send that wrote nothing because no connection came about marks the runner unreachable until its next report.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// Unconnected is Unreachable for whatever incarnation is at an address that accepts no connection.
+func (t *Table) Unconnected(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[address]; e != nil {
+		e.unreachable = true
+	}
+}
+
 // CacheEvents feeds the prefix index. Events of other incarnations are ignored.
 func (t *Table) CacheEvents(address, incarnation string, events []CacheEvent) {
 	now := time.Now()
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -39,7 +39,7 @@
 ) *booking.Sender {
 	return &booking.Sender{
 		Pick:  table.Pick,
-		Send:  services.Send,
+		Send:  observedSend(table, services),
 		Claim: keeper.Claim,
 		MayRetry: func(workspace string) bool {
 			return budgets.Take("booking/" + workspace)
@@ -48,6 +48,20 @@
 	}
 }
 
+// observedSend stops calls to a runner that accepts no connection until its next report. The pollers notice it only
+// after three failures, and until then its refusals would use up the retry budget.
+func observedSend(
+	table *route.Table, services *service.Client,
+) func(context.Context, string, booking.Request) (booking.Response, error) {
+	return func(ctx context.Context, address string, request booking.Request) (booking.Response, error) {
+		response, err := services.Send(ctx, address, request)
+		if failed, ok := errors.AsType[service.SendError](err); ok && !failed.Written && ctx.Err() == nil {
+			table.Unconnected(address)
+		}
+		return response, err
+	}
+}
+
 // admission passes a request through the workspace's limits and the fair queue.
 type admission struct {
 	limiter *limit.Limiter
--- a/test/drain_stop_test.go
+++ b/test/drain_stop_test.go
@@ -39,7 +39,11 @@
 	d := harness.New()
 	d.Daemons, d.Engines, d.Services = 5, 8, 4
 	d.EngineArgs = []string{"--slots", "4", "--stop-longest", "0"}
-	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["queue-wait"] = "500ms" }
+	d.Adjust = func(_ int, s *harness.Settings) {
+		s.Timeouts["queue-wait"] = "500ms"
+		// A booking that the killed daemon had claimed is waited for.
+		s.Timeouts["claim-wait"] = "1s"
+	}
 	start(t, d)
 	// The link loses the runner and keeps its counts.
 	link := harness.Proxy(t, d.ServiceRunner(0).Address())
@@ -69,6 +73,8 @@
 	for code := range maps.Keys(l.refused) {
 		require.False(t, strings.HasPrefix(code, "untyped"), code)
 	}
+	// A dead runner is tried a few times per daemon, not until the pollers give it up.
+	require.LessOrEqual(t, l.refused["endpoint-unreachable"], 10)
 	requireCounted(t, l)
 	requireOnce(t, l, false)
 }
