feat(bench): draw the resume latency

Cause: the waits of many runs are compared more easily in a plot.

Change: add bench plot, which draws the JSON lines of bench resume as an SVG.

--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -15,6 +15,7 @@
 		{name: "resume", help: "lose engines under load and measure the callers' wait", run: RunBenchResume},
 		{name: "share", help: "overload the workspaces and measure the division of capacity", run: RunBenchShare},
 		{name: "choice", help: "compare the ways to choose an endpoint", run: RunBenchChoice},
+		{name: "plot", help: "draw the waits of bench resume as an SVG", run: RunBenchPlot},
 	}
 }
 
--- /dev/null
+++ b/cmd/bench_plot.go
@@ -0,0 +1,31 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"radishhollow/bench"
+)
+
+type benchPlotArgs struct {
+	File string `arg:"positional,required" help:"JSON lines of bench resume"`
+}
+
+// RunBenchPlot writes the resume latency of a file of results as an SVG to stdout.
+func RunBenchPlot(args []string, stdout, stderr io.Writer) int {
+	var a benchPlotArgs
+	if code, ok := parse("bench plot", &a, args, stdout, stderr); !ok {
+		return code
+	}
+	file, err := os.Open(a.File)
+	if err == nil {
+		defer func() { _ = file.Close() }()
+		err = bench.Plot(file, stdout)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "radishhollow bench plot: %v\n", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
