perf: leave an engine that stopped answering before the stream's own deadline

Cause: after a freeze, a stream with one token had only the ceiling of 1 s as deadline, and a request without output waited 2 s for its first token, although other streams had found the engine silent. A cancel to a frozen engine was given up after 2 s, so that a woken engine continued superseded streams until its detach hold of 10 s ended.

Change: route.Table.Stalled tells that an endpoint is unreachable or has missed its reports for 1 s; the driver then gives up a stream that is silent for the floor, and an attempt without output after 0.6 s. The canceler repeats a cancel that is not answered.

--- a/bench/resume.go
+++ b/bench/resume.go
@@ -138,10 +138,10 @@
 		switch r.Variant {
 		case VariantFixed:
 			s.Pace = generation.Pace{Floor: fixedDeadline, Ceiling: fixedDeadline, First: fixedDeadline}
-			s.Alive = func(string) (bool, float64) { return false, 1 }
+			s.Alive, s.Stalled = func(string) (bool, float64) { return false, 1 }, nil
 		case VariantStartOver, VariantNone:
 			s.MayRetry = func(string) bool { return false }
-			s.Alive = func(string) (bool, float64) { return false, 1 }
+			s.Alive, s.Stalled = func(string) (bool, float64) { return false, 1 }, nil
 		}
 		return s
 	}
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -15,6 +15,10 @@
 const (
 	firstPickPause = 10 * time.Millisecond
 	lastPickPause  = 200 * time.Millisecond
+	// stalledPause is the time between checks for a stalled engine, short against the resume target of 1.5 s.
+	stalledPause = 100 * time.Millisecond
+	// firstPatience is two poll intervals of the load report, so that an engine that was idle has reported since.
+	firstPatience = 600 * time.Millisecond
 	// maxAttachTries bounds the search for an attempt number above that of other entries that attached.
 	maxAttachTries = 6
 )
@@ -153,6 +157,8 @@
 	attempt := l.Raise()
 	openCtx, cancel := context.WithTimeout(ctx, r.pace.FirstDeadline())
 	defer cancel()
+	defer r.watch(openCtx, cancel)()
+	began := time.Now()
 	stream, err := r.Open(openCtx, r.choice.Address(), Start{
 		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
 		Sampling: sampling, Priority: priority,
@@ -170,6 +176,9 @@
 		return err
 	}
 	if openCtx.Err() != nil && ctx.Err() == nil {
+		if r.stalled(r.choice.Address()) {
+			err = SilenceError{Endpoint: r.choice.Address(), After: time.Since(began)}
+		}
 		r.fail(ClassSilence, err)
 	} else {
 		r.fail(ClassConnection, err)
@@ -177,6 +186,32 @@
 	return err
 }
 
+// watch cancels the opening of an attempt on an engine that has stalled. The returned function ends the watch.
+func (r *run) watch(ctx context.Context, cancel context.CancelFunc) (stop func()) {
+	if r.Stalled == nil {
+		return func() {}
+	}
+	ctx, end := context.WithCancel(ctx)
+	address, done := r.choice.Address(), make(chan struct{})
+	go func() {
+		defer close(done)
+		r.runWatch(ctx, address, cancel)
+	}()
+	return func() {
+		end()
+		<-done
+	}
+}
+
+func (r *run) runWatch(ctx context.Context, address string, cancel context.CancelFunc) {
+	for pause := firstPatience; sleep(ctx, pause) == nil; pause = stalledPause {
+		if r.stalled(address) {
+			cancel()
+			return
+		}
+	}
+}
+
 func (r *run) use(stream Stream, class string) {
 	r.stream, r.opened, r.fresh, r.owned = &stream, true, true, r.Log.Attempt()
 	r.first = r.pace.FirstDeadline()
--- a/core/generation/canceler.go
+++ b/core/generation/canceler.go
@@ -11,6 +11,9 @@
 	// maxPendingCancels bounds memory; a cancel that is not sent is covered by the engine's detach hold.
 	maxPendingCancels = 4096
 	cancelTimeout     = 2 * time.Second
+	// cancelTries covers the engine's default detach hold of 10 s. A frozen engine that wakes within it would continue
+	// streams that run elsewhere by then.
+	cancelTries = 5
 )
 
 // Canceler sends cancel calls in the background, so that no caller waits for a lost engine.
@@ -49,10 +52,24 @@
 	case <-c.stop:
 		return
 	}
+	for range cancelTries {
+		if !c.send(address, generation, attempt) {
+			return
+		}
+		select {
+		case <-c.stop:
+			return
+		default:
+		}
+	}
+}
+
+// send tells whether the engine did not answer in time. Other errors need no repetition: the engine is gone, or it has
+// refused the attempt number.
+func (c *Canceler) send(address, generation string, attempt int) (unanswered bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	// A failed cancel needs no repetition: the engine ends a detached stream by itself.
-	_ = c.Send(ctx, address, generation, attempt)
+	return c.Send(ctx, address, generation, attempt) != nil && ctx.Err() != nil
 }
 
 func (c *Canceler) leave() {
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -13,8 +13,8 @@
 	DefaultCallerReturn = 10 * time.Second
 )
 
-// Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, MayRetry and
-// Observe are required.
+// Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, Stalled, MayRetry
+// and Observe are required.
 type Driver struct {
 	Pick func(ctx context.Context, need route.Need) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream lives until its Close.
@@ -29,6 +29,9 @@
 	Observe func(event Event)
 	// Alive tells from the endpoint's load reports whether it runs, and by which factor it is slower than usual.
 	Alive func(address string) (alive bool, slow float64)
+	// Stalled tells that an endpoint has stopped answering, from its reports and from other streams. A stream that is
+	// silent for Pace's floor is then given up before its own deadline.
+	Stalled func(address string) bool
 	// MayRetry takes one attempt from the retry budget.
 	MayRetry func() bool
 
@@ -92,6 +95,8 @@
 	return alive, max(slow, 1)
 }
 
+func (d *Driver) stalled(address string) bool { return d.Stalled != nil && d.Stalled(address) }
+
 // remaining returns the number of ids that may still follow. A max_tokens of 0 means no limit.
 func (d *Driver) remaining() int {
 	if d.Sampling.MaxTokens == 0 {
--- a/core/generation/pace.go
+++ b/core/generation/pace.go
@@ -56,7 +56,7 @@
 
 // Deadline returns the silence after which the engine counts as lost, once it has sent its first token.
 func (p *Pace) Deadline() time.Duration {
-	floor, ceiling := orDefault(p.Floor, DefaultFloor), orDefault(p.Ceiling, DefaultCeiling)
+	floor, ceiling := p.floor(), orDefault(p.Ceiling, DefaultCeiling)
 	if p.seen == 0 {
 		return ceiling
 	}
@@ -67,6 +67,8 @@
 	return min(max(time.Duration(p.mean+deviations*p.deviation), floor), ceiling)
 }
 
+func (p *Pace) floor() time.Duration { return orDefault(p.Floor, DefaultFloor) }
+
 // FirstDeadline returns the wait for an attempt's first token.
 func (p *Pace) FirstDeadline() time.Duration { return orDefault(p.First, DefaultFirst) }
 
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -63,10 +63,13 @@
 // extend it.
 func (r *run) next(ctx context.Context, heard time.Time) (Chunk, error) {
 	allowed := r.allowed()
-	chunk, timedOut, err := r.wait(ctx, heard.Add(allowed))
+	chunk, timedOut, err := r.waitUnlessStalled(ctx, heard, allowed)
 	if !timedOut {
 		return chunk, err
 	}
+	if ctx.Err() == nil && time.Since(heard) < allowed {
+		return Chunk{}, SilenceError{Endpoint: r.choice.Address(), After: time.Since(heard)}
+	}
 	if alive, slow := r.alive(r.choice.Address()); alive && slow > 1 {
 		allowed = r.capped(heard, time.Duration(float64(allowed)*slow))
 		chunk, timedOut, err = r.wait(ctx, heard.Add(allowed))
@@ -77,6 +80,30 @@
 	return Chunk{}, SilenceError{Endpoint: r.choice.Address(), After: allowed}
 }
 
+// waitUnlessStalled waits for a chunk until the deadline, or until the engine is known to have stalled.
+func (r *run) waitUnlessStalled(
+	ctx context.Context, heard time.Time, allowed time.Duration,
+) (chunk Chunk, timedOut bool, err error) {
+	end := heard.Add(allowed)
+	until := heard.Add(r.patience())
+	for r.Stalled != nil && until.Before(end) {
+		chunk, timedOut, err = r.wait(ctx, until)
+		if !timedOut || ctx.Err() != nil || r.stalled(r.choice.Address()) {
+			return chunk, timedOut, err
+		}
+		until = time.Now().Add(stalledPause)
+	}
+	return r.wait(ctx, end)
+}
+
+// patience is the silence after which a stalled engine is given up.
+func (r *run) patience() time.Duration {
+	if r.fresh {
+		return firstPatience
+	}
+	return r.pace.floor()
+}
+
 func (r *run) allowed() time.Duration {
 	if r.fresh {
 		return r.first
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -21,6 +21,21 @@
 	return true, max(float64(e.report.TokenGap)/e.gapMean, 1)
 }
 
+// stalledAfter is four poll intervals of a busy endpoint.
+const stalledAfter = time.Second
+
+// Stalled tells whether an endpoint with work of this daemon has stopped answering: a stream on it went silent or a
+// connection was refused since its last report, or several reports in a row are missing.
+func (t *Table) Stalled(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[address]
+	if e == nil || !e.reported {
+		return false
+	}
+	return e.unreachable || time.Since(e.reportedAt) > stalledAfter
+}
+
 // Reports returns the last report of every endpoint of a kind that has reported.
 func (t *Table) Reports(kind Kind) []Report {
 	t.mu.Lock()
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -145,6 +145,7 @@
 		Tokenize:   d.Engines.Tokenize,
 		Known:      d.Table.Known,
 		Alive:      d.Table.Health,
+		Stalled:    d.Table.Stalled,
 		Result:     d.observeResult,
 		MayRetry:   d.Budgets.Take,
 		Ready:      d.Drain.Ready,
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -147,7 +147,7 @@
 
 func (s *Server) driver(r *request, workspace config.Workspace, log *generation.Log) *generation.Driver {
 	return &generation.Driver{
-		Pick: s.Pick, Open: s.Open, Attach: s.Attach, Cancel: s.Cancel, Alive: s.Alive,
+		Pick: s.Pick, Open: s.Open, Attach: s.Attach, Cancel: s.Cancel, Alive: s.Alive, Stalled: s.Stalled,
 		MayRetry:       func() bool { return s.MayRetry == nil || s.MayRetry(workspace.Name) },
 		Log:            log,
 		Model:          r.name(),
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -46,6 +46,8 @@
 	Known func(address, incarnation string) bool
 	// Alive tells from load reports whether an endpoint runs, and by which factor it is slower than usual.
 	Alive func(address string) (alive bool, slow float64)
+	// Stalled tells that an endpoint has stopped answering; it may be nil.
+	Stalled func(address string) bool
 	// Result is told how each attempt on an endpoint went; it may be nil.
 	Result func(choice route.Choice, err error)
 	// MayRetry takes one attempt from the workspace's retry budget.
