--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -17,6 +17,7 @@
 		{name: "choice", help: "compare the ways to choose an endpoint", run: RunBenchChoice},
 		{name: "control", help: "control cost of one daemon among fakes", run: runBenchControl},
 		{name: "config", help: "time until a revision is in force in every daemon", run: runBenchConfig},
+		{name: "plot", help: "draw the waits of bench resume as an SVG", run: RunBenchPlot},
 	}
 }
 
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -161,6 +161,7 @@
 		Tokenize:   d.Engines.Tokenize,
 		Known:      d.Table.Known,
 		Alive:      d.Table.Health,
+		Stalled:    d.Table.Stalled,
 		Result:     d.observeResult,
 		Silent:     d.Suspects.Add,
 		MayRetry:   d.Budgets.Take,
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -38,8 +38,8 @@
 	Attached            int `json:"streams-attached"`
 	Cancelled           int `json:"streams-cancelled"`
 	// Stale counts the refused cancels of older attempts.
-	Stale int `json:"cancels-stale"`
-	StaleOrders         int `json:"stale-orders"`
+	Stale       int `json:"cancels-stale"`
+	StaleOrders int `json:"stale-orders"`
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
