perf(platform): read only the changes of the instance list

Each daemon read and decoded the whole list once a second.

A platform may now name the history of its list and answer with the changes after a sequence number; the table of endpoints is synchronised only where the list has changed. A platform that answers with whole lists is served as before.

--- a/bench/cost.go
+++ b/bench/cost.go
@@ -217,13 +217,11 @@
 	store string
 	// list counts the instance list apart from the key-value service.
 	list Traffic
-
-	mu       sync.Mutex
-	sequence uint64
 }
 
 func (p *costPlatform) start(ctx context.Context, c *Cost) (string, error) {
 	server := standin.New()
+	server.Instances, server.InstanceLag = p.rows, 0
 	bound := make(chan string, 1)
 	server.Ready = func(address string) { bound <- address }
 	failed := make(chan error, 1)
@@ -233,10 +231,11 @@
 	case err := <-failed:
 		return "", err
 	}
-	p.sequence = 1
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", p.handleInstances)
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { forward(w, r, p.store) })
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
+		p.list.received.Add(forward(w, r, p.store))
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { _ = forward(w, r, p.store) })
 	if err := p.register(ctx); err != nil {
 		return "", err
 	}
--- a/bench/cost_platform.go
+++ b/bench/cost_platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,20 +19,6 @@
 
 func rpcHandler(p rpc.Peer) http.Handler { return rpc.NewPeerServer(p) }
 
-func (p *costPlatform) handleInstances(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	body := map[string]any{"sequence": p.sequence, "instances": p.rows}
-	data, err := json.Marshal(body)
-	p.mu.Unlock()
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	p.list.calls.Add(1)
-	p.list.received.Add(int64(len(data)))
-	_, _ = w.Write(data)
-}
-
 // runChanges applies new revisions at the wanted rate.
 func (p *costPlatform) runChanges(ctx context.Context, c *Cost) {
 	every(ctx, c.ChangesPerMinute, func(n int) { _ = p.apply(ctx, c, n+1) })
@@ -42,10 +27,9 @@
 // runListChanges gives one endpoint after the other a new incarnation.
 func (p *costPlatform) runListChanges(ctx context.Context, perMinute float64) {
 	every(ctx, perMinute, func(n int) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.sequence++
-		p.rows[n%len(p.rows)].Incarnation = strconv.Itoa(n)
+		row := p.rows[n%len(p.rows)]
+		row.Incarnation = strconv.Itoa(n)
+		_ = standin.Register(ctx, p.store, row)
 	})
 }
 
--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -26,5 +26,5 @@
 	result, err := bench.Spread{Daemons: 3, Workspaces: 5, Seed: 1, PlatformDown: true}.Run(t.Context())
 	require.NoError(t, err)
 	require.True(t, result.Complete)
-	require.EqualValues(t, 2, result.ByPeer, "one daemon accepted the revision, the others have it from it")
+	require.InDelta(t, 2, result.ByPeer, 0, "one daemon accepted the revision, the others have it from it")
 }
--- a/bench/fake.go
+++ b/bench/fake.go
@@ -86,20 +86,21 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", block+i/50_000, 1+i%50_000/200, 1+i%200, port)
 }
 
-// forward passes a call on to another server and copies its answer.
-func forward(w http.ResponseWriter, r *http.Request, address string) {
+// forward passes a call on to another server and returns the size of the answer's body.
+func forward(w http.ResponseWriter, r *http.Request, address string) int64 {
 	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+r.URL.RequestURI(), r.Body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return
+		return 0
 	}
 	req.ContentLength = r.ContentLength
 	resp, err := controlClient.Do(req)
 	if err != nil {
 		w.WriteHeader(http.StatusBadGateway)
-		return
+		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
 	w.WriteHeader(resp.StatusCode)
-	_, _ = io.Copy(w, resp.Body)
+	n, _ := io.Copy(w, resp.Body)
+	return n
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -31,7 +31,7 @@
 
 // instances reads the platform's instance list into the table of endpoints. During an outage the last list stays.
 type instances struct {
-	client   *platform.Client
+	list     *platform.List
 	table    *route.Table
 	reach    *member.Reach
 	interval time.Duration
@@ -43,7 +43,7 @@
 	s settings.Settings, client *platform.Client, table *route.Table, reach *member.Reach, log *logrus.Logger,
 ) *instances {
 	return &instances{
-		client: client, table: table, reach: reach, interval: s.Timeouts.InstancePoll.Duration, log: log,
+		list: &platform.List{Client: client}, table: table, reach: reach, interval: s.Timeouts.InstancePoll.Duration, log: log,
 	}
 }
 
@@ -62,7 +62,7 @@
 }
 
 func (i *instances) read(ctx context.Context) {
-	endpoints, _, err := i.client.Instances(ctx)
+	changed, err := i.list.Read(ctx)
 	if err != nil {
 		if !i.failing && ctx.Err() == nil {
 			i.log.WithError(err).Warn("platform does not answer; keeping the last instance list")
@@ -74,6 +74,8 @@
 		i.log.Info("platform answers again")
 	}
 	i.failing = false
-	i.table.Sync(endpoints)
+	if changed {
+		i.table.Sync(i.list.Endpoints())
+	}
 	i.reach.Contact()
 }
--- a/io/platform/instances.go
+++ b/io/platform/instances.go
@@ -20,28 +20,44 @@
 	State       string     `json:"state"`
 }
 
-// Instances returns the endpoints and the entries of the platform's list, which lags.
-func (c *Client) Instances(ctx context.Context) (endpoints, entries []route.Listing, err error) {
-	k := call{kind: CallInstances, method: http.MethodGet, path: "/instances"}
+func (in instance) listing() route.Listing {
+	return route.Listing{
+		Address: in.Address, Incarnation: in.Incarnation, Place: in.Place,
+		Kind: in.Kind, Name: in.Name, Leaving: in.State == string(route.StateLeaving),
+	}
+}
+
+// instanceList is the body of GET /instances.
+type instanceList struct {
+	Sequence  uint64     `json:"sequence"`
+	History   string     `json:"history"`
+	Instances []instance `json:"instances"`
+	// ChangesOnly tells that the body holds what has changed after the sequence that the query names.
+	ChangesOnly bool     `json:"changes-only"`
+	Removed     []string `json:"removed"`
+}
+
+func (c *Client) readInstances(ctx context.Context, query url.Values) (instanceList, error) {
+	var body instanceList
+	k := call{kind: CallInstances, method: http.MethodGet, path: "/instances", query: query}
 	a, err := c.do(ctx, k)
 	if err != nil {
-		return nil, nil, err
+		return body, err
 	}
 	if a.status != http.StatusOK {
-		return nil, nil, unexpected(k, a)
+		return body, unexpected(k, a)
 	}
-	var body struct {
-		Instances []instance `json:"instances"`
-	}
-	if err := decode(k, a, &body); err != nil {
+	return body, decode(k, a, &body)
+}
+
+// Instances returns the endpoints and the entries of the platform's list, which lags.
+func (c *Client) Instances(ctx context.Context) (endpoints, entries []route.Listing, err error) {
+	body, err := c.readInstances(ctx, nil)
+	if err != nil {
 		return nil, nil, err
 	}
 	for _, in := range body.Instances {
-		row := route.Listing{
-			Address: in.Address, Incarnation: in.Incarnation, Place: in.Place,
-			Kind: in.Kind, Name: in.Name, Leaving: in.State == string(route.StateLeaving),
-		}
-		if row.Kind == KindEntry {
+		if row := in.listing(); row.Kind == KindEntry {
 			entries = append(entries, row)
 		} else {
 			endpoints = append(endpoints, row)
--- /dev/null
+++ b/io/platform/list.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"context"
+	"net/url"
+	"strconv"
+
+	"radishhollow/core/route"
+)
+
+// List follows the platform's instance list. It asks for the changes since its last read, because the list of 12,000
+// runners has 1.8 MB, and takes the whole list from a platform that does not answer with changes. One goroutine uses it.
+type List struct {
+	Client *Client
+
+	rows     map[string]route.Listing
+	history  string
+	sequence uint64
+	read     bool
+}
+
+// Read brings the list up to date and tells whether it may have changed.
+func (l *List) Read(ctx context.Context) (changed bool, err error) {
+	var query url.Values
+	if l.read && l.history != "" {
+		query = url.Values{"history": {l.history}, "after": {strconv.FormatUint(l.sequence, 10)}}
+	}
+	body, err := l.Client.readInstances(ctx, query)
+	if err != nil {
+		return false, err
+	}
+	changed = len(body.Instances) > 0 || len(body.Removed) > 0
+	if !body.ChangesOnly {
+		l.rows, changed = make(map[string]route.Listing, len(body.Instances)), true
+	}
+	for _, address := range body.Removed {
+		delete(l.rows, address)
+	}
+	for _, in := range body.Instances {
+		l.rows[in.Address] = in.listing()
+	}
+	l.history, l.sequence, l.read = body.History, body.Sequence, true
+	return changed, nil
+}
+
+// Endpoints returns the rows of the last read without the entries.
+func (l *List) Endpoints() []route.Listing {
+	list := make([]route.Listing, 0, len(l.rows))
+	for _, row := range l.rows {
+		if row.Kind != KindEntry {
+			list = append(list, row)
+		}
+	}
+	return list
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"radishhollow/standin"
@@ -19,6 +20,8 @@
 	Listen string
 	// InstanceLag is the age at which a change of the instance list becomes visible.
 	InstanceLag time.Duration
+	// Instances are listed from the start.
+	Instances []standin.Instance
 	// WeightLoadsPerMinute limits the weight store; WeightBurst loads may come at once.
 	WeightLoadsPerMinute float64
 	WeightBurst          int
@@ -42,9 +45,12 @@
 	changed   chan struct{}
 	instances []listing
 	sequence  uint64
-	faults    Faults
-	frozenAt  time.Time
-	calls     map[string]int
+	// history names this run of the list, whose sequence starts anew with it; log are its latest changes.
+	history  string
+	log      []listChange
+	faults   Faults
+	frozenAt time.Time
+	calls    map[string]int
 }
 
 // New returns a Server with defaults.
@@ -70,6 +76,12 @@
 	// A burst of one second's calls is allowed.
 	s.reads = rate.NewLimiter(rate.Limit(s.ReadsPerSecond), int(s.ReadsPerSecond))
 	s.writes = rate.NewLimiter(rate.Limit(s.WritesPerSecond), int(s.WritesPerSecond))
+	s.mu.Lock()
+	if s.history = uuid.NewString(); len(s.Instances) > 0 {
+		s.sequence = 1
+		s.instances = []listing{{sequence: 1, instances: s.Instances}}
+	}
+	s.mu.Unlock()
 	err := standin.Serve(ctx, s.Listen, s.handler(), s.Ready)
 	s.mu.Lock()
 	defer s.mu.Unlock()
