perf(engine): bound the load reports of idle endpoints

The subsets of the planned size hold 256 endpoints, each of which was asked for its report and cache events once a second without any work.

The idle interval now grows with the number of idle endpoints so that at most 20 reports a second are read; up to 20 endpoints of a kind keep the interval of 1 s. Endpoints with work keep their interval, because the detection of silence depends on it.

--- a/io/engine/poller.go
+++ b/io/engine/poller.go
@@ -17,9 +17,12 @@
 	DefaultPollInterval = 250 * time.Millisecond
 	// DefaultIdleInterval leaves two reports within route.Policy.AliveFor.
 	DefaultIdleInterval = time.Second
-	DefaultPollTimeout  = time.Second
-	DefaultPollWorkers  = 16
-	DefaultFailAfter    = 3
+	// DefaultIdleRate leaves the idle interval of up to 20 endpoints at 1 s. The 256 endpoints in the subsets of the
+	// planned size would take 256 reports a second at that interval.
+	DefaultIdleRate    = 20
+	DefaultPollTimeout = time.Second
+	DefaultPollWorkers = 16
+	DefaultFailAfter   = 3
 )
 
 // pollJitter is the part by which an interval varies, so that daemons don't poll an endpoint in step.
@@ -36,8 +39,11 @@
 	CacheEvents func(ctx context.Context, address string, after uint64) ([]route.CacheEvent, uint64, error)
 	// Interval is the time between two reports of an endpoint with work of this daemon.
 	Interval time.Duration
-	// IdleInterval is that of all other endpoints and of unreachable ones.
+	// IdleInterval is that of all other endpoints and of unreachable ones, as far as IdleRate allows.
 	IdleInterval time.Duration
+	// IdleRate bounds the reports a second of the endpoints without work of this daemon. Their interval grows with
+	// their number.
+	IdleRate float64
 	// Timeout bounds one call.
 	Timeout time.Duration
 	// Workers bounds the calls at a time.
@@ -50,6 +56,8 @@
 	closed  bool
 	running sync.WaitGroup
 	states  map[string]*pollState
+	// idle is the number of targets without work of this daemon.
+	idle int
 }
 
 // pollState is what the poller knows of one address.
@@ -101,6 +109,7 @@
 	setDefault(&p.Kind, route.KindModel)
 	setDefault(&p.Interval, DefaultPollInterval)
 	setDefault(&p.IdleInterval, DefaultIdleInterval)
+	setDefault(&p.IdleRate, DefaultIdleRate)
 	setDefault(&p.Timeout, DefaultPollTimeout)
 	setDefault(&p.Workers, DefaultPollWorkers)
 	setDefault(&p.FailAfter, DefaultFailAfter)
@@ -137,11 +146,15 @@
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(targets))
 	var due []dueTarget
+	p.idle = 0
 	for _, target := range targets {
 		if target.Kind() != p.Kind {
 			continue
 		}
 		listed[target.Address()] = true
+		if !target.Busy() {
+			p.idle++
+		}
 		s := p.states[target.Address()]
 		if s == nil {
 			s = &pollState{due: now}
@@ -249,7 +262,7 @@
 	if err == nil {
 		s.failures = 0
 	}
-	interval := p.IdleInterval
+	interval := max(p.IdleInterval, time.Duration(float64(p.idle)/p.IdleRate*float64(time.Second)))
 	if target.Busy() && s.failures < p.FailAfter {
 		interval = p.Interval
 	}
--- a/io/engine/poller_test.go
+++ b/io/engine/poller_test.go
@@ -96,6 +96,22 @@
 	})
 }
 
+// Guards against reports of idle endpoints that grow with the size of the subset.
+func TestPollerIdleRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, s := startPoller(t, 100)
+		time.Sleep(20 * time.Second)
+		require.NoError(t, p.Close())
+		total := 0
+		for _, n := range s.calls {
+			total += n
+		}
+		// All are read at once at the start, then 20 each second with jitter.
+		require.Less(t, total, 100+20*25)
+		require.Greater(t, total, 100+20*10)
+	})
+}
+
 // Guards against work for an endpoint that doesn't answer, and against one that stays out after it returns.
 func TestPollerReachability(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
