perf(daemon): count the peers without copying their demand

The refresh of the queue's capacity copied all peers with their demand five times a second to count them.

--- /dev/null
+++ b/core/member/bench_test.go
@@ -0,0 +1,50 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+)
+
+// plannedTable knows the planned 440 daemons, each with demand of 76 workspaces.
+func plannedTable() (*Table, View) {
+	t := newTable()
+	v := View{Incarnation: "1", Place: "p", Revision: 1, Digest: "d"}
+	for i := range 76 {
+		v.Demand = append(v.Demand, Demand{Workspace: fmt.Sprint(i), RequestsPerSecond: 1, TokensPerSecond: 100})
+	}
+	for i := range 439 {
+		v.Address = fmt.Sprintf("127.0.%d.%d:1", 1+i/200, 1+i%200)
+		t.Receive(v)
+	}
+	v.Demand = v.Demand[:16]
+	for i := range 8 {
+		v.Members = append(v.Members, Entry{
+			Address: fmt.Sprintf("127.0.1.%d:1", 1+20*i), Incarnation: "1", Place: "p", Revision: 1,
+		})
+	}
+	return t, v
+}
+
+func BenchmarkReceive(b *testing.B) {
+	t, v := plannedTable()
+	b.ReportAllocs()
+	for b.Loop() {
+		t.Receive(v)
+	}
+}
+
+func BenchmarkPeers(b *testing.B) {
+	t, _ := plannedTable()
+	b.ReportAllocs()
+	for b.Loop() {
+		t.Peers()
+	}
+}
+
+func BenchmarkSampleMembers(b *testing.B) {
+	t, _ := plannedTable()
+	b.ReportAllocs()
+	for b.Loop() {
+		t.SampleMembers(8)
+	}
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// Count returns the number of peers.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(time.Now())
+	return len(t.peers)
+}
+
 // Peers returns all peers by address.
 func (t *Table) Peers() []Peer {
 	t.mu.Lock()
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -116,7 +116,7 @@
 
 // setCapacity lets this daemon use its even part of the slots, or what the others leave free if that is more.
 func (r *refresh) setCapacity(document config.Document) {
-	daemons := 1 + len(r.members.Peers())
+	daemons := 1 + r.members.Count()
 	total := 0
 	for _, m := range document.Models() {
 		slots, busy := r.table.Slots(route.KindModel, m.Name)
