--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -191,17 +191,22 @@
 		return nil
 	}
 	r.opened, r.owned, r.fresh = true, attempt, true
+	return r.failOpening(ctx, openCtx.Err() != nil, time.Since(began), err)
+}
+
+// failOpening classifies an attempt that may run although its opening failed.
+func (r *run) failOpening(ctx context.Context, timedOut bool, after time.Duration, err error) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return err
 	}
-	if openCtx.Err() != nil && ctx.Err() == nil {
-		if r.stalled(r.choice.Address()) {
-			err = SilenceError{Endpoint: r.choice.Address(), After: time.Since(began)}
-		}
-		r.fail(ClassSilence, err)
-	} else {
+	if !timedOut || ctx.Err() != nil {
 		r.fail(ClassConnection, err)
+		return err
+	}
+	if r.stalled(r.choice.Address()) {
+		err = SilenceError{Endpoint: r.choice.Address(), After: after}
 	}
+	r.fail(ClassSilence, err)
 	return err
 }
 
