fix(daemon): let the connect, claim-expiry and size settings take effect

Cause: five checked settings (timeouts.connect, timeouts.claim-expiry, limits.prompt-bytes, limits.booking-bytes, limits.header-bytes) were read and then ignored; constants of the same values were used. Change: the clients take the connect timeout, the records' lease takes the expiry, the server takes the limits.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -15,14 +15,15 @@
 	// is dropped stays open, so later arrivals get outcome-unknown, which is accurate.
 	maxBacklog      = 10_000
 	maxBacklogBytes = 16 << 20
-	// backlogAge ends the work on a record that has expired by its lease.
-	backlogAge = 24 * time.Hour
 	// Pauses between passes and between writes keep a daemon's backlog below a share of the platform's rate.
 	passPause  = time.Second
 	maxPause   = 30 * time.Second
 	writePause = 20 * time.Millisecond
 )
 
+// life is the time after which a record may have expired by its lease, which ends the work on it.
+func (k *Keeper) life() time.Duration { return orDefault(k.RecordLife, DefaultRecordLife) }
+
 // job is a record that has to be written.
 type job struct {
 	key    string
@@ -103,10 +104,10 @@
 func (k *Keeper) settleAll(ctx context.Context) error {
 	for _, j := range k.backlog.list() {
 		err := k.settle(ctx, j)
-		if _, lost := errors.AsType[kv.UnavailableError](err); lost && ageOf(j.since) < backlogAge {
+		if _, lost := errors.AsType[kv.UnavailableError](err); lost && ageOf(j.since) < k.life() {
 			return err
 		}
-		if err == nil || ageOf(j.since) >= backlogAge {
+		if err == nil || ageOf(j.since) >= k.life() {
 			k.backlog.remove(j.record.Unique)
 		}
 		if err := sleep(ctx, writePause); err != nil {
@@ -141,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	lease, err := k.leases.current(ctx, k.Store, k.callTimeout())
+	lease, err := k.leases.current(ctx, k.Store, k.callTimeout(), k.life())
 	if err != nil {
 		return err
 	}
--- a/core/claim/keeper.go
+++ b/core/claim/keeper.go
@@ -12,8 +12,10 @@
 
 // Defaults of Keeper.
 const (
-	DefaultTimeout  = 2 * time.Second
-	DefaultAwaitFor = 5 * time.Second
+	DefaultTimeout = 2 * time.Second
+	// DefaultRecordLife is longer than any retry of a caller.
+	DefaultRecordLife = 24 * time.Hour
+	DefaultAwaitFor   = 5 * time.Second
 	// DefaultCallTimeout lets DefaultTimeout hold a write whose answer never comes, its read-back and another write.
 	DefaultCallTimeout = 600 * time.Millisecond
 	// DefaultSendWithin is far below the life of a record, so that a daemon that was paused does not send after
@@ -46,6 +48,8 @@
 	AwaitFor time.Duration
 	// SendWithin bounds the age of a claim at the time of sending. Zero means DefaultSendWithin.
 	SendWithin time.Duration
+	// RecordLife is the time for which a record is kept at least. Zero means DefaultRecordLife.
+	RecordLife time.Duration
 	// Observe is told the class of each claim; it may be nil.
 	Observe func(class string)
 
@@ -134,7 +138,7 @@
 
 // put writes once and reads back where the write's effect is open.
 func (a *attempt) put(ctx context.Context, data []byte) (Ticket, bool, error) {
-	lease, err := a.keeper.leases.current(ctx, a.keeper.Store, a.keeper.callTimeout())
+	lease, err := a.keeper.leases.current(ctx, a.keeper.Store, a.keeper.callTimeout(), a.keeper.life())
 	if err != nil {
 		return Ticket{}, false, err
 	}
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -13,8 +13,6 @@
 const (
 	// leaseFor is how long one lease takes new records; one lease per hour spares a grant for each claim.
 	leaseFor = time.Hour
-	// leaseTTL lets a record that is written at the end of leaseFor live for 24 h.
-	leaseTTL = 25 * time.Hour
 )
 
 // leases holds the lease that new records are written under. Concurrent callers share one grant.
@@ -31,7 +29,8 @@
 	err  error
 }
 
-func (l *leases) current(ctx context.Context, store kv.Store, timeout time.Duration) (string, error) {
+// current returns the lease for a new record. A record that is written at the end of leaseFor still lives for life.
+func (l *leases) current(ctx context.Context, store kv.Store, timeout, life time.Duration) (string, error) {
 	l.mu.Lock()
 	if l.id != "" && ageOf(l.since) < leaseFor {
 		defer l.mu.Unlock()
@@ -44,7 +43,7 @@
 	}
 	l.mu.Unlock()
 	if first {
-		l.request(context.WithoutCancel(ctx), store, g, timeout)
+		l.request(context.WithoutCancel(ctx), store, g, timeout, life)
 	}
 	select {
 	case <-g.done:
@@ -55,11 +54,11 @@
 }
 
 // request counts the lease's age from before the call, because the platform may grant it at any time during it.
-func (l *leases) request(ctx context.Context, store kv.Store, g *grant, timeout time.Duration) {
+func (l *leases) request(ctx context.Context, store kv.Store, g *grant, timeout, life time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	since := time.Now()
-	g.id, g.err = store.Grant(ctx, leaseTTL)
+	g.id, g.err = store.Grant(ctx, life+leaseFor)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.grant = nil
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -30,6 +30,7 @@
 func newKeeper(s settings.Settings, store kv.Store, m *telemetry.Metrics) *claim.Keeper {
 	return &claim.Keeper{
 		Store: store, AwaitFor: s.Timeouts.ClaimWait.Duration,
+		RecordLife:  s.Timeouts.ClaimExpiry.Duration,
 		CallTimeout: min(s.Timeouts.Platform.Duration, claim.DefaultCallTimeout),
 		Observe:     func(class string) { m.Count(telemetry.Claims, class) },
 	}
@@ -150,6 +151,7 @@
 		WorkspaceOf: caller.WorkspaceOf,
 		WriteError:  func(c *gin.Context, err error) { caller.WriteError(c, err) },
 		Metrics:     d.Metrics,
+		MaxBody:     d.Settings.Limits.BookingBytes,
 	}
 	return &caller.Server{
 		Document:   d.Store.Current,
@@ -169,6 +171,8 @@
 		Stopping:   d.Drain.Closing,
 		Services:   services.Handle,
 		Metrics:    d.Metrics,
+		MaxBody:    d.Settings.Limits.PromptBytes,
+		MaxHeader:  d.Settings.Limits.HeaderBytes,
 		CursorKeys: d.Identity.cursorKeys,
 		CursorLife: d.Settings.Timeouts.CursorExpiry.Duration,
 	}
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -14,12 +14,12 @@
 
 var endpointParts = fx.Provide(newEngine, newService, newCanceler, newSuspects, newPollers)
 
-func newEngine(table *route.Table) *engine.Client {
-	return &engine.Client{HTTP: engine.NewHTTP(), Observe: observeState(table)}
+func newEngine(s settings.Settings, table *route.Table) *engine.Client {
+	return &engine.Client{HTTP: engine.NewHTTP(s.Timeouts.Connect.Duration), Observe: observeState(table)}
 }
 
-func newService(lifecycle fx.Lifecycle, table *route.Table) *service.Client {
-	client := service.New()
+func newService(lifecycle fx.Lifecycle, s settings.Settings, table *route.Table) *service.Client {
+	client := service.New(s.Timeouts.Connect.Duration)
 	client.Observe = observeState(table)
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
 	return client
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -149,7 +149,7 @@
 		t.Cleanup(e.Close)
 		addresses = append(addresses, strings.TrimPrefix(e.URL, "http://"))
 	}
-	client := &engine.Client{HTTP: engine.NewHTTP()}
+	client := &engine.Client{HTTP: engine.NewHTTP(engine.DefaultDialTimeout)}
 	t.Cleanup(client.HTTP.CloseIdleConnections)
 	s.server = &caller.Server{
 		Document: document,
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -80,14 +80,14 @@
 	return len(r.prompt) + size/4 + r.sampling.MaxTokens
 }
 
-func readBody(c *gin.Context) (body, error) {
+func readBody(c *gin.Context, limit int64) (body, error) {
 	control := http.NewResponseController(c.Writer)
 	// The deadline covers the body only: one that passes during the answer would end the request's context.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody))
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	if _, large := errors.AsType[*http.MaxBytesError](err); large {
-		return body{}, BodyTooLargeError{Limit: maxBody}
+		return body{}, BodyTooLargeError{Limit: limit}
 	}
 	if err != nil {
 		return body{}, BadRequestError{Param: "body", Reason: "cannot be read"}
@@ -104,7 +104,7 @@
 
 func (s *Server) parse(c *gin.Context, chat bool) (*request, error) {
 	r := &request{chat: chat, arrived: time.Now(), cursor: c.GetHeader("Last-Event-ID")}
-	b, err := readBody(c)
+	b, err := readBody(c, int64(orDefault(s.MaxBody, DefaultMaxBody)))
 	if err != nil {
 		return nil, err
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -16,10 +16,15 @@
 	"radishhollow/io/telemetry"
 )
 
+// Default limits of Server and ServiceHandler, in bytes.
+const (
+	DefaultMaxBody        = 4 << 20
+	DefaultMaxHeader      = 64 << 10
+	DefaultMaxServiceBody = 1 << 20
+)
+
 // Limits and defaults of Server.
 const (
-	maxBody        = 4 << 20
-	maxHeader      = 64 << 10
 	bodyTimeout    = 30 * time.Second
 	headerTimeout  = 10 * time.Second
 	writeTimeout   = 30 * time.Second
@@ -68,13 +73,16 @@
 	CallerReturn time.Duration
 	// Pace replaces the deadlines of the sheet's resume-preference unless it is zero.
 	Pace generation.Pace
+	// MaxBody and MaxHeader bound a request's body and headers in bytes. Zero means the default.
+	MaxBody   int
+	MaxHeader int
 	// DefaultMaxTokens is used where a request names no limit.
 	DefaultMaxTokens int
 }
 
 // HTTP returns an http.Server with the limits of this package. The caller of HTTP sets its listener and stops it.
 func (s *Server) HTTP() *http.Server {
-	return &http.Server{Handler: s.Handler(), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: s.Handler(), MaxHeaderBytes: orDefault(s.MaxHeader, DefaultMaxHeader), ReadHeaderTimeout: headerTimeout}
 }
 
 // Handler returns the handler of all paths.
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -19,11 +19,9 @@
 )
 
 const (
-	// MaxServiceBody bounds the body of a plain-service call.
-	MaxServiceBody = 1 << 20
-	servicePrefix  = "/services/"
-	outcomeHeader  = "Outcome"
-	keyHeader      = "Idempotency-Key"
+	servicePrefix = "/services/"
+	outcomeHeader = "Outcome"
+	keyHeader     = "Idempotency-Key"
 )
 
 // hopByHop lists the headers that belong to one connection, and those that net/http sets itself.
@@ -48,6 +46,8 @@
 	// WriteError writes the error body.
 	WriteError func(c *gin.Context, err error)
 	Metrics    *telemetry.Metrics
+	// MaxBody bounds a request's body in bytes. Zero means DefaultMaxServiceBody.
+	MaxBody int
 }
 
 // Handle serves any method on /services/:service/*path.
@@ -91,7 +91,7 @@
 	if len(keys) > 1 || (len(keys) == 1 && keys[0] == "") {
 		return booking.Response{}, errors.Trace(InvalidKeyError{Count: len(keys)})
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, MaxServiceBody))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, int64(orDefault(h.MaxBody, DefaultMaxServiceBody))))
 	if err != nil {
 		_, tooLarge := errors.AsType[*http.MaxBytesError](err)
 		return booking.Response{}, errors.Trace(ServiceBodyError{TooLarge: tooLarge, Cause: err})
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -20,8 +20,8 @@
 const (
 	// maxBody bounds the responses of all calls that are not streams.
 	maxBody = 16 << 20
-	// dialTimeout is the wait for a connection within a place or between places, which takes a few milliseconds.
-	dialTimeout = time.Second
+	// DefaultDialTimeout is the wait for a connection within a place or between places, which takes a few milliseconds.
+	DefaultDialTimeout = time.Second
 	// maxIdlePerHost keeps the connections of a busy engine's streams for the next ones.
 	maxIdlePerHost = 256
 )
@@ -35,10 +35,10 @@
 }
 
 // NewHTTP returns an HTTP client without proxies, redirects or compression.
-func NewHTTP() *http.Client {
+func NewHTTP(dial time.Duration) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     time.Minute,
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -21,7 +21,7 @@
 
 func serve(t *testing.T, handler http.HandlerFunc) (*engine.Client, string) {
 	server := httptest.NewServer(handler)
-	client := &engine.Client{HTTP: engine.NewHTTP()}
+	client := &engine.Client{HTTP: engine.NewHTTP(engine.DefaultDialTimeout)}
 	t.Cleanup(func() {
 		client.HTTP.CloseIdleConnections()
 		server.Close()
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -41,17 +41,17 @@
 	Observe func(address, incarnation, state string)
 }
 
-// New returns a Client. Close ends its idle connections.
-func New() *Client {
+// New returns a Client that waits up to dial for a connection. Close ends its idle connections.
+func New(dial time.Duration) *Client {
 	return &Client{
-		fresh:       transport(true),
-		pooled:      transport(false),
+		fresh:       transport(dial, true),
+		pooled:      transport(dial, false),
 		maxResponse: DefaultMaxResponse,
 	}
 }
 
-func transport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
+func transport(dial time.Duration, fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dial}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -51,7 +51,7 @@
 
 func newClient(t *testing.T) *Client {
 	t.Helper()
-	client := New()
+	client := New(DefaultDialTimeout)
 	t.Cleanup(func() { require.NoError(t, client.Close()) })
 	return client
 }
