fix(claim): let timeouts.claim-expiry set the life of a record

Cause: the setting was checked and documented but read by nothing; the lease of records was a constant of 25 h. Ruled out: a second place that bounds the life; the backlog's age only ends retries of writes. Change: Keeper.Expiry, 24 h by default, plus the 1 h in which one lease takes new records. Before: 25 h for every setting. After: TestExpiry sees 3 h granted for 2 h.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	lease, err := k.leases.current(ctx, k.Store, k.callTimeout())
+	lease, err := k.lease(ctx)
 	if err != nil {
 		return err
 	}
--- a/core/claim/keeper.go
+++ b/core/claim/keeper.go
@@ -19,6 +19,7 @@
 	// DefaultSendWithin is far below the life of a record, so that a daemon that was paused does not send after
 	// its record has expired and another entry has claimed the key.
 	DefaultSendWithin = time.Minute
+	DefaultExpiry     = 24 * time.Hour
 	// attempts bounds the writes of one claim; each costs a counted call on a service with rate limits.
 	attempts   = 5
 	retryDelay = 20 * time.Millisecond
@@ -46,6 +47,8 @@
 	AwaitFor time.Duration
 	// SendWithin bounds the age of a claim at the time of sending. Zero means DefaultSendWithin.
 	SendWithin time.Duration
+	// Expiry is the least life of a record. Zero means DefaultExpiry.
+	Expiry time.Duration
 	// Observe is told the class of each claim; it may be nil.
 	Observe func(class string)
 
@@ -134,7 +137,7 @@
 
 // put writes once and reads back where the write's effect is open.
 func (a *attempt) put(ctx context.Context, data []byte) (Ticket, bool, error) {
-	lease, err := a.keeper.leases.current(ctx, a.keeper.Store, a.keeper.callTimeout())
+	lease, err := a.keeper.lease(ctx)
 	if err != nil {
 		return Ticket{}, false, err
 	}
--- a/core/claim/keeper_test.go
+++ b/core/claim/keeper_test.go
@@ -174,3 +174,17 @@
 		require.True(t, claimOn(t, &claim.Keeper{Store: store.store()}).Owned())
 	})
 }
+
+// Guards against records that live longer or shorter than the operators set.
+func TestExpiry(t *testing.T) {
+	for expiry, ttl := range map[time.Duration]time.Duration{0: 25 * time.Hour, 2 * time.Hour: 3 * time.Hour} {
+		var granted time.Duration
+		store := newFakeStore(1, 0).store()
+		store.Grant = func(_ context.Context, ttl time.Duration) (string, error) {
+			granted = ttl
+			return "lease", nil
+		}
+		claimOn(t, &claim.Keeper{Store: store, Expiry: expiry})
+		require.Equal(t, ttl, granted)
+	}
+}
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -6,16 +6,20 @@
 	"time"
 
 	"github.com/juju/errors"
-
-	"radishhollow/core/kv"
 )
 
-const (
-	// leaseFor is how long one lease takes new records; one lease per hour spares a grant for each claim.
-	leaseFor = time.Hour
-	// leaseTTL lets a record that is written at the end of leaseFor live for 24 h.
-	leaseTTL = 25 * time.Hour
-)
+// leaseFor is how long one lease takes new records; one lease per hour spares a grant for each claim. It is added to the
+// life of a lease, so that a record that is written at its end lives for Keeper.Expiry as well.
+const leaseFor = time.Hour
+
+// lease returns the lease for a record that is written now.
+func (k *Keeper) lease(ctx context.Context) (string, error) {
+	return k.leases.current(ctx, func(ctx context.Context) (string, error) {
+		ctx, cancel := context.WithTimeout(ctx, k.callTimeout())
+		defer cancel()
+		return k.Store.Grant(ctx, orDefault(k.Expiry, DefaultExpiry)+leaseFor)
+	})
+}
 
 // leases holds the lease that new records are written under. Concurrent callers share one grant.
 type leases struct {
@@ -31,7 +35,7 @@
 	err  error
 }
 
-func (l *leases) current(ctx context.Context, store kv.Store, timeout time.Duration) (string, error) {
+func (l *leases) current(ctx context.Context, ask func(context.Context) (string, error)) (string, error) {
 	l.mu.Lock()
 	if l.id != "" && ageOf(l.since) < leaseFor {
 		defer l.mu.Unlock()
@@ -44,7 +48,7 @@
 	}
 	l.mu.Unlock()
 	if first {
-		l.request(context.WithoutCancel(ctx), store, g, timeout)
+		l.request(context.WithoutCancel(ctx), ask, g)
 	}
 	select {
 	case <-g.done:
@@ -55,11 +59,9 @@
 }
 
 // request counts the lease's age from before the call, because the platform may grant it at any time during it.
-func (l *leases) request(ctx context.Context, store kv.Store, g *grant, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (l *leases) request(ctx context.Context, ask func(context.Context) (string, error), g *grant) {
 	since := time.Now()
-	g.id, g.err = store.Grant(ctx, leaseTTL)
+	g.id, g.err = ask(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.grant = nil
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -30,6 +30,7 @@
 func newKeeper(s settings.Settings, store kv.Store, m *telemetry.Metrics) *claim.Keeper {
 	return &claim.Keeper{
 		Store: store, AwaitFor: s.Timeouts.ClaimWait.Duration,
+		Expiry:      s.Timeouts.ClaimExpiry.Duration,
 		CallTimeout: min(s.Timeouts.Platform.Duration, claim.DefaultCallTimeout),
 		Observe:     func(class string) { m.Count(telemetry.Claims, class) },
 	}
