--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -21,9 +21,6 @@
 	writePause = 20 * time.Millisecond
 )
 
-// life is the time after which a record may have expired by its lease, which ends the work on it.
-func (k *Keeper) life() time.Duration { return orDefault(k.RecordLife, DefaultRecordLife) }
-
 // job is a record that has to be written.
 type job struct {
 	key    string
@@ -104,10 +101,10 @@
 func (k *Keeper) settleAll(ctx context.Context) error {
 	for _, j := range k.backlog.list() {
 		err := k.settle(ctx, j)
-		if _, lost := errors.AsType[kv.UnavailableError](err); lost && ageOf(j.since) < k.life() {
+		if _, lost := errors.AsType[kv.UnavailableError](err); lost && ageOf(j.since) < k.expiry() {
 			return err
 		}
-		if err == nil || ageOf(j.since) >= k.life() {
+		if err == nil || ageOf(j.since) >= k.expiry() {
 			k.backlog.remove(j.record.Unique)
 		}
 		if err := sleep(ctx, writePause); err != nil {
@@ -142,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	lease, err := k.leases.current(ctx, k.Store, k.callTimeout(), k.life())
+	lease, err := k.lease(ctx)
 	if err != nil {
 		return err
 	}
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -6,14 +6,23 @@
 	"time"
 
 	"github.com/juju/errors"
-
-	"radishhollow/core/kv"
 )
 
-const (
-	// leaseFor is how long one lease takes new records; one lease per hour spares a grant for each claim.
-	leaseFor = time.Hour
-)
+// leaseFor is how long one lease takes new records; one lease per hour spares a grant for each claim. It is added to the
+// life of a lease, so that a record that is written at its end lives for Keeper.Expiry as well.
+const leaseFor = time.Hour
+
+// lease returns the lease for a record that is written now.
+func (k *Keeper) lease(ctx context.Context) (string, error) {
+	return k.leases.current(ctx, func(ctx context.Context) (string, error) {
+		ctx, cancel := context.WithTimeout(ctx, k.callTimeout())
+		defer cancel()
+		return k.Store.Grant(ctx, k.expiry()+leaseFor)
+	})
+}
+
+// expiry is the age at which a record may have ended with its lease, which also ends the work on it.
+func (k *Keeper) expiry() time.Duration { return orDefault(k.Expiry, DefaultExpiry) }
 
 // leases holds the lease that new records are written under. Concurrent callers share one grant.
 type leases struct {
@@ -29,8 +38,7 @@
 	err  error
 }
 
-// current returns the lease for a new record. A record that is written at the end of leaseFor still lives for life.
-func (l *leases) current(ctx context.Context, store kv.Store, timeout, life time.Duration) (string, error) {
+func (l *leases) current(ctx context.Context, ask func(context.Context) (string, error)) (string, error) {
 	l.mu.Lock()
 	if l.id != "" && ageOf(l.since) < leaseFor {
 		defer l.mu.Unlock()
@@ -43,7 +51,7 @@
 	}
 	l.mu.Unlock()
 	if first {
-		l.request(context.WithoutCancel(ctx), store, g, timeout, life)
+		l.request(context.WithoutCancel(ctx), ask, g)
 	}
 	select {
 	case <-g.done:
@@ -54,11 +62,9 @@
 }
 
 // request counts the lease's age from before the call, because the platform may grant it at any time during it.
-func (l *leases) request(ctx context.Context, store kv.Store, g *grant, timeout, life time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (l *leases) request(ctx context.Context, ask func(context.Context) (string, error), g *grant) {
 	since := time.Now()
-	g.id, g.err = store.Grant(ctx, life+leaseFor)
+	g.id, g.err = ask(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.grant = nil
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -30,7 +30,7 @@
 func newKeeper(s settings.Settings, store kv.Store, m *telemetry.Metrics) *claim.Keeper {
 	return &claim.Keeper{
 		Store: store, AwaitFor: s.Timeouts.ClaimWait.Duration,
-		RecordLife:  s.Timeouts.ClaimExpiry.Duration,
+		Expiry:      s.Timeouts.ClaimExpiry.Duration,
 		CallTimeout: min(s.Timeouts.Platform.Duration, claim.DefaultCallTimeout),
 		Observe:     func(class string) { m.Count(telemetry.Claims, class) },
 	}
