--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -40,6 +40,8 @@
 	// Stale counts the refused cancels of older attempts.
 	Stale       int `json:"cancels-stale"`
 	StaleOrders int `json:"stale-orders"`
+	// RefusedLeaving counts the starts that the engine refused because it was leaving.
+	RefusedLeaving int `json:"refused-leaving"`
 }
 
 func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
