test: wake an entry whose late cancel ends the moved stream

An engine that ignores attempt numbers obeys the late cancel; the new owner then goes on from the ids that its caller sent.

--- a/test/entry_lost_test.go
+++ b/test/entry_lost_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/standin/engine"
 	"radishhollow/test/harness"
 )
 
@@ -49,23 +50,33 @@
 	}
 }
 
-// Guards against the late cancel of an entry that was paused: the stream has moved to another entry.
+// Guards against the late cancel of an entry that was paused: the stream has moved to another entry. An engine that
+// ignores attempt numbers ends the stream; its new owner then resumes as after a loss.
 func TestEntryFrozenWakes(t *testing.T) {
-	parallel(t)
-	d := launch(t, entries(1, "--gap", "30ms"))
-	ask := harness.Ask{Prompt: "long report", MaxTokens: 380}
-	first := d.Ask(t, 0, ask)
-	first.Await(t, 10)
-	d.Daemon(0).Pause(t)
-	first.Close()
-	second := repeat(t, d, 1, ask, first.Reply())
-	second.Await(t, 5)
-	d.Daemon(0).Continue()
-	// The woken entry gives its caller 10 s to come back before it cancels.
-	require.Eventually(t, func() bool { return stats(t, d, 0).Stale > 0 }, 15*time.Second, 20*time.Millisecond)
-	require.Empty(t, second.Reply().Finish, "the cancel came after the end")
-	second.RequireWhole(t, spec)
-	require.Zero(t, stats(t, d, 0).Cancelled)
+	t.Parallel()
+	for name, ignores := range map[string]bool{"attempt checked": false, "attempt ignored": true} {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			d := launch(t, entries(1, "--gap", "30ms"))
+			harness.SetFaults(t, d.Engine(0), engine.Faults{IgnoreAttempt: &ignores})
+			ask := harness.Ask{Prompt: "long report", MaxTokens: 390, SendHeld: ignores}
+			first := d.Ask(t, 0, ask)
+			first.Await(t, 10)
+			d.Daemon(0).Pause(t)
+			first.Close()
+			second := repeat(t, d, 1, ask, first.Reply())
+			second.Await(t, 5)
+			d.Daemon(0).Continue()
+			// The woken entry gives its caller 10 s to come back before it cancels.
+			require.Eventually(t, func() bool {
+				s := stats(t, d, 0)
+				return s.Stale+s.Cancelled > 0
+			}, 15*time.Second, 20*time.Millisecond)
+			require.Empty(t, second.Reply().Finish, "the cancel came after the end")
+			second.RequireWhole(t, spec)
+			require.Equal(t, ignores, stats(t, d, 0).Cancelled > 0)
+		})
+	}
 }
 
 // Guards against a caller that can't go on, or that gets another generation's output, when its entry and its engine
