perf(generation): repeat unanswered cancels and forgive the daemon's own pauses

Cause: an engine that wakes takes the calls that it held back in any order, so it could start an attempt after its cancel and run it to its end.

Change: a cancel that was not answered at once is sent a last time 0.5 s after its answer. A deadline noticed more than 50 ms late is followed by one more wait of the floor.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -19,6 +19,8 @@
 	stalledPause = 100 * time.Millisecond
 	// firstPatience is two poll intervals of the load report, so that an engine that was idle has reported since.
 	firstPatience = 600 * time.Millisecond
+	// lateTimer is well above the delay of timers on a busy machine that still keeps up.
+	lateTimer = 50 * time.Millisecond
 	// maxAttachTries bounds the search for an attempt number above that of other entries that attached.
 	maxAttachTries = 6
 )
--- a/core/generation/canceler.go
+++ b/core/generation/canceler.go
@@ -14,6 +14,9 @@
 	// cancelTries covers the engine's default detach hold of 10 s. A frozen engine that wakes within it would continue
 	// streams that run elsewhere by then.
 	cancelTries = 5
+	// cancelAgain is the pause before a cancel that was not answered at once is sent a last time: an engine that wakes
+	// takes the calls that it held back in any order, and may start the attempt after its cancel.
+	cancelAgain = 500 * time.Millisecond
 )
 
 // Canceler sends cancel calls in the background, so that no caller waits for a lost engine.
@@ -45,25 +48,34 @@
 func (c *Canceler) runCancel(address, generation string, attempt int, after time.Duration) {
 	defer c.group.Done()
 	defer c.leave()
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.stop:
+	if !c.pause(after) {
 		return
 	}
-	for range cancelTries {
+	for try := range cancelTries {
 		if !c.send(address, generation, attempt) {
+			if try > 0 && c.pause(cancelAgain) {
+				c.send(address, generation, attempt)
+			}
 			return
 		}
-		select {
-		case <-c.stop:
+		if !c.pause(0) {
 			return
-		default:
 		}
 	}
 }
 
+// pause waits and reports false where Close was called first.
+func (c *Canceler) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-c.stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // send tells whether the engine did not answer in time. Other errors need no repetition: the engine is gone, or it has
 // refused the attempt number.
 func (c *Canceler) send(address, generation string, attempt int) (unanswered bool) {
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -121,12 +121,26 @@
 	return max(min(allowed, limit-heard.Sub(r.progress)), r.allowed())
 }
 
+// wait waits for a chunk until the deadline. A deadline that is noticed late shows that this daemon was paused or short
+// of processor time, so that the engine's output may be waiting unread.
 func (r *run) wait(ctx context.Context, until time.Time) (chunk Chunk, timedOut bool, err error) {
 	if r.lost {
 		if bound := r.progress.Add(r.waitBound()); bound.Before(until) {
 			until = bound
 		}
 	}
+	due := time.Now()
+	if until.After(due) {
+		due = until
+	}
+	chunk, timedOut, err = r.waitUntil(ctx, until)
+	if timedOut && ctx.Err() == nil && time.Since(due) > lateTimer {
+		chunk, timedOut, err = r.waitUntil(ctx, time.Now().Add(r.pace.floor()))
+	}
+	return chunk, timedOut, err
+}
+
+func (r *run) waitUntil(ctx context.Context, until time.Time) (chunk Chunk, timedOut bool, err error) {
 	waitCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	chunk, err = r.stream.Next(waitCtx)
--- a/core/generation/stalled_test.go
+++ b/core/generation/stalled_test.go
@@ -71,6 +71,34 @@
 		c.Cancel("a", "g", 1, 0)
 		time.Sleep(9 * time.Second)
 		require.NoError(t, c.Close())
-		require.Equal(t, 1, answered)
+		require.Equal(t, 2, answered, "the second follows the start that the engine held back")
+	})
+}
+
+// Guards against a daemon that was paused itself and gives up engines whose output waits unread.
+func TestDriverForgivesOwnPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 9
+		f := &fixture{endpoints: []string{"a", "b"}}
+		f.open = func(string, generation.Start) ([]step, error) { return run(1, 0, total, total), nil }
+		d := f.driver(total)
+		next, calls := d.Open, 0
+		d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+			stream, err := next(ctx, address, start)
+			read := stream.Next
+			stream.Next = func(ctx context.Context) (generation.Chunk, error) {
+				if calls++; calls == total/2 {
+					// The deadline passes long before the reader runs again.
+					<-ctx.Done()
+					time.Sleep(500 * time.Millisecond)
+					return generation.Chunk{}, ctx.Err()
+				}
+				return read(ctx)
+			}
+			return stream, err
+		}
+		require.NoError(t, d.Run(t.Context()))
+		require.Equal(t, reference(total), f.got)
+		require.Zero(t, f.count(generation.EventLoss, ""))
 	})
 }
