perf(config): poll large documents less often

The poll beside the watch read the whole document every 10 s.

The interval now grows with the document so that polls take about 2 KB/s, up to 2 min; documents below 20 KB are polled as before. Watch and exchange carry a revision; the poll only finds what both have missed.

--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -17,6 +17,13 @@
 	maxWatchPause = 5 * time.Second
 )
 
+// A poll reads the whole document, which has about 150 KB at 760 workspaces. Its interval keeps polls of large documents at
+// pollRate bytes a second, within the 5 KB/s of a daemon's control traffic, but is at most maxPollPause.
+const (
+	pollRate     = 2000
+	maxPollPause = 2 * time.Minute
+)
+
 // Classes of the revisions that a Syncer counts.
 const (
 	FromWatch = "watch"
@@ -30,7 +37,7 @@
 type Syncer struct {
 	KV    kv.Store
 	Store *Store
-	// Poll is the mean interval of reads that find what a watch has missed.
+	// Poll is the mean interval of reads that find what a watch has missed. It is longer for large documents.
 	Poll time.Duration
 	// Wait bounds one watch call.
 	Wait time.Duration
@@ -85,12 +92,17 @@
 		if err == nil {
 			s.offer(entry.Value(), FromPoll)
 		}
-		if pause(ctx, jitter(s.Poll)) != nil {
+		if pause(ctx, jitter(s.pollPause(len(entry.Value())))) != nil {
 			return
 		}
 	}
 }
 
+// pollPause returns the pause after a poll that has read a value of the given size.
+func (s *Syncer) pollPause(size int) time.Duration {
+	return max(s.Poll, min(time.Duration(size)*time.Second/pollRate, maxPollPause))
+}
+
 func (s *Syncer) offer(value []byte, class string) {
 	document, err := Decode(value)
 	if err != nil {
--- a/core/config/syncer_test.go
+++ b/core/config/syncer_test.go
@@ -83,6 +83,15 @@
 	})
 }
 
+// Guards against polls of a large document that exceed the budget of control traffic, and against ones that end.
+func TestSyncerPollsLargeDocumentsLessOften(t *testing.T) {
+	s := Syncer{Poll: 10 * time.Second}
+	require.Equal(t, 10*time.Second, s.pollPause(0))
+	require.Equal(t, 10*time.Second, s.pollPause(20_000))
+	require.Equal(t, 100*time.Second, s.pollPause(200_000))
+	require.Equal(t, 2*time.Minute, s.pollPause(1_000_000))
+}
+
 func TestSyncerIgnoresAnOlderState(t *testing.T) {
 	f := &fakeKV{}
 	runSyncer(t, f.store(), func(s *Store, c *counts) {
