perf(member): tell old marks rarely and young ones at random

A view carried the 16 newest marks. One lost or replaced instance in 18 s makes 33 marks within their expiry of 10 min, so at the planned size each view was full of marks that every daemon had, and of the 444 marks of a lost data centre only the newest 16 were ever told.

A view now carries random marks younger than 10 s, five times the 2 s of their spread, and two random older ones for daemons that were cut off.

--- a/core/member/mark.go
+++ b/core/member/mark.go
@@ -1,7 +1,7 @@
 package member
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -87,18 +87,33 @@
 	return Mark{Address: address, Incarnation: incarnation, Dead: m.dead, Age: now.Sub(m.since)}, true
 }
 
-// Marks returns up to n marks, the newest first, because old ones are known everywhere by now.
+const (
+	// youngMark is five times the 2 s in which a mark spreads to 440 daemons.
+	youngMark = 10 * time.Second
+	// oldMarks is the number of older marks in a view. They are for daemons that were cut off, and would else fill
+	// every view: the planned 4,760 leaving or lost endpoints a day make 33 marks within their expiry.
+	oldMarks = 2
+)
+
+// Marks returns up to n random marks, young ones before old ones and few of the latter. With a fixed choice, some of
+// the many marks of a lost data centre would never be told.
 func (t *Table) Marks(n int) []Mark {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	list := make([]Mark, 0, len(t.marks))
+	var young, old []Mark
 	for key, m := range t.marks {
-		list = append(list, Mark{Address: key.address, Incarnation: key.incarnation, Dead: m.dead, Age: now.Sub(m.since)})
+		mark := Mark{Address: key.address, Incarnation: key.incarnation, Dead: m.dead, Age: now.Sub(m.since)}
+		if mark.Age < youngMark {
+			young = append(young, mark)
+		} else {
+			old = append(old, mark)
+		}
+	}
+	for _, list := range [][]Mark{young, old} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
-	slices.SortFunc(list, func(a, b Mark) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Address, b.Address))
-	})
+	list := slices.Concat(young, old[:min(oldMarks, len(old))])
 	return list[:min(n, len(list))]
 }
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -126,6 +126,29 @@
 	})
 }
 
+// Guards against views that old marks fill at the cost of bytes, and against marks that no view ever carries.
+func TestViewsCarryYoungMarksAndFewOldOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		for i := range 40 {
+			table.Mark(fmt.Sprintf("127.0.8.%d:1", i), "old", false)
+		}
+		require.Len(t, table.Marks(16), 16)
+		time.Sleep(youngMark)
+		table.Mark("127.0.9.1:1", "young", false)
+		told := map[string]bool{}
+		for range 400 {
+			list := table.Marks(16)
+			require.Len(t, list, 1+oldMarks)
+			require.Equal(t, "young", list[0].Incarnation)
+			for _, m := range list {
+				told[m.Address] = true
+			}
+		}
+		require.Len(t, told, 41)
+	})
+}
+
 func TestMarksAreByIncarnationAndDeadStays(t *testing.T) {
 	table := newTable()
 	var seen []Mark
