--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -8,7 +8,7 @@
 )
 
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{20, 400} {
+	for _, n := range []int{20, 400, 12000} {
 		tab := table(n, nil)
 		need := route.Need{Kind: route.KindModel, Name: "m", Prompt: prompt(1, 2000), MaxTokens: 200}
 		b.Run(fmt.Sprintf("endpoints-%d", n), func(b *testing.B) {
