--- a/bench/cost.go
+++ b/bench/cost.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -33,7 +34,10 @@
 	// ListChangesPerMinute is the rate of changes of the instance list.
 	ListChangesPerMinute float64 `json:"list-changes-per-minute"`
 	// Marks is the number of endpoint marks that each peer shows.
-	Marks   int     `json:"marks"`
+	Marks int `json:"marks"`
+	// Streams is the number of streams that the daemon carries, each with a token every 67 ms. They need real
+	// stand-ins as endpoints, so it goes with few endpoints.
+	Streams int     `json:"streams"`
 	Seed    uint64  `json:"seed"`
 	Settle  float64 `json:"settle-s"`
 	Measure float64 `json:"measure-s"`
@@ -56,6 +60,7 @@
 	fakes    fakes
 	group    sync.WaitGroup
 	platform *costPlatform
+	failed   atomic.Int64
 	traffic  struct{ peers, endpoints, platform Traffic }
 }
 
@@ -75,6 +80,10 @@
 	Calls map[string]float64 `json:"calls-per-s"`
 	// Polled is the number of endpoints in the daemon's subsets.
 	Polled int `json:"polled-endpoints"`
+	// Tokens are the chunks a second that the daemon has passed on; each has one token at this rate.
+	Tokens float64 `json:"tokens-per-s"`
+	// FailedStreams are streams that ended with an error.
+	FailedStreams int64 `json:"failed-streams"`
 }
 
 // Run starts the fakes, waits for the daemon and measures it.
@@ -95,6 +104,7 @@
 	if err := c.awaitReady(ctx); err != nil {
 		return CostResult{}, err
 	}
+	c.group.Go(func() { c.runStreams(ctx) })
 	pause(ctx, c.Settle)
 	before, err := c.sample(ctx)
 	if err != nil {
@@ -124,6 +134,11 @@
 	}
 	port := netip.MustParseAddrPort(free).Port()
 	c.rows = listings(c.Endpoints, c.Models, c.Places, port)
+	if c.Streams > 0 {
+		if err := c.startEngines(ctx); err != nil {
+			return err
+		}
+	}
 	c.peers = &fakePeer{workspaces: c.Workspaces, marks: c.Marks, store: &config.Store{}, random: newSource(c.Seed)}
 	for i := range c.Daemons - 1 {
 		c.peers.addresses = append(c.peers.addresses, fakeAddress(peerBlock, i, port))
@@ -146,6 +161,9 @@
 		}
 	}
 	for _, target := range c.targets() {
+		if c.Streams > 0 && target.Kind == route.KindModel {
+			continue
+		}
 		if _, err := c.fakes.serve(ctx, target.Address, &c.traffic.endpoints, fakeEndpoint(target)); err != nil {
 			return err
 		}
--- a/bench/cost_sample.go
+++ b/bench/cost_sample.go
@@ -15,6 +15,7 @@
 	cpu     float64
 	rss     float64
 	heap    float64
+	tokens  float64
 	calls   map[string]float64
 	traffic map[string]float64
 }
@@ -42,6 +43,9 @@
 		case "go_memstats_heap_alloc_bytes":
 			s.heap = value
 		}
+		if strings.HasPrefix(fields[0], "radishhollow_token_gap_seconds_count") {
+			s.tokens += value
+		}
 		if kind, ok := strings.CutPrefix(fields[0], `radishhollow_key_value_calls_total{class="`); ok {
 			s.calls[strings.TrimSuffix(kind, `"}`)] = value
 		}
@@ -87,6 +91,7 @@
 		ResidentMB:  after.rss / (1 << 20), HeapMB: after.heap / (1 << 20),
 		Bytes: perSecond(before.traffic, after.traffic, seconds),
 		Calls: perSecond(before.calls, after.calls, seconds), Polled: len(c.targets()),
+		Tokens: (after.tokens - before.tokens) / seconds, FailedStreams: c.failed.Load(),
 	}
 }
 
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,6 +40,8 @@
 	Daemons  int
 	// Engine changes a stand-in engine before it starts; it may be nil.
 	Engine func(i int, s *engine.Server)
+	// Service changes a stand-in service runner before it starts; it may be nil.
+	Service func(i int, s *service.Server)
 	// Settings changes a daemon's settings before it starts; it may be nil.
 	Settings func(i int, s *settings.Settings)
 	// Log receives the daemons' log; nil discards it.
@@ -182,6 +185,9 @@
 func (f *Fleet) addService(i int) error {
 	s := service.New()
 	s.Place = f.place(i)
+	if f.Service != nil {
+		f.Service(i, s)
+	}
 	address, cancel, err := f.launch("service", f.fields.Services[0].Name, s.Place, s.Incarnation(), s.Run, &s.Ready)
 	f.services = append(f.services, &Node{address: address, place: s.Place, cancel: cancel})
 	return err
@@ -267,8 +273,15 @@
 
 func (f *Fleet) place(i int) string { return f.fields.Places[i%len(f.fields.Places)] }
 
+// addresses counts the addresses of this process.
+var addresses atomic.Uint32
+
+// freeAddress returns an address with an IP number of its own, because a port that was free may be taken by another
+// listener or connection of the same IP number before it is used.
 func freeAddress(ctx context.Context) (string, error) {
-	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 30+pid%200, 1+pid/200%250, 1+addresses.Add(1)%250)
+	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -14,6 +14,7 @@
 	return []command{
 		{name: "control", help: "control cost of one daemon among fakes", run: runBenchControl},
 		{name: "config", help: "time until a revision is in force in every daemon", run: runBenchConfig},
+		{name: "soak", help: "mixed faults under load; every answer, booking and revision is checked", run: runBenchSoak},
 	}
 }
 
--- a/cmd/bench_control.go
+++ b/cmd/bench_control.go
@@ -18,6 +18,7 @@
 		Changes     float64 `arg:"--changes" help:"configuration changes a minute"`
 		ListChanges float64 `arg:"--list-changes" help:"changes of the instance list a minute"`
 		Marks       int     `arg:"--marks" help:"endpoint marks in each peer's view"`
+		Streams     int     `arg:"--streams" help:"streams through the daemon, for the cost of tokens"`
 		Seed        uint64  `arg:"--seed" default:"1"`
 		Settle      float64 `arg:"--settle" default:"3" help:"seconds before the measurement"`
 		Seconds     float64 `arg:"--seconds" default:"15" help:"seconds of the measurement"`
@@ -31,7 +32,7 @@
 	cost := bench.Cost{SettingsFile: options.Settings, CostSizes: bench.CostSizes{
 		Daemons: options.Daemons, Endpoints: options.Endpoints, Models: options.Models, Places: options.Places,
 		Workspaces: options.Workspaces, ChangesPerMinute: options.Changes, ListChangesPerMinute: options.ListChanges,
-		Marks: options.Marks, Seed: options.Seed, Settle: options.Settle, Measure: options.Seconds,
+		Marks: options.Marks, Streams: options.Streams, Seed: options.Seed, Settle: options.Settle, Measure: options.Seconds,
 	}}
 	if options.Settings != "" {
 		cost.Started = func() {
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -93,6 +94,13 @@
 	standin.WriteJSON(w, http.StatusOK, map[string]any{"runs": s.runs})
 }
 
+// Runs returns how often each key has run, also after the end of Run.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
 	if s.state() == "leaving" {
 		standin.Refuse(w, http.StatusServiceUnavailable, "leaving")
