--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -18,6 +18,7 @@
 		{name: "control", help: "control cost of one daemon among fakes", run: runBenchControl},
 		{name: "config", help: "time until a revision is in force in every daemon", run: runBenchConfig},
 		{name: "plot", help: "draw the waits of bench resume as an SVG", run: RunBenchPlot},
+		{name: "soak", help: "mixed faults under load; every answer, booking and revision is checked", run: runBenchSoak},
 	}
 }
 
--- a/test/drain_leave_test.go
+++ b/test/drain_leave_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/standin/engine"
 	"radishhollow/test/harness"
 )
 
