test: time the successor's wait and keep bookings in progress at the kill

The time from the takeover to the first effect of an order is now measured, and calls take 200 ms so that the killed daemon has bookings in progress.

--- a/test/drain_stop_test.go
+++ b/test/drain_stop_test.go
@@ -39,6 +39,8 @@
 	d := harness.New()
 	d.Daemons, d.Engines, d.Services = 5, 8, 4
 	d.EngineArgs = []string{"--slots", "4", "--stop-longest", "0"}
+	// Calls take long enough that the killed daemon has bookings in progress, which their callers repeat elsewhere.
+	d.ServiceArgs = []string{"--run-time", "200ms"}
 	d.Adjust = func(_ int, s *harness.Settings) {
 		s.Timeouts["queue-wait"] = "500ms"
 		// A booking that the killed daemon had claimed is waited for.
@@ -54,7 +56,7 @@
 	time.Sleep(1200 * time.Millisecond) // The daemons read the list once a second.
 
 	l := newLoad(t, d, 40)
-	l.run(40, 4, 4)
+	l.run(40, 16, 4)
 	time.Sleep(1500 * time.Millisecond)
 	d.Daemon(1).Kill()
 	d.Engine(0).Kill()
--- a/test/order_fence_test.go
+++ b/test/order_fence_test.go
@@ -129,7 +129,15 @@
 	s.load = newLoad(s.t, s.d, 40)
 	s.load.run(6, 0, 0)
 	s.apply(1-s.holder, 3)
+	require.Eventually(s.t, func() bool {
+		return strings.Contains(s.d.Daemon(1-s.holder).Output(), `"lease":"acquired"`)
+	}, 10*time.Second, 10*time.Millisecond, "nobody takes over")
+	acquired := time.Now()
 	s.await("3", fence+1)
+	if !s.fencing {
+		// The successor waits for the end of the lease (1 s) and of the longest order (2 s) before it acts.
+		require.Greater(s.t, time.Since(acquired), 2900*time.Millisecond)
+	}
 	s.link.Restore(s.t)
 }
 
