fix(daemon): become ready only after the first load reports

Cause: a daemon was ready as soon as it had an instance list and a configuration; without reports an adapter is unknown, and the queue's capacity is still 1. Ruled out: late reports of the stand-in, as the daemon had not asked for any yet. Change: readiness waits until every endpoint of the subsets has reported or failed to, and the capacity follows.

--- a/core/route/query.go
+++ b/core/route/query.go
@@ -49,6 +49,23 @@
 	return reports
 }
 
+// Surveyed tells whether every endpoint of the subsets has reported or failed to.
+func (t *Table) Surveyed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.synced {
+		return false
+	}
+	for _, m := range t.groups {
+		for _, e := range m.subset {
+			if !e.reported && !e.unreachable {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Synced tells whether there was an instance list.
 func (t *Table) Synced() bool {
 	t.mu.Lock()
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -15,6 +15,7 @@
 type Drain struct {
 	draining atomic.Bool
 	closing  atomic.Bool
+	surveyed atomic.Bool
 	delay    time.Duration
 	store    *config.Store
 	table    *route.Table
@@ -31,10 +32,18 @@
 // Closing tells whether the daemon closes connections that are still in use.
 func (d *Drain) Closing() bool { return d.closing.Load() }
 
-// Ready tells whether the load balancer should send new requests to this daemon. Without an instance list it would
-// refuse all of them.
+// survey records that the first load reports are in and the queue's capacity follows them. Later changes of the list
+// leave it as it is, so that a new endpoint does not take a serving daemon out of the load balancer.
+func (d *Drain) survey() {
+	if !d.surveyed.Load() && d.store.Current().Revision() > 0 && d.table.Surveyed() {
+		d.surveyed.Store(true)
+	}
+}
+
+// Ready tells whether the load balancer should send new requests to this daemon. Without an instance list and load
+// reports it would refuse all of them.
 func (d *Drain) Ready() bool {
-	return !d.Draining() && d.table.Synced() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
+	return !d.Draining() && d.surveyed.Load() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
 }
 
 // closeIdle asks clients to close their connections during a planned stop, so that none sends a request on a
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -55,6 +55,7 @@
 	limiter   *limit.Limiter
 	members   *member.Table
 	exchanger *peer.Exchanger
+	drain     *Drain
 	stale     time.Duration
 	revision  uint64
 	observed  time.Time
@@ -62,11 +63,11 @@
 
 func newRefresh(
 	s settings.Settings, store *config.Store, table *route.Table, queue *share.Queue, limiter *limit.Limiter,
-	members *member.Table, exchanger *peer.Exchanger,
+	members *member.Table, exchanger *peer.Exchanger, drain *Drain,
 ) *refresh {
 	return &refresh{
 		store: store, table: table, queue: queue, limiter: limiter, members: members, exchanger: exchanger,
-		stale: s.Timeouts.Isolation.Duration,
+		drain: drain, stale: s.Timeouts.Isolation.Duration,
 	}
 }
 
@@ -98,6 +99,7 @@
 	}
 	r.setCapacity(document)
 	r.announceMarks()
+	r.drain.survey()
 }
 
 func (r *refresh) peerDemand() []limit.PeerDemand {
