feat(share): divide the slots between daemons by demand

Cause: each daemon took an even part of the slots or what others left free, and used the same weights everywhere. A workspace that overloads daemons where few others ask got up to half more than its share.

Change: share.Divide gives each workspace its weighted fair part of the slots, and a daemon the part that arrives there, from the exchanged demand. The queue's weights are scaled by the part of each workspace's demand at the daemon.

--- a/bench/share.go
+++ b/bench/share.go
@@ -34,7 +34,6 @@
 const (
 	// shareSlots keeps the number of streams and the processor time of a full load low.
 	shareSlots = 8
-	shareWarm  = 5 * time.Second
 	shareFor   = 7 * time.Second
 	shareIdle  = 1500 * time.Millisecond
 	// overload is the demand of the workspace that overloads, as a multiple of its part of the capacity.
@@ -51,6 +50,8 @@
 	Case       string
 	// Offered is the offered load of CaseGoodput and CaseLoss as a multiple of the capacity.
 	Offered float64
+	// Warm is the time before the measurement.
+	Warm time.Duration
 
 	seed    uint64
 	fleet   *Fleet
@@ -78,7 +79,7 @@
 
 // Run measures one seed.
 func (s *Share) Run(ctx context.Context, seed uint64) (ShareResult, error) {
-	run := &Share{Deployment: s.Deployment, Case: s.Case, Offered: s.Offered, seed: seed}
+	run := &Share{Deployment: s.Deployment, Case: s.Case, Offered: s.Offered, Warm: s.Warm, seed: seed}
 	began := time.Now()
 	result, err := run.measure(ctx)
 	if run.fleet != nil {
@@ -130,12 +131,12 @@
 // phases warms up, strikes and measures.
 func (s *Share) phases(ctx context.Context) (Quantiles, error) {
 	if s.Case == CaseStale || s.Case == CaseLimitsStale {
-		time.Sleep(shareWarm / 2)
+		time.Sleep(s.Warm / 2)
 		s.cut.Store(true)
 		go func() { _ = s.fleet.DaemonNodes()[4].Stop() }()
-		time.Sleep(shareWarm / 2)
+		time.Sleep(s.Warm / 2)
 	} else {
-		time.Sleep(shareWarm)
+		time.Sleep(s.Warm)
 	}
 	s.flood.counting.Store(true)
 	defer s.flood.counting.Store(false)
--- a/cmd/bench_share.go
+++ b/cmd/bench_share.go
@@ -5,15 +5,17 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"radishhollow/bench"
 )
 
 type benchShareArgs struct {
-	Deployment string `arg:"--deployment" default:"association" help:"association or kjaergaard"`
-	Cases      string `arg:"--cases" default:"fair,stale,limits,limits-stale,goodput,loss" help:"what to measure"`
-	Offered    string `arg:"--offered" default:"1,1.5,2" help:"load of goodput as multiples of the capacity"`
-	Seeds      string `arg:"--seeds" default:"1,2,3,4,5"`
+	Deployment string        `arg:"--deployment" default:"association" help:"association or kjaergaard"`
+	Cases      string        `arg:"--cases" default:"fair,stale,limits,limits-stale,goodput,loss" help:"what to measure"`
+	Offered    string        `arg:"--offered" default:"1,1.5,2" help:"load of goodput as multiples of the capacity"`
+	Seeds      string        `arg:"--seeds" default:"1,2,3,4,5"`
+	Warm       time.Duration `arg:"--warm-up" default:"5s"`
 }
 
 // RunBenchShare measures the division of capacity between workspaces.
@@ -57,7 +59,7 @@
 			if err != nil {
 				return nil, err
 			}
-			runs = append(runs, &bench.Share{Deployment: a.Deployment, Case: name, Offered: load})
+			runs = append(runs, &bench.Share{Deployment: a.Deployment, Case: name, Offered: load, Warm: a.Warm})
 		}
 	}
 	return runs, nil
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -73,6 +73,18 @@
 	return out
 }
 
+// Asked returns this daemon's demand by workspace without publishing it.
+func (l *Limiter) Asked() map[string]Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	out := make(map[string]Demand, len(l.workspaces))
+	for name, w := range l.workspaces {
+		out[name] = w.meter.demand(now, w.inUse)
+	}
+	return out
+}
+
 // ObservePeers replaces the peers and takes their last known demand. A peer without fresh data makes this daemon
 // fall back to the even part.
 func (l *Limiter) ObservePeers(list []PeerDemand) {
--- /dev/null
+++ b/core/share/divide.go
@@ -0,0 +1,68 @@
+package share
+
+import "math"
+
+// Demand is what one workspace asks for, in slots.
+type Demand struct {
+	Share float64
+	// Own is the demand at this daemon and All that at all daemons.
+	Own, All float64
+}
+
+// Division is one daemon's part of the slots.
+type Division struct {
+	// Capacity is the number of slots.
+	Capacity float64
+	// Shares replace the workspaces' weights at this daemon, so that a workspace whose requests all arrive at one daemon
+	// gets no less than one whose requests arrive everywhere.
+	Shares map[string]float64
+}
+
+// Divide gives each workspace its weighted fair part of the slots, never more than it asks for, and this daemon the
+// part of it that arrives here. Slots that nobody asks for are divided evenly.
+func Divide(slots float64, daemons int, demands map[string]Demand) Division {
+	parts, left := fairParts(slots, demands)
+	out := Division{Capacity: left / float64(max(daemons, 1)), Shares: make(map[string]float64, len(demands))}
+	for name, d := range demands {
+		if d.All <= 0 || d.Own <= 0 {
+			// A workspace that starts here takes an even part until the next division.
+			out.Shares[name] = d.Share / float64(max(daemons, 1))
+			continue
+		}
+		here := min(d.Own/d.All, 1)
+		out.Capacity += parts[name] * here
+		out.Shares[name] = d.Share * here
+	}
+	return out
+}
+
+// fairParts fills the demands up to a common level per share. It returns the slots that remain.
+func fairParts(slots float64, demands map[string]Demand) (parts map[string]float64, left float64) {
+	parts = make(map[string]float64, len(demands))
+	for {
+		open, weight := "", 0.0
+		level := math.Inf(1)
+		for name, d := range demands {
+			if _, done := parts[name]; done || d.All <= 0 || d.Share <= 0 {
+				continue
+			}
+			weight += d.Share
+			if d.All/d.Share < level {
+				level, open = d.All/d.Share, name
+			}
+		}
+		if open == "" {
+			return parts, slots
+		}
+		if level*weight >= slots {
+			for name, d := range demands {
+				if _, done := parts[name]; !done && d.All > 0 && d.Share > 0 {
+					parts[name] = slots * d.Share / weight
+				}
+			}
+			return parts, 0
+		}
+		parts[open] = demands[open].All
+		slots -= demands[open].All
+	}
+}
--- a/core/share/queue.go
+++ b/core/share/queue.go
@@ -53,6 +53,7 @@
 	mu          sync.Mutex
 	generations *line
 	bookings    *line
+	shares      map[string]float64
 }
 
 // New returns an empty Queue.
@@ -71,6 +72,23 @@
 	q.generations.dispatch()
 }
 
+// SetShares replaces the shares of later generations by workspace. Workspaces that are not in the map keep their own.
+func (q *Queue) SetShares(shares map[string]float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.shares = shares
+}
+
+// SecondsPerToken returns the time that a generation holds a slot for each estimated token, or 0 while it is unknown.
+func (q *Queue) SecondsPerToken() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if l := q.generations; l.heldTokens > 0 {
+		return l.heldSeconds / l.heldTokens
+	}
+	return 0
+}
+
 // SetBookingCapacity changes the number of bookings in progress.
 func (q *Queue) SetBookingCapacity(n int) {
 	q.mu.Lock()
@@ -92,10 +110,13 @@
 		return nil, errors.Trace(CanceledError{ask.Workspace, err})
 	}
 	ask.Tokens = max(ask.Tokens, 1)
+	q.mu.Lock()
+	if share := q.shares[ask.Workspace]; share > 0 && ask.Class == ClassGeneration {
+		ask.Share = share
+	}
 	if ask.Share <= 0 {
 		ask.Share = 1
 	}
-	q.mu.Lock()
 	l := q.generations
 	if ask.Class == ClassBooking {
 		l = q.bookings
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -58,6 +58,7 @@
 	stale     time.Duration
 	revision  uint64
 	observed  time.Time
+	peers     []limit.PeerDemand
 }
 
 func newRefresh(
@@ -94,7 +95,8 @@
 	}
 	if time.Since(r.observed) >= demandInterval {
 		r.observed = time.Now()
-		r.limiter.ObservePeers(r.peerDemand())
+		r.peers = r.peerDemand()
+		r.limiter.ObservePeers(r.peers)
 	}
 	r.setCapacity(document)
 	r.announceMarks()
@@ -117,19 +119,6 @@
 	return list
 }
 
-// setCapacity lets this daemon use its even part of the slots, or what the others leave free if that is more.
-func (r *refresh) setCapacity(document config.Document) {
-	daemons := 1 + len(r.members.Peers())
-	total := 0
-	for _, m := range document.Models() {
-		slots, busy := r.table.Slots(route.KindModel, m.Name)
-		even := (slots + daemons - 1) / daemons
-		own := r.table.InFlight(route.KindModel, m.Name)
-		total += max(even, own+max(slots-busy, 0)/daemons)
-	}
-	r.queue.SetCapacity(max(total, 1))
-}
-
 // announceMarks tells the peers of endpoints that this daemon has seen leaving.
 func (r *refresh) announceMarks() {
 	for _, mark := range r.table.Marks() {
