--- a/bench/soak.go
+++ b/bench/soak.go
@@ -23,8 +23,10 @@
 	soakGenerators  = 16
 	soakBookers     = 3
 	soakGenerateFor = 40 * time.Second
-	soakBookFor     = 20 * time.Second
-	soakSettleFor   = 15 * time.Second
+	// maxSoakTries bounds the calls to a platform under faults, which last up to 1.3 s each.
+	maxSoakTries  = 40
+	soakBookFor   = 20 * time.Second
+	soakSettleFor = 15 * time.Second
 )
 
 // Soak loads a deployment while faults of all kinds hit it, and checks every answer, booking and revision. Exported
