perf(share): sort the demands once for a division

Cause: each division searched the lowest demand again for each workspace; at 760 workspaces and five divisions a second that is 2.5 % of a core, over the 1.8 % that a daemon has for control. Change: the demands per share are sorted once and filled in order; results are the same.

--- a/core/share/divide.go
+++ b/core/share/divide.go
@@ -1,6 +1,9 @@
 package share
 
-import "math"
+import (
+	"cmp"
+	"slices"
+)
 
 // Demand is what one workspace asks for, in slots.
 type Demand struct {
@@ -39,30 +42,32 @@
 // fairParts fills the demands up to a common level per share. It returns the slots that remain.
 func fairParts(slots float64, demands map[string]Demand) (parts map[string]float64, left float64) {
 	parts = make(map[string]float64, len(demands))
-	for {
-		open, weight := "", 0.0
-		level := math.Inf(1)
-		for name, d := range demands {
-			if _, done := parts[name]; done || d.All <= 0 || d.Share <= 0 {
-				continue
-			}
+	levels := make([]level, 0, len(demands))
+	weight := 0.0
+	for name, d := range demands {
+		if d.All > 0 && d.Share > 0 {
+			levels = append(levels, level{name: name, height: d.All / d.Share})
 			weight += d.Share
-			if d.All/d.Share < level {
-				level, open = d.All/d.Share, name
-			}
-		}
-		if open == "" {
-			return parts, slots
 		}
-		if level*weight >= slots {
-			for name, d := range demands {
-				if _, done := parts[name]; !done && d.All > 0 && d.Share > 0 {
-					parts[name] = slots * d.Share / weight
-				}
+	}
+	slices.SortFunc(levels, func(a, b level) int { return cmp.Compare(a.height, b.height) })
+	for i, l := range levels {
+		if l.height*weight >= slots {
+			for _, above := range levels[i:] {
+				parts[above.name] = slots * demands[above.name].Share / weight
 			}
 			return parts, 0
 		}
-		parts[open] = demands[open].All
-		slots -= demands[open].All
+		d := demands[l.name]
+		parts[l.name] = d.All
+		slots -= d.All
+		weight -= d.Share
 	}
+	return parts, slots
+}
+
+// level is a workspace's demand per share, up to which its part may be filled.
+type level struct {
+	name   string
+	height float64
 }
--- a/core/share/divide_test.go
+++ b/core/share/divide_test.go
@@ -1,6 +1,7 @@
 package share_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,3 +35,14 @@
 	light := share.Divide(100, 2, map[string]share.Demand{"a": {Share: 1, Own: 10, All: 10}})
 	require.InDelta(t, 55, light.Capacity, 1e-6)
 }
+
+// BenchmarkDivide measures a division between the workspaces of the planned size under overload.
+func BenchmarkDivide(b *testing.B) {
+	demands := make(map[string]share.Demand, 760)
+	for i := range 760 {
+		demands[fmt.Sprint("workspace-", i)] = share.Demand{Share: float64(1 + i%5), Own: float64(i % 7), All: float64(i % 97)}
+	}
+	for b.Loop() {
+		share.Divide(20_000, 440, demands)
+	}
+}
