fix(booking): stop new work for a runner that refuses connections

Cause: only load reports showed a lost service runner, after three failed polls (up to 3 s). Until then calls kept choosing it, each spending a retry of the workspace's budget, and then got 503 although another runner was free. Ruled out: the class, which was true (not-run), and the size of the budget, which is meant for single losses. Change: Sender.Sent reports each send, and the daemon takes a runner that cannot be connected to out of use until its next report, as for engines.

--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -25,6 +25,8 @@
 	Pick func(ctx context.Context, need route.Need) (route.Choice, error)
 	// Send sends a request to one endpoint at most once. Its error is NotRun only if no byte was written.
 	Send func(ctx context.Context, address string, r Request) (Response, error)
+	// Sent is told the result of each Send; it may be nil.
+	Sent func(choice route.Choice, err error)
 	// Claim creates the idempotency record of a key.
 	Claim func(ctx context.Context, workspace, service, key, digest string) (claim.Ticket, error)
 	// MayRetry draws on the retry budget before every attempt but the first.
@@ -147,6 +149,9 @@
 		return result{err: err, outcome: failure.NotRun}
 	}
 	response, err := s.Send(ctx, choice.Address(), call.Request)
+	if s.Sent != nil {
+		s.Sent(choice, err)
+	}
 	response.Outcome = classify(call, response, err)
 	return result{
 		address: choice.Address(), response: response, err: err, outcome: response.Outcome, sent: true,
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -42,6 +42,7 @@
 	return &booking.Sender{
 		Pick:  table.Pick,
 		Send:  services.Send,
+		Sent:  observeSent(table),
 		Claim: keeper.Claim,
 		MayRetry: func(workspace string) bool {
 			return budgets.Take("booking/" + workspace)
@@ -50,6 +51,17 @@
 	}
 }
 
+// observeSent stops new work for an endpoint that can't be connected to until its next load report. A call that its
+// caller gave up says nothing about the endpoint.
+func observeSent(table *route.Table) func(choice route.Choice, err error) {
+	return func(choice route.Choice, err error) {
+		sent, failed := errors.AsType[service.SendError](err)
+		if failed && !sent.Written && !errors.Is(err, context.Canceled) {
+			table.Unreachable(choice.Address(), choice.Incarnation())
+		}
+	}
+}
+
 // admission passes a request through the workspace's limits and the fair queue.
 type admission struct {
 	limiter *limit.Limiter
--- a/test/booking_runner_test.go
+++ b/test/booking_runner_test.go
@@ -28,6 +28,8 @@
 	parallel(t)
 	d := harness.New()
 	d.Engines, d.Services = 1, 3
+	// Load reports show a lost runner after seconds, so that only the calls themselves can show it sooner.
+	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["load-poll"] = "2s" }
 	start(t, d)
 	book := func(prefix string, i int) reply {
 		id := prefix + strconv.Itoa(i)
@@ -39,12 +41,12 @@
 		return r
 	}
 	d.ServiceRunner(2).Kill()
-	// Each daemon starts with a budget of 5 retries.
-	for i := range 8 {
+	// Each daemon starts with a budget of 5 retries. It must not spend them all on the same lost runner.
+	for i := range 120 {
 		order{method: http.MethodGet, path: "/registry/" + strconv.Itoa(i)}.at(t, d, i%2).requireClass(t, "ran")
 	}
 	for i := range 8 {
-		book("killed", i)
+		book("killed", i).requireClass(t, "ran")
 	}
 	harness.SetFaults(t, d.ServiceRunner(1), map[string]any{"leaving": true})
 	for i := range 8 {
