--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -41,7 +41,8 @@
 ) *booking.Sender {
 	return &booking.Sender{
 		Pick:  table.Pick,
-		Send:  observedSend(table, services),
+		Send:  services.Send,
+		Sent:  observeSent(table),
 		Claim: keeper.Claim,
 		MayRetry: func(workspace string) bool {
 			return budgets.Take("booking/" + workspace)
@@ -50,17 +51,15 @@
 	}
 }
 
-// observedSend stops calls to a runner that accepts no connection until its next report. The pollers notice it only
-// after three failures, and until then its refusals would use up the retry budget.
-func observedSend(
-	table *route.Table, services *service.Client,
-) func(context.Context, string, booking.Request) (booking.Response, error) {
-	return func(ctx context.Context, address string, request booking.Request) (booking.Response, error) {
-		response, err := services.Send(ctx, address, request)
-		if failed, ok := errors.AsType[service.SendError](err); ok && !failed.Written && ctx.Err() == nil {
-			table.Unconnected(address)
+// observeSent stops new work for a runner that can't be connected to until its next load report. The pollers notice it
+// only after three failures, and until then its refusals would use up the retry budget. A call that its caller gave up
+// says nothing about the runner.
+func observeSent(table *route.Table) func(choice route.Choice, err error) {
+	return func(choice route.Choice, err error) {
+		sent, failed := errors.AsType[service.SendError](err)
+		if failed && !sent.Written && !errors.Is(err, context.Canceled) {
+			table.Unreachable(choice.Address(), choice.Incarnation())
 		}
-		return response, err
 	}
 }
 
