feat(order): let streams finish before the last engines change their version

Cause: an accepted sheet with a new version changed all engines within seconds, so generations of minutes ended with spec-lost although nothing had failed. Ruled out: a drain mark for single engines, which all daemons would have to exchange; loading both versions side by side, which needs memory that engines may not have. Change: routing prefers endpoints with the wanted version that have a free slot; half of the endpoints with the old one change only when they are idle or after version-drain (10 min by default). Before: TestVersionChangeKeepsStreams, 24 streams of 300 tokens, ends with spec-lost when the rule is switched off. After: all 24 answers are whole and all 8 engines reach the new version.

--- a/core/order/dispatcher.go
+++ b/core/order/dispatcher.go
@@ -18,6 +18,8 @@
 	DefaultRepeatAfter = 15 * time.Second
 	// DefaultSettle lets the reports show an earlier holder's orders, which would else not count as loading.
 	DefaultSettle = 5 * time.Second
+	// DefaultVersionDrain covers generations that run for minutes.
+	DefaultVersionDrain = 10 * time.Minute
 	// DefaultLongestOrder equals the time that a new lease holder waits for an earlier holder's last order.
 	DefaultLongestOrder = 10 * time.Second
 )
@@ -43,11 +45,16 @@
 	Settle      time.Duration
 	// LongestOrder bounds the time from the check to the end of a send.
 	LongestOrder time.Duration
+	// VersionDrain bounds the wait for streams that could resume nowhere else.
+	VersionDrain time.Duration
 
 	limiter *rate.Limiter
 	fence   uint64
 	settled time.Time
 	sent    map[string]sent
+	// draining holds the time at which the planner first waited for an endpoint's streams.
+	draining map[string]time.Time
+	asked    map[string]time.Time
 }
 
 // sent is the last order to an address.
@@ -61,6 +68,7 @@
 	ticker := time.NewTicker(orDefault(d.Interval, DefaultInterval))
 	defer ticker.Stop()
 	d.limiter = rate.NewLimiter(0, 1)
+	d.Planner.MayInterrupt = d.mayInterrupt
 	for {
 		select {
 		case <-ticker.C:
@@ -111,7 +119,9 @@
 	for address := range d.sent {
 		busy[address] = true
 	}
+	d.asked = make(map[string]time.Time)
 	orders := d.Planner.Plan(doc, reports, busy)
+	d.draining = d.asked
 	open := make(map[string]sent, len(d.sent))
 	for _, o := range orders {
 		if last, ok := d.sent[o.Address]; ok && last.order == o {
@@ -122,6 +132,17 @@
 	return orders
 }
 
+// mayInterrupt is asked by the planner for each endpoint that still has streams. The wait starts with the first ask and
+// ends with the first plan that does not ask.
+func (d *Dispatcher) mayInterrupt(address string) bool {
+	since, waiting := d.draining[address]
+	if !waiting {
+		since = time.Now()
+	}
+	d.asked[address] = since
+	return time.Since(since) >= orDefault(d.VersionDrain, DefaultVersionDrain)
+}
+
 // send checks the lease immediately before the send. The time limit starts before the check, so that an instance that
 // is paused between the two finds its time over when it wakes.
 func (d *Dispatcher) send(ctx context.Context, o Order) bool {
--- a/core/order/planner.go
+++ b/core/order/planner.go
@@ -9,6 +9,11 @@
 	"radishhollow/core/route"
 )
 
+// keptShare is the share of the endpoints with a version no longer wanted that are changed only once they are idle.
+// Streams of the other ones can resume on these. It leaves room for the orders that the holders of other places send at
+// the same time.
+const keptShare = 0.5
+
 // DefaultMaxLoading is the share of a model's endpoints in a place that may load at one time.
 const DefaultMaxLoading = 0.25
 
@@ -20,6 +25,9 @@
 	MaxLoading float64
 	// ModelOf returns the model that the instance list names for an address, or an empty string.
 	ModelOf func(address string) string
+	// MayInterrupt tells whether an endpoint has had its time to finish streams that could resume nowhere else. Nil
+	// means that it always has.
+	MayInterrupt func(address string) bool
 }
 
 // engine is one endpoint as the planner sees it.
@@ -29,6 +37,16 @@
 	busy   bool
 }
 
+func newEngine(report route.Report, busy map[string]bool) engine {
+	e := engine{report: report, busy: busy[report.Address]}
+	for _, text := range report.Specs {
+		if spec, err := generation.ParseSpec(text); err == nil {
+			e.specs = append(e.specs, spec)
+		}
+	}
+	return e
+}
+
 // Plan returns at most one order per endpoint: first the model's version, then its adapters, and what is not wanted
 // goes last, so that an endpoint serves something throughout. Addresses in busy have an order that their report does
 // not show yet; their orders are returned again and count as loading. Empty endpoints come first and are not limited,
@@ -36,7 +54,8 @@
 func (p *Planner) Plan(doc config.Document, reports []route.Report, busy map[string]bool) []Order {
 	var orders []Order
 	for _, model := range doc.Models() {
-		orders = append(orders, p.planModel(model, p.engines(model.Name, reports, busy))...)
+		engines := p.engines(model.Name, reports, busy)
+		orders = append(orders, p.planModel(model, engines, p.kept(model, reports, busy))...)
 	}
 	return orders
 }
@@ -48,13 +67,7 @@
 		if report.Place != p.Place || report.State == route.StateLeaving {
 			continue
 		}
-		e := engine{report: report, busy: busy[report.Address]}
-		for _, text := range report.Specs {
-			if spec, err := generation.ParseSpec(text); err == nil {
-				e.specs = append(e.specs, spec)
-			}
-		}
-		if p.modelOf(e) == model {
+		if e := newEngine(report, busy); p.modelOf(e) == model {
 			engines = append(engines, e)
 		}
 	}
@@ -80,7 +93,23 @@
 	return ""
 }
 
-func (p *Planner) planModel(model config.Model, engines []engine) []Order {
+// kept returns whether the endpoints with an older version, in all places, are down to those that are kept.
+func (p *Planner) kept(model config.Model, reports []route.Report, busy map[string]bool) bool {
+	total, older := 0, 0
+	for _, report := range reports {
+		e := newEngine(report, busy)
+		if p.modelOf(e) != model.Name {
+			continue
+		}
+		total++
+		if !e.out() && !e.has(model) {
+			older++
+		}
+	}
+	return float64(older) <= keptShare*float64(total)
+}
+
+func (p *Planner) planModel(model config.Model, engines []engine, kept bool) []Order {
 	limit := max(1, int(p.maxLoading()*float64(len(engines))))
 	out := 0
 	for _, e := range engines {
@@ -94,6 +123,9 @@
 		if !ok {
 			continue
 		}
+		if kept && p.holdsBack(o, e, model) {
+			continue
+		}
 		if o.loads() && !e.out() {
 			if out >= limit {
 				continue
@@ -105,6 +137,20 @@
 	return orders
 }
 
+// holdsBack tells whether an order that may end streams waits, because they may have nowhere to resume.
+func (p *Planner) holdsBack(o Order, e engine, model config.Model) bool {
+	ends := o.Kind == Unload || (o.Kind == LoadModel && len(e.specs) > 0 && !e.has(model))
+	if !ends || e.busy || e.report.Running+e.report.Waiting == 0 {
+		return false
+	}
+	return p.MayInterrupt != nil && !p.MayInterrupt(e.report.Address)
+}
+
+// has tells whether the endpoint serves the wanted version of the model.
+func (e engine) has(model config.Model) bool {
+	return slices.Contains(e.specs, generation.NewSpec(model.Name, model.Version, "", ""))
+}
+
 // out tells whether the endpoint adds no serving capacity now, or soon will not.
 func (e engine) out() bool {
 	return e.busy || e.report.State != route.StateReady || len(e.specs) == 0
--- a/core/order/planner_test.go
+++ b/core/order/planner_test.go
@@ -80,3 +80,32 @@
 	reports = reports[:1]
 	require.Equal(t, []string{"a"}, addresses(nil), "a single endpoint must not stay on its version for ever")
 }
+
+// Guards against a change of version that ends the streams of the last engines with the old one, while others may still
+// change at once because their streams resume on these.
+func TestPlanKeepsOldVersionForStreams(t *testing.T) {
+	running := func(r route.Report) route.Report {
+		r.Running = 3
+		return r
+	}
+	reports := []route.Report{
+		running(report("a", route.StateReady, "m@1")), running(report("b", route.StateReady, "m@1")),
+		running(report("c", route.StateReady, "m@1")), running(report("d", route.StateReady, "m@1")),
+	}
+	over := false
+	p := &order.Planner{Place: "liberia", MayInterrupt: func(string) bool { return over }}
+	addresses := func() []string {
+		var list []string
+		for _, o := range p.Plan(document("2", 0), reports, nil) {
+			list = append(list, o.Address)
+		}
+		return list
+	}
+	require.Equal(t, []string{"a"}, addresses(), "three others have the old version")
+	reports[0], reports[1] = report("a", route.StateReady, "m@2", "m@2+a@1"), report("b", route.StateReady, "m@2", "m@2+a@1")
+	require.Empty(t, addresses(), "half of the engines are kept")
+	reports[3].Running = 0
+	require.Equal(t, []string{"d"}, addresses(), "an idle engine has no streams to lose")
+	reports[3].Running, over = 3, true
+	require.Equal(t, []string{"c"}, addresses(), "the wait is bounded")
+}
--- a/core/route/need.go
+++ b/core/route/need.go
@@ -17,7 +17,10 @@
 	Name    string
 	Adapter string
 	// Spec is the exact spec that the endpoint must report, or empty for any version of the model.
-	Spec      string
+	Spec string
+	// Wanted is the spec that the configuration wants. Endpoints that have it and a free slot go first, so that those with
+	// an older version can finish their streams before they are changed.
+	Wanted    string
 	Workspace string
 	// Prompt is the prompt of the attempt for prefix matching; nil for services.
 	Prompt []uint32
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -71,7 +71,7 @@
 			}
 		}
 	}
-	return preferRoles(preferReported(pool), need), stageReasons[best]
+	return t.preferWanted(preferRoles(preferReported(pool), need), need), stageReasons[best]
 }
 
 // stageReasons are the reasons by the number of filters that the best endpoint passed.
@@ -118,6 +118,17 @@
 	return prefer(pool, func(e *endpoint) bool { return e.reported })
 }
 
+// preferWanted leaves out endpoints without the wanted spec where others have it and a free slot.
+func (t *Table) preferWanted(pool []*endpoint, need Need) []*endpoint {
+	if need.Spec != "" || need.Wanted == "" {
+		return pool
+	}
+	return prefer(pool, func(e *endpoint) bool {
+		free := float64(e.load()) < e.newWorkSlots(t.policy.Headroom)
+		return free && slices.Contains(e.report.Specs, need.Wanted)
+	})
+}
+
 // preferRoles leaves out decode-only engines for new prompts where others exist.
 func preferRoles(pool []*endpoint, need Need) []*endpoint {
 	if need.Resume || need.Kind != KindModel {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -38,6 +38,7 @@
 		// An order that no report shows by then was lost, or undone by a late order of an earlier holder.
 		RepeatAfter: s.Timeouts.Order.Duration + s.Timeouts.OrderSettle.Duration,
 		Settle:      s.Timeouts.OrderSettle.Duration, LongestOrder: s.Timeouts.Order.Duration,
+		VersionDrain: s.Timeouts.VersionDrain.Duration,
 		Send: func(ctx context.Context, o order.Order, fence uint64) error {
 			return sendOrder(ctx, engines, o, fence)
 		},
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -125,7 +125,24 @@
 }
 
 func (s *Server) need(r *request, workspace config.Workspace) route.Need {
-	return route.Need{Kind: route.KindModel, Name: r.model, Adapter: r.adapter, Workspace: workspace.Name}
+	return route.Need{
+		Kind: route.KindModel, Name: r.model, Adapter: r.adapter, Workspace: workspace.Name,
+		Wanted: wantedSpec(s.Document(), r.model, r.adapter),
+	}
+}
+
+// wantedSpec returns the spec that the configuration gives a model, or an empty string.
+func wantedSpec(document config.Document, model, adapter string) string {
+	m, ok := document.Model(model)
+	if !ok {
+		return ""
+	}
+	for _, a := range m.Adapters {
+		if a.Name == adapter {
+			return generation.NewSpec(m.Name, m.Version, a.Name, a.Version).String()
+		}
+	}
+	return generation.NewSpec(m.Name, m.Version, "", "").String()
 }
 
 // position returns the log to continue, and the endpoint to attach to if the request has a cursor.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -65,6 +65,8 @@
 	// DrainDelay is the time between the end of readiness and the end of new connections in a planned stop, in which
 	// the load balancer notices.
 	DrainDelay Duration `toml:"drain-delay"`
+	// VersionDrain bounds the wait for streams of an engine whose version is to change and that could resume nowhere else.
+	VersionDrain Duration `toml:"version-drain"`
 	// CursorExpiry is the age at which a cursor is refused.
 	CursorExpiry Duration `toml:"cursor-expiry"`
 	// ClaimWait bounds the wait of a repeated booking for the recorded outcome.
@@ -121,6 +123,7 @@
 			MarkExpiry:   Duration{10 * time.Minute},
 			PeerExpiry:   Duration{time.Minute},
 			DrainDelay:   Duration{5 * time.Second},
+			VersionDrain: Duration{10 * time.Minute},
 			CursorExpiry: Duration{24 * time.Hour},
 			// A caller waits a few seconds at most; the record may stay open for good where its daemon was lost.
 			ClaimWait:   Duration{5 * time.Second},
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -114,6 +114,7 @@
 	c.duration("peer-expiry", t.PeerExpiry, time.Second, day)
 	c.duration("drain", t.Drain, 0, 7*day)
 	c.duration("drain-delay", t.DrainDelay, 0, time.Hour)
+	c.duration("version-drain", t.VersionDrain, 0, day)
 	c.duration("cursor-expiry", t.CursorExpiry, time.Hour, 30*day)
 	c.duration("claim-wait", t.ClaimWait, time.Millisecond, time.Hour)
 	c.duration("claim-expiry", t.ClaimExpiry, time.Minute, 30*day)
--- a/test/order_version_test.go
+++ b/test/order_version_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,28 @@
 		require.Regexp(t, `"code":"(spec-lost|engine-lost)"`, text)
 	}
 }
+
+// Guards against a change of version that cuts off long generations: their engines change only once they have ended.
+func TestVersionChangeKeepsStreams(t *testing.T) {
+	parallel(t)
+	d := harness.New()
+	d.Daemons, d.Engines, d.Services = 4, 8, 0
+	d.EngineArgs = []string{"--load-time", "100ms", "--report-lag", "100ms", "--stop-longest", "0"}
+	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["order-settle"] = "1s" }
+	pace := "setting,weight-loads-per-minute,,,,,,,,,,,,,6000"
+	start(t, d, pace)
+	awaitModel(t, d, "briefing")
+	var streams []*harness.Stream
+	for i := range 24 {
+		streams = append(streams, d.Ask(t, i%d.Daemons, harness.Ask{Prompt: fmt.Sprint("long plan ", i), MaxTokens: 300}))
+	}
+	for _, s := range streams {
+		s.Await(t, 5)
+	}
+	d.Model = "briefing@2"
+	d.Apply(t, 1, d.Sheet(2, pace))
+	for _, s := range streams {
+		s.RequireWhole(t, "briefing@1")
+	}
+	awaitVersion(t, d, "2", 20*time.Second)
+}
