fix(bench): let the baselines without resume take none

Change: the number of own resumes is a field of the driver with the default 3; the baselines set it to none.

--- a/bench/resume.go
+++ b/bench/resume.go
@@ -140,7 +140,7 @@
 			s.Pace = generation.Pace{Floor: fixedDeadline, Ceiling: fixedDeadline, First: fixedDeadline}
 			s.Alive, s.Stalled = func(string) (bool, float64) { return false, 1 }, nil
 		case VariantStartOver, VariantNone:
-			s.MayRetry = func(string) bool { return false }
+			s.MayRetry, s.OwnResumes = func(string) bool { return false }, -1
 			s.Alive, s.Stalled = func(string) (bool, float64) { return false, 1 }, nil
 		}
 		return s
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -23,9 +23,6 @@
 	lateTimer = 50 * time.Millisecond
 	// maxAttachTries bounds the search for an attempt number above that of other entries that attached.
 	maxAttachTries = 6
-	// ownResumes is the number of resumes that a generation has apart from the retry budget. The loss of one engine
-	// interrupts all of its streams at once, which would exhaust a budget that is sized for single failures.
-	ownResumes = 3
 )
 
 // run is the state of one Driver.Run.
@@ -39,7 +36,7 @@
 	resumed  bool      // an attempt has failed after it may have run
 	tries    int       // opened attempts, for the retry budget
 	granted  int       // resumes made apart from the retry budget
-	earned   bool      // the next resume is apart from the retry budget, if ownResumes are not used up
+	earned   bool      // the next resume is apart from the retry budget, if OwnResumes are not used up
 	last     error     // the last attempt's failure
 	exclude  map[string]bool
 	choice   route.Choice
@@ -155,7 +152,7 @@
 	return r.MayRetry()
 }
 
-func (r *run) owns() bool { return r.earned && r.granted < ownResumes }
+func (r *run) owns() bool { return r.earned && r.granted < r.ownResumes() }
 
 // bounded limits the context to what is left of the caller's wait bound.
 func (r *run) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -11,6 +11,9 @@
 const (
 	DefaultWaitBound    = 3 * time.Second
 	DefaultCallerReturn = 10 * time.Second
+	// DefaultOwnResumes is apart from the retry budget. The loss of one engine interrupts all of its streams at once,
+	// which would exhaust a budget that is sized for single failures.
+	DefaultOwnResumes = 3
 	// deliveryMargin is the part of the wait bound that is left for an error's way to the caller, at most a tenth of it.
 	deliveryMargin = 100 * time.Millisecond
 )
@@ -36,6 +39,9 @@
 	Stalled func(address string) bool
 	// MayRetry takes one attempt from the retry budget.
 	MayRetry func() bool
+	// OwnResumes is the number of resumes that a generation has apart from the retry budget. Zero means
+	// DefaultOwnResumes, a negative number none.
+	OwnResumes int
 
 	Log   *Log
 	Model string
@@ -101,6 +107,13 @@
 	return alive, max(slow, 1)
 }
 
+func (d *Driver) ownResumes() int {
+	if d.OwnResumes == 0 {
+		return DefaultOwnResumes
+	}
+	return d.OwnResumes
+}
+
 func (d *Driver) stalled(address string) bool { return d.Stalled != nil && d.Stalled(address) }
 
 // remaining returns the number of ids that may still follow. A max_tokens of 0 means no limit.
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -177,6 +177,7 @@
 		Sampling:       r.sampling,
 		Priority:       workspace.Priority,
 		ResumePriority: workspace.Priority - resumePriority,
+		OwnResumes:     s.OwnResumes,
 		Pace:           s.pace(),
 		WaitBound:      time.Duration(s.Document().Settings().MaxWaitMS) * time.Millisecond,
 		CallerReturn:   s.CallerReturn,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -59,6 +59,8 @@
 	Silent func(address, incarnation string)
 	// MayRetry takes one attempt from the workspace's retry budget.
 	MayRetry func(workspace string) bool
+	// OwnResumes is that of generation.Driver.
+	OwnResumes int
 	// Ready tells whether this instance takes new work.
 	Ready func() bool
 	// Stopping tells that connections are being closed by this instance rather than by callers.
