--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -86,7 +87,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	pause := passPause
 	for {
-		if err := sleep(ctx, pause); err != nil {
+		if err := clock.Sleep(ctx, pause); err != nil {
 			return err
 		}
 		if k.settleAll(ctx) == nil {
@@ -107,7 +108,7 @@
 		if err == nil || ageOf(j.since) >= k.expiry() {
 			k.backlog.remove(j.record.Unique)
 		}
-		if err := sleep(ctx, writePause); err != nil {
+		if err := clock.Sleep(ctx, writePause); err != nil {
 			return err
 		}
 	}
--- a/core/claim/keeper.go
+++ b/core/claim/keeper.go
@@ -1,12 +1,14 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -59,7 +61,7 @@
 // Claim creates the record of a key, or returns a Ticket that is not owned where an earlier request holds it.
 // After an error this keeper never sends under the value that it tried to write, even if the write took effect.
 func (k *Keeper) Claim(ctx context.Context, workspace, service, key, digest string) (Ticket, error) {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(k.Timeout, DefaultTimeout))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(k.Timeout, DefaultTimeout))
 	defer cancel()
 	a := &attempt{
 		keeper:  k,
@@ -123,7 +125,7 @@
 		if done {
 			return ticket, err
 		}
-		if sleep(ctx, delay) != nil {
+		if clock.Sleep(ctx, delay) != nil {
 			break
 		}
 		delay *= 2
@@ -228,27 +230,9 @@
 	return k.Store.Put(ctx, key, data, revision, lease)
 }
 
-func (k *Keeper) callTimeout() time.Duration { return orDefault(k.CallTimeout, DefaultCallTimeout) }
+func (k *Keeper) callTimeout() time.Duration { return cmp.Or(k.CallTimeout, DefaultCallTimeout) }
 
 func maybeWritten(err error) bool {
 	lost, ok := errors.AsType[kv.UnavailableError](err)
 	return !ok || lost.Written
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
-	}
-}
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -22,7 +23,7 @@
 }
 
 // expiry is the age at which a record may have ended with its lease, which also ends the work on it.
-func (k *Keeper) expiry() time.Duration { return orDefault(k.Expiry, DefaultExpiry) }
+func (k *Keeper) expiry() time.Duration { return cmp.Or(k.Expiry, DefaultExpiry) }
 
 // leases holds the lease that new records are written under. Concurrent callers share one grant.
 type leases struct {
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -1,11 +1,13 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/failure"
 	"radishhollow/core/kv"
 )
@@ -30,7 +32,7 @@
 // expired; both clocks of this machine are read, because the monotonic one stops while a machine is suspended.
 func (t Ticket) Check() error {
 	age := ageOf(t.since)
-	if !t.owned || age > orDefault(t.keeper.SendWithin, DefaultSendWithin) {
+	if !t.owned || age > cmp.Or(t.keeper.SendWithin, DefaultSendWithin) {
 		return errors.Trace(TicketExpiredError{Age: age})
 	}
 	return nil
@@ -52,12 +54,12 @@
 
 func (t Ticket) write(ctx context.Context, rec record) error {
 	k := t.keeper
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orDefault(k.Timeout, DefaultTimeout))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(k.Timeout, DefaultTimeout))
 	defer cancel()
 	j := job{key: t.key, record: rec}
 	err := k.putRecord(ctx, j, t.revision)
 	for range attempts - 1 {
-		if err == nil || sleep(ctx, retryDelay) != nil {
+		if err == nil || clock.Sleep(ctx, retryDelay) != nil {
 			break
 		}
 		err = k.settle(ctx, j)
@@ -71,7 +73,7 @@
 // Await waits for the outcome of the request that holds the key and returns it as recorded.
 func (t Ticket) Await(ctx context.Context) (Recorded, error) {
 	k := t.keeper
-	ctx, cancel := context.WithTimeout(ctx, orDefault(k.AwaitFor, DefaultAwaitFor))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(k.AwaitFor, DefaultAwaitFor))
 	defer cancel()
 	delay := retryDelay
 	for {
@@ -91,7 +93,7 @@
 		if t.record.State != stateOpen {
 			continue
 		}
-		if ctx.Err() != nil || sleep(ctx, delay) != nil {
+		if ctx.Err() != nil || clock.Sleep(ctx, delay) != nil {
 			return Recorded{}, errors.Trace(OutcomeUnknownError{Cause: err})
 		}
 		delay *= 2
--- a/core/config/fake_test.go
+++ b/core/config/fake_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -78,7 +79,7 @@
 		if revision != after {
 			return []kv.Entry{kv.NewEntry(Key, value, revision, false)}, revision, nil
 		}
-		if err := pause(ctx, 10*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 10*time.Millisecond); err != nil {
 			return nil, 0, err
 		}
 	}
--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -65,7 +66,7 @@
 		if err != nil {
 			delay := min(minWatchPause<<min(failures, 10), maxWatchPause)
 			failures++
-			if pause(ctx, jitter(delay)) != nil {
+			if clock.Sleep(ctx, jitter(delay)) != nil {
 				return
 			}
 			continue
@@ -92,7 +93,7 @@
 		if err == nil {
 			s.offer(entry.Value(), FromPoll)
 		}
-		if pause(ctx, jitter(s.pollPause(len(entry.Value())))) != nil {
+		if clock.Sleep(ctx, jitter(s.pollPause(len(entry.Value())))) != nil {
 			return
 		}
 	}
--- a/core/config/writer.go
+++ b/core/config/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -79,7 +80,7 @@
 	written := false
 	var last error
 	for attempt := range writeAttempts {
-		if attempt > 0 && pause(ctx, writePause<<(attempt-1)) != nil {
+		if attempt > 0 && clock.Sleep(ctx, writePause<<(attempt-1)) != nil {
 			break
 		}
 		_, err := w.KV.Put(ctx, Key, value, at, "")
@@ -124,15 +125,3 @@
 func conflict(base uint64, inForce Document, fields Fields) ConflictError {
 	return ConflictError{Base: base, Current: inForce.Revision(), Difference: Diff(inForce.Fields(), fields)}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -1,11 +1,13 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/failure"
 	"radishhollow/core/route"
 )
@@ -115,7 +117,7 @@
 		choice, err := r.Pick(ctx, r.need())
 		r.unpicked = err != nil && len(r.exclude) == 0
 		if err == nil {
-			if r.exclude[choice.Address()] && sleep(ctx, pause) != nil {
+			if r.exclude[choice.Address()] && clock.Sleep(ctx, pause) != nil {
 				choice.Release()
 				return r.cause(ctx.Err())
 			}
@@ -132,7 +134,7 @@
 				r.last = err
 			}
 			clear(r.exclude)
-			if pauseErr := sleep(ctx, pause); pauseErr != nil {
+			if pauseErr := clock.Sleep(ctx, pause); pauseErr != nil {
 				return err
 			}
 			pause = min(2*pause, lastPickPause)
@@ -227,7 +229,7 @@
 }
 
 func (r *run) runWatch(ctx context.Context, address string, cancel context.CancelFunc) {
-	for pause := firstPatience; sleep(ctx, pause) == nil; pause = stalledPause {
+	for pause := firstPatience; clock.Sleep(ctx, pause) == nil; pause = stalledPause {
 		if r.stalled(address) {
 			cancel()
 			return
@@ -357,17 +359,6 @@
 
 func (r *run) cancelForCaller() {
 	if r.owned > 0 {
-		r.Cancel(r.choice.Address(), r.Log.Generation(), r.owned, orDefault(r.CallerReturn, DefaultCallerReturn))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+		r.Cancel(r.choice.Address(), r.Log.Generation(), r.owned, cmp.Or(r.CallerReturn, DefaultCallerReturn))
 	}
 }
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -89,7 +90,7 @@
 
 // waitBound returns the time after which the error of a wait must be on its way to the caller.
 func (d *Driver) waitBound() time.Duration {
-	bound := orDefault(d.WaitBound, DefaultWaitBound)
+	bound := cmp.Or(d.WaitBound, DefaultWaitBound)
 	return bound - min(deliveryMargin, bound/10)
 }
 
--- a/core/generation/pace.go
+++ b/core/generation/pace.go
@@ -1,6 +1,9 @@
 package generation
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Pace.
 const (
@@ -56,7 +59,7 @@
 
 // Deadline returns the silence after which the engine counts as lost, once it has sent its first token.
 func (p *Pace) Deadline() time.Duration {
-	floor, ceiling := p.floor(), orDefault(p.Ceiling, DefaultCeiling)
+	floor, ceiling := p.floor(), cmp.Or(p.Ceiling, DefaultCeiling)
 	if p.seen == 0 {
 		return ceiling
 	}
@@ -67,14 +70,7 @@
 	return min(max(time.Duration(p.mean+deviations*p.deviation), floor), ceiling)
 }
 
-func (p *Pace) floor() time.Duration { return orDefault(p.Floor, DefaultFloor) }
+func (p *Pace) floor() time.Duration { return cmp.Or(p.Floor, DefaultFloor) }
 
 // FirstDeadline returns the wait for an attempt's first token.
-func (p *Pace) FirstDeadline() time.Duration { return orDefault(p.First, DefaultFirst) }
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
+func (p *Pace) FirstDeadline() time.Duration { return cmp.Or(p.First, DefaultFirst) }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -2,6 +2,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -102,7 +104,7 @@
 			h.set(tenure{}, ClassLost)
 			h.revoke(ctx, t.lease)
 		}
-		_ = sleep(ctx, retryPause)
+		_ = clock.Sleep(ctx, retryPause)
 	}
 	return errors.Trace(ctx.Err())
 }
@@ -113,7 +115,7 @@
 	if err == nil {
 		_, _, err = h.Store.Watch(ctx, Key(h.Place), entry.Revision(), watchFor)
 		if err == nil {
-			err = sleep(ctx, rand.N(maxJitter))
+			err = clock.Sleep(ctx, rand.N(maxJitter))
 		}
 		if err == nil {
 			err = errors.Trace(NotHolderError{Place: h.Place})
@@ -158,7 +160,7 @@
 				return 0, err
 			}
 		}
-		if !h.good(t.renewed) || sleep(ctx, retryPause) != nil {
+		if !h.good(t.renewed) || clock.Sleep(ctx, retryPause) != nil {
 			return 0, err
 		}
 	}
@@ -166,7 +168,7 @@
 
 // hold renews the lease until it is lost, this instance's own clock says that it may be, or ctx ends.
 func (h *Holder) hold(ctx context.Context) {
-	for sleep(ctx, h.ttl()/5) == nil {
+	for clock.Sleep(ctx, h.ttl()/5) == nil {
 		h.mu.Lock()
 		t := h.tenure
 		h.mu.Unlock()
@@ -209,24 +211,6 @@
 	}
 }
 
-func (h *Holder) ttl() time.Duration          { return orDefault(h.TTL, DefaultTTL) }
-func (h *Holder) margin() time.Duration       { return orDefault(h.Margin, DefaultMargin) }
-func (h *Holder) longestOrder() time.Duration { return orDefault(h.LongestOrder, DefaultLongestOrder) }
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
-	}
-}
+func (h *Holder) ttl() time.Duration          { return cmp.Or(h.TTL, DefaultTTL) }
+func (h *Holder) margin() time.Duration       { return cmp.Or(h.Margin, DefaultMargin) }
+func (h *Holder) longestOrder() time.Duration { return cmp.Or(h.LongestOrder, DefaultLongestOrder) }
--- a/core/order/dispatcher.go
+++ b/core/order/dispatcher.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -65,7 +66,7 @@
 
 // Run plans and sends until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(orDefault(d.Interval, DefaultInterval))
+	ticker := time.NewTicker(cmp.Or(d.Interval, DefaultInterval))
 	defer ticker.Stop()
 	d.limiter = rate.NewLimiter(0, 1)
 	d.Planner.MayInterrupt = d.mayInterrupt
@@ -88,7 +89,7 @@
 	now := time.Now()
 	if fence != d.fence {
 		d.fence, d.sent = fence, make(map[string]sent)
-		d.settled = now.Add(orDefault(d.Settle, DefaultSettle))
+		d.settled = now.Add(cmp.Or(d.Settle, DefaultSettle))
 	}
 	if now.Before(d.settled) {
 		return
@@ -140,13 +141,13 @@
 		since = time.Now()
 	}
 	d.asked[address] = since
-	return time.Since(since) >= orDefault(d.VersionDrain, DefaultVersionDrain)
+	return time.Since(since) >= cmp.Or(d.VersionDrain, DefaultVersionDrain)
 }
 
 // send checks the lease immediately before the send. The time limit starts before the check, so that an instance that
 // is paused between the two finds its time over when it wakes.
 func (d *Dispatcher) send(ctx context.Context, o Order) bool {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(d.LongestOrder, DefaultLongestOrder))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.LongestOrder, DefaultLongestOrder))
 	defer cancel()
 	fence, err := d.Check(o.Fencing)
 	if err != nil || fence != d.fence {
@@ -174,11 +175,4 @@
 	return rate.Limit(perMinute / 60 / float64(max(1, len(doc.Fields().Places))))
 }
 
-func (d *Dispatcher) repeatAfter() time.Duration { return orDefault(d.RepeatAfter, DefaultRepeatAfter) }
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
+func (d *Dispatcher) repeatAfter() time.Duration { return cmp.Or(d.RepeatAfter, DefaultRepeatAfter) }
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -104,7 +105,7 @@
 
 func (s *Server) parse(c *gin.Context, chat bool) (*request, error) {
 	r := &request{chat: chat, arrived: time.Now(), cursor: c.GetHeader("Last-Event-ID")}
-	b, err := readBody(c, int64(orDefault(s.MaxBody, DefaultMaxBody)))
+	b, err := readBody(c, int64(cmp.Or(s.MaxBody, DefaultMaxBody)))
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +119,7 @@
 	if err := r.setModel(s.Document(), b.Model); err != nil {
 		return nil, err
 	}
-	if r.sampling, err = b.sampling(orDefault(s.DefaultMaxTokens, defaultTokens)); err != nil {
+	if r.sampling, err = b.sampling(cmp.Or(s.DefaultMaxTokens, defaultTokens)); err != nil {
 		return nil, err
 	}
 	r.text.Model = r.name()
@@ -130,13 +131,6 @@
 	return r, err
 }
 
-func orDefault(n, fallback int) int {
-	if n == 0 {
-		return fallback
-	}
-	return n
-}
-
 func (r *request) setModel(document config.Document, name string) error {
 	model, adapter, named := strings.Cut(name, ":")
 	m, ok := document.Model(model)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -2,6 +2,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -84,7 +85,7 @@
 
 // HTTP returns an http.Server with the limits of this package. The caller of HTTP sets its listener and stops it.
 func (s *Server) HTTP() *http.Server {
-	return &http.Server{Handler: s.Handler(), MaxHeaderBytes: orDefault(s.MaxHeader, DefaultMaxHeader), ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: s.Handler(), MaxHeaderBytes: cmp.Or(s.MaxHeader, DefaultMaxHeader), ReadHeaderTimeout: headerTimeout}
 }
 
 // Handler returns the handler of all paths.
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -93,7 +94,7 @@
 	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKey)) {
 		return booking.Response{}, errors.Trace(InvalidKeyError{Count: len(keys)})
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, int64(orDefault(h.MaxBody, DefaultMaxServiceBody))))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, int64(cmp.Or(h.MaxBody, DefaultMaxServiceBody))))
 	if err != nil {
 		_, tooLarge := errors.AsType[*http.MaxBytesError](err)
 		return booking.Response{}, errors.Trace(ServiceBodyError{TooLarge: tooLarge, Cause: err})
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 )
@@ -49,7 +50,7 @@
 	lease := ""
 	for {
 		lease = r.refresh(ctx, lease)
-		if sleep(ctx, r.TTL/3) != nil {
+		if clock.Sleep(ctx, r.TTL/3) != nil {
 			r.revoke(ctx, lease)
 			return
 		}
@@ -121,7 +122,7 @@
 			r.Node.Reach.Contact()
 			r.follow(ctx, entries, revision)
 		}
-		if sleep(ctx, r.TTL/10+rand.N(r.TTL/10+1)) != nil {
+		if clock.Sleep(ctx, r.TTL/10+rand.N(r.TTL/10+1)) != nil {
 			return
 		}
 	}
@@ -170,14 +171,3 @@
 	}
 	return list
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/config"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
@@ -109,7 +110,7 @@
 
 func (f *fakeKV) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end); {
-		if err := sleep(ctx, 100*time.Millisecond); err != nil {
+		if err := clock.Sleep(ctx, 100*time.Millisecond); err != nil {
 			return nil, 0, err
 		}
 		leave, err := f.enter()
