fix(claim): write open outcomes at a planned stop

Cause: the backlog of outcomes ended with its context, so a planned stop just after a failure of the platform lost outcomes that the platform could take again. Change: the backlog makes one last pass of at most 5 s when its context ends. Before: TestRunSettlesAtItsEnd gets outcome-unknown. After: the recorded answer.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -20,6 +20,8 @@
 	passPause  = time.Second
 	maxPause   = 30 * time.Second
 	writePause = 20 * time.Millisecond
+	// lastPass bounds the writes at the end of a planned stop.
+	lastPass = 5 * time.Second
 )
 
 // job is a record that has to be written.
@@ -83,11 +85,15 @@
 	return jobs
 }
 
-// Run writes the records that Claim, Finish and Release could not write, until ctx ends.
+// Run writes the records that Claim, Finish and Release could not write, until ctx ends, and then once more, because
+// what is left is lost with the process.
 func (k *Keeper) Run(ctx context.Context) error {
 	pause := passPause
 	for {
 		if err := clock.Sleep(ctx, pause); err != nil {
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastPass)
+			defer cancel()
+			_ = k.settleAll(last)
 			return err
 		}
 		if k.settleAll(ctx) == nil {
--- a/core/claim/keeper_test.go
+++ b/core/claim/keeper_test.go
@@ -175,6 +175,24 @@
 	})
 }
 
+// Guards against an outcome that is lost with the process when a planned stop follows a failure of the platform.
+func TestRunSettlesAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1, 0)
+		k := &claim.Keeper{Store: store.store()}
+		ticket := claimOn(t, k)
+		store.fail["put"] = []fault{faultRefused}
+		store.fail["get"] = []fault{faultRefused, faultRefused, faultRefused, faultRefused}
+		require.Error(t, ticket.Finish(t.Context(), claim.Recorded{Outcome: failure.Ran, Status: 201}))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.ErrorIs(t, k.Run(ctx), context.Canceled)
+		recorded, err := claimOn(t, &claim.Keeper{Store: store.store()}).Await(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 201, recorded.Status)
+	})
+}
+
 // Guards against records that live longer or shorter than the operators set.
 func TestExpiry(t *testing.T) {
 	for expiry, ttl := range map[time.Duration]time.Duration{0: 25 * time.Hour, 2 * time.Hour: 3 * time.Hour} {
