refactor: drop a cursor kind that nothing returns

Cause: a cursor whose endpoint left the instance list is cursor-lost or goes on from the caller's ids; the kind for it had no use, and two comments on metrics named classes that differ from the code. Change: the constant is removed, the comments follow the code. Result: builds and lints; behaviour is the same.

--- a/core/generation/cursor.go
+++ b/core/generation/cursor.go
@@ -35,8 +35,6 @@
 	CursorExpired     CursorKind = "expired"
 	CursorForeign     CursorKind = "foreign-workspace"
 	CursorOtherPrompt CursorKind = "other-prompt"
-	// CursorUnknownEndpoint is a cursor whose endpoint is not in the instance list.
-	CursorUnknownEndpoint CursorKind = "unknown-endpoint"
 )
 
 // CursorError reports a cursor that was refused before any engine was asked.
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -13,13 +13,13 @@
 const (
 	Requests          = "requests"           // class is the outcome or error code
 	Attempts          = "attempts"           // class is first, resume or attach
-	DroppedTokens     = "dropped_tokens"     // class is duplicate, crossed or superseded
+	DroppedTokens     = "dropped_tokens"     // class is duplicate or crossed
 	EngineLosses      = "engine_losses"      // class is connection, silence or crossed
 	SpuriousFailovers = "spurious_failovers" // class is silence
 	PrefillTokens     = "prefill_tokens"     // class is first or resume
 	Claims            = "claims"             // class is created, replayed, conflict or failed
 	Bookings          = "bookings"           // class is the outcome
-	Revisions         = "revisions"          // class is watch, poll, peer or refused
+	Revisions         = "revisions"          // class is watch, poll, peer, refused or older
 	Exchanges         = "exchanges"          // class is ok or failed
 	KeyValueCalls     = "key_value_calls"    // class is the call
 	ControlBytes      = "control_bytes"      // class is sent or received
