fix(generation): keep requests in the queue of a living engine

Cause: a request without a first token within 2 s was taken from its engine, even where the reports showed that the engine was alive and had a queue. The second attempt waited in another queue and repeated the prefill; under a burst, requests ended with wait-exceeded after 3 s although nothing had failed. Ruled out: frozen and stalled engines, which stop reporting or are known from other streams and are left as before. Change: while fresh reports show waiting requests or prompts, the first token may take until queue-wait (10 s).

--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -12,6 +12,7 @@
 const (
 	DefaultWaitBound    = 3 * time.Second
 	DefaultCallerReturn = 10 * time.Second
+	DefaultFirstBound   = 10 * time.Second
 	// DefaultOwnResumes is apart from the retry budget. The loss of one engine interrupts all of its streams at once,
 	// which would exhaust a budget that is sized for single failures.
 	DefaultOwnResumes = 3
@@ -19,8 +20,8 @@
 	deliveryMargin = 100 * time.Millisecond
 )
 
-// Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, Stalled, MayRetry
-// and Observe are required.
+// Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, Stalled, Queued,
+// MayRetry and Observe are required.
 type Driver struct {
 	Pick func(ctx context.Context, need route.Need) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream lives until its Close.
@@ -38,6 +39,8 @@
 	// Stalled tells that an endpoint has stopped answering, from its reports and from other streams. A stream that is
 	// silent for Pace's floor is then given up before its own deadline.
 	Stalled func(address string) bool
+	// Queued tells from fresh load reports that an endpoint has requests or prompts waiting.
+	Queued func(address string) bool
 	// MayRetry takes one attempt from the retry budget.
 	MayRetry func() bool
 	// OwnResumes is the number of resumes that a generation has apart from the retry budget. Zero means
@@ -55,6 +58,8 @@
 	Pace           Pace
 	// WaitBound bounds the caller's wait for the next token after a loss.
 	WaitBound time.Duration
+	// FirstBound bounds the wait for the first token in an engine's queue while nothing has failed.
+	FirstBound time.Duration
 	// CallerReturn is the time that a disconnected caller has to come back with its cursor before the cancel.
 	CallerReturn time.Duration
 	// From is the endpoint of a cursor whose stream Run attaches to first; its zero value starts an attempt.
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"time"
@@ -70,6 +71,9 @@
 	if ctx.Err() == nil && time.Since(heard) < allowed {
 		return Chunk{}, SilenceError{Endpoint: r.choice.Address(), After: time.Since(heard)}
 	}
+	if r.inQueue(ctx, heard) {
+		return r.awaitTurn(ctx, heard)
+	}
 	if alive, slow := r.alive(r.choice.Address()); alive && slow > 1 {
 		allowed = r.capped(heard, time.Duration(float64(allowed)*slow))
 		chunk, timedOut, err = r.wait(ctx, heard.Add(allowed))
@@ -80,6 +84,25 @@
 	return Chunk{}, SilenceError{Endpoint: r.choice.Address(), After: allowed}
 }
 
+// awaitTurn waits for the first token of a request that is still in the engine's queue. A second attempt would wait in
+// another queue and make its engine repeat the prefill.
+func (r *run) awaitTurn(ctx context.Context, heard time.Time) (Chunk, error) {
+	for r.inQueue(ctx, heard) {
+		chunk, timedOut, err := r.wait(ctx, time.Now().Add(stalledPause))
+		if !timedOut {
+			return chunk, err
+		}
+	}
+	return Chunk{}, SilenceError{Endpoint: r.choice.Address(), After: time.Since(heard)}
+}
+
+// inQueue tells whether the engine's reports explain that the first token has not come yet.
+func (r *run) inQueue(ctx context.Context, heard time.Time) bool {
+	return r.Queued != nil && r.fresh && !r.lost && ctx.Err() == nil &&
+		time.Since(heard) < cmp.Or(r.FirstBound, DefaultFirstBound) &&
+		!r.stalled(r.choice.Address()) && r.Queued(r.choice.Address())
+}
+
 // waitUnlessStalled waits for a chunk until the deadline, or until the engine is known to have stalled.
 func (r *run) waitUnlessStalled(
 	ctx context.Context, heard time.Time, allowed time.Duration,
--- a/core/generation/stalled_test.go
+++ b/core/generation/stalled_test.go
@@ -102,3 +102,32 @@
 		require.Zero(t, f.count(generation.EventLoss, ""))
 	})
 }
+
+// Guards against a request that is taken from the queue of a living engine, which repeats its prefill elsewhere and ends
+// with wait-exceeded when all engines have queues; and against a wait without end.
+func TestDriverWaitsInEngineQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 4
+		f := &fixture{endpoints: []string{"a", "b"}}
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			steps := run(start.Attempt, start.Offset, total, total)
+			if start.Attempt == 1 {
+				steps[0].wait = 6 * time.Second
+			}
+			return steps, nil
+		}
+		d := f.driver(total)
+		d.Queued = func(string) bool { return true }
+		require.NoError(t, d.Run(t.Context()))
+		require.Equal(t, reference(total), f.got)
+		require.Zero(t, f.count(generation.EventLoss, ""))
+
+		f = &fixture{endpoints: []string{"a"}}
+		f.open = func(string, generation.Start) ([]step, error) { return []step{{hang: true}}, nil }
+		d = f.driver(total)
+		d.Queued = func(string) bool { return true }
+		began := time.Now()
+		require.Error(t, d.Run(t.Context()))
+		require.LessOrEqual(t, time.Since(began), generation.DefaultFirstBound+time.Second)
+	})
+}
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -36,6 +36,17 @@
 	return e.unreachable || time.Since(e.reportedAt) > stalledAfter
 }
 
+// Queued tells from a fresh report whether an endpoint has requests or prompts waiting.
+func (t *Table) Queued(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[address]
+	if e == nil || !e.reported || e.unreachable || time.Since(e.reportedAt) > freshFor {
+		return false
+	}
+	return e.report.Waiting > 0 || e.report.WaitingPrefillTokens > 0
+}
+
 // Reports returns the last report of every endpoint of a kind that has reported.
 func (t *Table) Reports(kind Kind) []Report {
 	t.mu.Lock()
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -163,6 +163,8 @@
 		Known:      d.Table.Known,
 		Alive:      d.Table.Health,
 		Stalled:    d.Table.Stalled,
+		Queued:     d.Table.Queued,
+		FirstBound: d.Settings.Timeouts.QueueWait.Duration,
 		Result:     d.observeResult,
 		Silent:     d.Suspects.Add,
 		MayRetry:   d.Budgets.Take,
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -178,6 +178,8 @@
 		Priority:       workspace.Priority,
 		ResumePriority: workspace.Priority - resumePriority,
 		OwnResumes:     s.OwnResumes,
+		Queued:         s.Queued,
+		FirstBound:     s.FirstBound,
 		Pace:           s.pace(),
 		WaitBound:      time.Duration(s.Document().Settings().MaxWaitMS) * time.Millisecond,
 		CallerReturn:   s.CallerReturn,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -60,6 +60,9 @@
 	Silent func(address, incarnation string)
 	// MayRetry takes one attempt from the workspace's retry budget.
 	MayRetry func(workspace string) bool
+	// Queued and FirstBound are those of generation.Driver; Queued may be nil.
+	Queued     func(address string) bool
+	FirstBound time.Duration
 	// OwnResumes is that of generation.Driver.
 	OwnResumes int
 	// Ready tells whether this instance takes new work.
