--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -25,10 +25,8 @@
 // RunBench executes one experiment.
 func RunBench(args []string, stdout, stderr io.Writer) int {
 	if len(args) > 0 {
-		for _, b := range benches() {
-			if b.name == args[0] {
-				return b.run(args[1:], stdout, stderr)
-			}
+		if b, ok := find(benches(), args[0]); ok {
+			return b.run(args[1:], stdout, stderr)
 		}
 	}
 	out, code := stdout, ExitOK
@@ -36,9 +34,7 @@
 		out, code = stderr, ExitUsage
 	}
 	_, _ = fmt.Fprint(out, "Usage: radishhollow bench EXPERIMENT [OPTIONS]\n\nExperiments:\n")
-	for _, b := range benches() {
-		_, _ = fmt.Fprintf(out, "  %-10s %s\n", b.name, b.help)
-	}
+	list(out, benches())
 	return code
 }
 
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -42,10 +42,8 @@
 		usage(stdout)
 		return ExitOK
 	}
-	for _, c := range commands() {
-		if c.name == args[0] {
-			return c.run(args[1:], stdout, stderr)
-		}
+	if c, ok := find(commands(), args[0]); ok {
+		return c.run(args[1:], stdout, stderr)
 	}
 	_, _ = fmt.Fprintf(stderr, "radishhollow: unknown command %q; run `radishhollow --help` for the list\n", args[0])
 	return ExitUsage
@@ -54,8 +52,21 @@
 func usage(w io.Writer) {
 	_, _ = fmt.Fprint(w, "radishhollow keeps long generations whole and runs bookings at most once.\n\n",
 		"Usage: radishhollow COMMAND [OPTIONS]\n\nCommands:\n")
-	for _, c := range commands() {
+	list(w, commands())
+	_, _ = fmt.Fprint(w, "\nEach command has --help. Exit codes: 0 success, 1 failure, 2 usage.\n")
+}
+
+func find(table []command, name string) (command, bool) {
+	for _, c := range table {
+		if c.name == name {
+			return c, true
+		}
+	}
+	return command{}, false
+}
+
+func list(w io.Writer, table []command) {
+	for _, c := range table {
 		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.help)
 	}
-	_, _ = fmt.Fprint(w, "\nEach command has --help. Exit codes: 0 success, 1 failure, 2 usage.\n")
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -137,24 +137,6 @@
 	}
 }
 
-// Capacity returns the slots of a name's usable endpoints in the subset that new work may use.
-func (t *Table) Capacity(kind Kind, name string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.groups[group{kind, name}]
-	if m == nil {
-		return 0
-	}
-	total, now := 0.0, time.Now()
-	for _, e := range m.subset {
-		leaving, dead := t.marked(e, now)
-		if !leaving && !dead && !e.unreachable {
-			total += e.newWorkSlots(t.policy.Headroom)
-		}
-	}
-	return int(total)
-}
-
 // syncOne takes one row and tells whether the groups must be built anew.
 func (t *Table) syncOne(l Listing) bool {
 	e := t.endpoints[l.Address]
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -40,10 +40,10 @@
 	}
 }
 
-// Ready tells whether the load balancer should send new requests to this daemon. Without an instance list and load
-// reports it would refuse all of them.
+// Ready tells whether the load balancer should send new requests to this daemon. Without a configuration, an instance
+// list and load reports, which the survey has seen, it would refuse all of them.
 func (d *Drain) Ready() bool {
-	return !d.Draining() && d.surveyed.Load() && d.store.Current().Revision() > 0 && !d.reach.Isolated()
+	return !d.Draining() && d.surveyed.Load() && !d.reach.Isolated()
 }
 
 // closeIdle asks clients to close their connections during a planned stop, so that none sends a request on a
