--- a/bench/cost.go
+++ b/bench/cost.go
@@ -17,7 +17,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/route"
 	"radishhollow/daemon"
-	"radishhollow/io/platform"
+	"radishhollow/io/keyvalue"
 	"radishhollow/io/settings"
 	standin "radishhollow/standin/platform"
 )
@@ -263,8 +263,8 @@
 	return c.fakes.serve(ctx, "127.0.0.1:0", &c.traffic.platform, mux)
 }
 
-func (p *costPlatform) client() *platform.Client {
-	return &platform.Client{Address: p.store, HTTP: platform.NewHTTP()}
+func (p *costPlatform) client() *keyvalue.Client {
+	return &keyvalue.Client{Address: p.store, HTTP: keyvalue.NewHTTP()}
 }
 
 // register lists the peers. Their own renewals wake no watch, so the fakes make none.
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -28,8 +28,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	log := newLog(s.LogLevel, stderr)
+	if s.Interface == settings.InterfaceForward {
+		log = newLog(s.LogLevel, stdout)
+	}
 	ready := func() { _, _ = fmt.Fprintf(stdout, "listening %s\n", s.Listen) }
-	if err := daemon.Run(ctx, s, newLog(s.LogLevel, stderr), ready); err != nil {
+	if err := daemon.Run(ctx, s, log, ready); err != nil {
 		_, _ = fmt.Fprintf(stderr, "radishhollow serve: %v\n", err)
 		return ExitFailed
 	}
--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -15,7 +15,11 @@
 	Query  string
 	Header http.Header
 	Body   []byte
-	// Reuse allows an idle connection. It is set for idempotent calls only.
+	// Host is the Host header; empty means the endpoint's address.
+	Host string
+	// Target is the request target as the caller sent it, in place of Path and Query; empty where these hold.
+	Target string
+	// Reuse allows an idle connection. Without an echoed request id it is set for idempotent calls only.
 	Reuse bool
 }
 
--- a/core/booking/repeat.go
+++ b/core/booking/repeat.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -25,11 +26,11 @@
 func (s *Sender) repeat(ctx context.Context, call Call) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &race{sender: s, call: call, results: make(chan result, s.maxAttempts()), used: map[string]bool{}}
+	r := &race{sender: s, call: call, results: make(chan result, s.maxAttempts(call)), used: map[string]bool{}}
 	r.start(ctx)
 	var hedge <-chan time.Time
-	if s.HedgeAfter > 0 {
-		timer := time.NewTimer(s.HedgeAfter)
+	if after := cmp.Or(call.HedgeAfter, s.HedgeAfter); after > 0 {
+		timer := time.NewTimer(after)
 		defer timer.Stop()
 		hedge = timer.C
 	}
@@ -59,7 +60,7 @@
 
 // more starts another attempt if the bound and the retry budget allow it.
 func (r *race) more(ctx context.Context) {
-	if r.started < r.sender.maxAttempts() && r.sender.MayRetry(r.call.Workspace) {
+	if r.started < r.sender.maxAttempts(r.call) && r.sender.MayRetry(r.call) {
 		r.start(ctx)
 	}
 }
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -24,13 +25,15 @@
 	// Pick chooses an endpoint.
 	Pick func(ctx context.Context, need route.Need) (route.Choice, error)
 	// Send sends a request to one endpoint at most once. Its error is NotRun only if no byte was written.
-	Send func(ctx context.Context, address string, r Request) (Response, error)
+	Send func(ctx context.Context, choice route.Choice, r Request) (Response, error)
 	// Sent is told the result of each Send; it may be nil.
 	Sent func(choice route.Choice, err error)
 	// Claim creates the idempotency record of a key.
 	Claim func(ctx context.Context, workspace, service, key, digest string) (claim.Ticket, error)
 	// MayRetry draws on the retry budget before every attempt but the first.
-	MayRetry func(workspace string) bool
+	MayRetry func(call Call) bool
+	// Classify tells whether the endpoint ran the request. Nil trusts the service's refusals and status codes.
+	Classify func(call Call, response Response, err error) failure.Outcome
 	// Unrecorded is told that an outcome could not be recorded at once; it may be nil.
 	Unrecorded func(err error)
 	// Timeout bounds one attempt. Zero means DefaultTimeout.
@@ -48,6 +51,24 @@
 	Request   Request
 	// Key is the idempotency key, or empty.
 	Key string
+	// Kind tells whether the call may be repeated; empty asks the service's calls.
+	Kind config.Kind
+	// Need holds wishes for the endpoint; the sender sets its kind, name, workspace and exclusions.
+	Need route.Need
+	// Deadline bounds all attempts together; zero means Sender.Timeout for each.
+	Deadline time.Time
+	// MaxSends bounds the endpoints that answer the call, apart from those that could not be reached; 0 means no bound.
+	MaxSends int
+	// MaxAttempts and HedgeAfter replace those of the Sender unless they are zero.
+	MaxAttempts int
+	HedgeAfter  time.Duration
+}
+
+func (c Call) idempotent() bool {
+	if c.Kind != "" {
+		return c.Kind == config.KindIdempotent
+	}
+	return Idempotent(c.Service.Calls, c.Request)
 }
 
 // result is what one attempt led to.
@@ -62,15 +83,14 @@
 
 // Do executes a call. The response of a non-idempotent call has run; everything else is a typed error.
 func (s *Sender) Do(ctx context.Context, call Call) (Response, error) {
+	idempotent := call.idempotent()
+	call.Request.Reuse = call.Request.Reuse || idempotent
 	switch {
-	case Idempotent(call.Service.Calls, call.Request):
-		call.Request.Reuse = true
+	case idempotent:
 		return s.repeat(ctx, call)
 	case call.Key == "":
-		call.Request.Reuse = false
 		return s.once(ctx, call, func(string) error { return nil }).answer(call.Service.Name)
 	default:
-		call.Request.Reuse = false
 		return s.keyed(ctx, call)
 	}
 }
@@ -106,8 +126,9 @@
 func (s *Sender) once(ctx context.Context, call Call, check func(address string) error) result {
 	exclude := map[string]bool{}
 	var last result
-	for n := range s.maxAttempts() {
-		if n > 0 && !s.MayRetry(call.Workspace) {
+	answers := 0
+	for n := range s.maxAttempts(call) {
+		if n > 0 && !s.MayRetry(call) {
 			break
 		}
 		res := s.attempt(ctx, call, exclude, check)
@@ -118,6 +139,12 @@
 		if !res.sent || res.outcome != failure.NotRun {
 			break
 		}
+		if res.err == nil {
+			answers++
+		}
+		if call.MaxSends > 0 && answers >= call.MaxSends {
+			break
+		}
 		exclude[res.address] = true
 	}
 	return last
@@ -126,9 +153,10 @@
 // attempt picks an endpoint and sends once. The caller's departure ends the wait for an endpoint, but not a
 // non-idempotent call that is under way, whose outcome is still to be recorded.
 func (s *Sender) attempt(ctx context.Context, call Call, exclude map[string]bool, check func(address string) error) result {
-	choice, err := s.Pick(ctx, route.Need{
-		Kind: route.KindService, Name: call.Service.Name, Workspace: call.Workspace, Exclude: exclude,
-	})
+	need := call.Need
+	need.Kind, need.Name, need.Workspace = route.KindService, call.Service.Name, call.Workspace
+	need.Exclude = exclude
+	choice, err := s.Pick(ctx, need)
 	if err != nil {
 		return result{err: err, outcome: failure.NotRun}
 	}
@@ -136,23 +164,27 @@
 	if err := errors.Trace(ctx.Err()); err != nil {
 		return result{err: err, outcome: failure.NotRun}
 	}
-	if !call.Request.Reuse {
+	if !call.idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	timeout := s.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
+	deadline := call.Deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(cmp.Or(s.Timeout, DefaultTimeout))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := check(choice.Address()); err != nil {
 		return result{err: err, outcome: failure.NotRun}
 	}
-	response, err := s.Send(ctx, choice.Address(), call.Request)
+	response, err := s.Send(ctx, choice, call.Request)
 	if s.Sent != nil {
 		s.Sent(choice, err)
 	}
-	response.Outcome = classify(call, response, err)
+	outcome := s.Classify
+	if outcome == nil {
+		outcome = classify
+	}
+	response.Outcome = outcome(call, response, err)
 	return result{
 		address: choice.Address(), response: response, err: err, outcome: response.Outcome, sent: true,
 	}
@@ -193,9 +225,6 @@
 	}
 }
 
-func (s *Sender) maxAttempts() int {
-	if s.MaxAttempts == 0 {
-		return DefaultMaxAttempts
-	}
-	return s.MaxAttempts
+func (s *Sender) maxAttempts(call Call) int {
+	return cmp.Or(call.MaxAttempts, s.MaxAttempts, DefaultMaxAttempts)
 }
--- a/core/booking/sender_test.go
+++ b/core/booking/sender_test.go
@@ -46,16 +46,16 @@
 	return route.Choice{}, unwritten{}
 }
 
-func (f *fleet) send(ctx context.Context, address string, _ booking.Request) (booking.Response, error) {
+func (f *fleet) send(ctx context.Context, choice route.Choice, _ booking.Request) (booking.Response, error) {
 	f.mu.Lock()
 	step := f.steps[min(len(f.sent), len(f.steps)-1)]
-	f.sent = append(f.sent, address)
+	f.sent = append(f.sent, choice.Address())
 	f.mu.Unlock()
 	return step(ctx)
 }
 
 func (f *fleet) sender(budget bool) *booking.Sender {
-	return &booking.Sender{Pick: f.pick, Send: f.send, MayRetry: func(string) bool { return budget }}
+	return &booking.Sender{Pick: f.pick, Send: f.send, MayRetry: func(booking.Call) bool { return budget }}
 }
 
 func status(code int, notRun string) func(context.Context) (booking.Response, error) {
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -5,11 +5,12 @@
 	revision uint64
 	fields   Fields
 	digest   string
+	index    *index
 }
 
 // NewDocument returns a Document of the given revision. The digest covers the fields only.
 func NewDocument(revision uint64, fields Fields) Document {
-	return Document{revision: revision, fields: fields, digest: digestOf(fields)}
+	return Document{revision: revision, fields: fields, digest: digestOf(fields), index: newIndex(&fields)}
 }
 
 // Revision returns the revision that compare-and-swap gave the document; it starts at 1.
--- a/core/config/fields.go
+++ b/core/config/fields.go
@@ -9,6 +9,8 @@
 	Models      []Model     `json:"models"`
 	Workspaces  []Workspace `json:"workspaces"`
 	Settings    Settings    `json:"settings"`
+	Routes      []Route     `json:"routes,omitempty"`
+	Limits      Limits      `json:"limits,omitzero"`
 }
 
 // Service describes a plain service and its idempotent calls.
@@ -17,6 +19,10 @@
 	// Refusal tells whether a Not-Run response header of this service is trusted.
 	Refusal bool   `json:"refusal"`
 	Calls   []Call `json:"calls"`
+	// MaxChannels bounds the connections that one endpoint accepts from all daemons together; 0 means no bound.
+	MaxChannels int `json:"max-channels,omitempty"`
+	// Engine describes the model engines of the service; it is nil for a plain service.
+	Engine *Engine `json:"engine,omitempty"`
 }
 
 // Call describes a call of a service by method and path pattern; a trailing /* matches any rest.
@@ -52,6 +58,8 @@
 	Concurrency       int     `json:"concurrency"`
 	// KeyDigest is the SHA-256 digest of the API key in hex.
 	KeyDigest string `json:"key-digest"`
+	// KeyDigests are the digests of further API keys of the workspace.
+	KeyDigests []string `json:"key-digests,omitempty"`
 }
 
 // Settings are the sheet's choices for the whole system.
--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -38,6 +38,10 @@
 type Syncer struct {
 	KV    kv.Store
 	Store *Store
+	// Decode reads a value. Nil means the package's Decode.
+	Decode func(value []byte) (Document, error)
+	// Rejected is told of each value that is damaged or forked; it may be nil.
+	Rejected func(err error)
 	// Poll is the mean interval of reads that find what a watch has missed. It is longer for large documents.
 	Poll time.Duration
 	// Wait bounds one watch call.
@@ -77,7 +81,7 @@
 		s.Contact()
 		for _, entry := range entries {
 			if entry.Key() == Key && !entry.Deleted() {
-				s.offer(entry.Value(), FromWatch)
+				s.Offer(entry.Value(), FromWatch)
 			}
 		}
 	}
@@ -91,7 +95,7 @@
 			s.Contact()
 		}
 		if err == nil {
-			s.offer(entry.Value(), FromPoll)
+			s.Offer(entry.Value(), FromPoll)
 		}
 		if clock.Sleep(ctx, jitter(s.pollPause(len(entry.Value())))) != nil {
 			return
@@ -104,16 +108,21 @@
 	return max(s.Poll, min(time.Duration(size)*time.Second/pollRate, maxPollPause))
 }
 
-func (s *Syncer) offer(value []byte, class string) {
-	document, err := Decode(value)
+// Offer puts the configuration in a value in force, if it is newer. The class names the source for Count.
+func (s *Syncer) Offer(value []byte, class string) {
+	decode := s.Decode
+	if decode == nil {
+		decode = Decode
+	}
+	document, err := decode(value)
 	if err != nil {
-		s.Count(Refused)
+		s.reject(err)
 		return
 	}
 	accepted, err := s.Store.Offer(document)
 	switch {
 	case err != nil:
-		s.Count(Refused)
+		s.reject(err)
 	case accepted:
 		s.Count(class)
 	case document.Revision() < s.Store.Current().Revision():
@@ -121,6 +130,13 @@
 	}
 }
 
+func (s *Syncer) reject(err error) {
+	s.Count(Refused)
+	if s.Rejected != nil {
+		s.Rejected(err)
+	}
+}
+
 // jitter spreads the calls of many daemons over 75 to 125 % of d.
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -37,6 +37,7 @@
 	opened   bool      // an attempt may have run
 	resumed  bool      // an attempt has failed after it may have run
 	tries    int       // opened attempts, for the retry budget
+	runs     int       // attempts that may have run
 	granted  int       // resumes made apart from the retry budget
 	earned   bool      // the next resume is apart from the retry budget, if OwnResumes are not used up
 	last     error     // the last attempt's failure
@@ -114,6 +115,9 @@
 	defer cancel()
 	pause := firstPickPause
 	for {
+		if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
+			return r.giveUp(r.cause(BudgetError{Attempt: r.Log.Attempt() + 1}))
+		}
 		choice, err := r.Pick(ctx, r.need())
 		r.unpicked = err != nil && len(r.exclude) == 0
 		if err == nil {
@@ -134,6 +138,9 @@
 				r.last = err
 			}
 			clear(r.exclude)
+			if r.runs == 0 && r.FirstPick > 0 && time.Since(r.started) >= r.FirstPick {
+				return r.giveUp(r.last)
+			}
 			if pauseErr := clock.Sleep(ctx, pause); pauseErr != nil {
 				return err
 			}
@@ -184,6 +191,7 @@
 		r.refuse(err)
 		return err
 	}
+	r.runs++
 	if r.earned = false; owns {
 		r.granted++
 	}
@@ -358,7 +366,7 @@
 }
 
 func (r *run) cancelForCaller() {
-	if r.owned > 0 {
+	if r.owned > 0 && r.Cancel != nil {
 		r.Cancel(r.choice.Address(), r.Log.Generation(), r.owned, cmp.Or(r.CallerReturn, DefaultCallerReturn))
 	}
 }
--- a/core/generation/chunk.go
+++ b/core/generation/chunk.go
@@ -19,6 +19,7 @@
 	tokens     []uint32
 	text       string
 	finish     Finish
+	event      []byte
 }
 
 // NewChunk returns a Chunk. The offset counts from the generation's first output token.
@@ -34,6 +35,14 @@
 	}
 }
 
+// NewEvent returns a Chunk that is one opaque event. Ids count from 1, and the event keeps its bytes as they came.
+func NewEvent(generation string, attempt, id int, event []byte) Chunk {
+	return Chunk{generation: generation, attempt: attempt, offset: id - 1, event: event}
+}
+
+// Event returns the bytes of an opaque event, or nil.
+func (c Chunk) Event() []byte { return c.event }
+
 // Generation returns the id of the generation that the chunk belongs to.
 func (c Chunk) Generation() string { return c.generation }
 
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -20,13 +20,14 @@
 	deliveryMargin = 100 * time.Millisecond
 )
 
-// Driver brings one generation to its end over as many attempts as it takes. All functions but Alive, Stalled, Queued,
-// MayRetry and Observe are required.
+// Driver brings one generation to its end over as many attempts as it takes. All functions but Attach, Cancel, Alive,
+// Stalled, Queued, MayRetry and Observe are required.
 type Driver struct {
 	Pick func(ctx context.Context, need route.Need) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream lives until its Close.
 	Open func(ctx context.Context, address string, start Start) (Stream, error)
-	// Attach takes over a stream that runs on an engine, with a higher attempt number.
+	// Attach takes over a stream that runs on an engine, with a higher attempt number. Nil stands for engines that end a
+	// stream with its connection; Cancel is nil then, too.
 	Attach func(ctx context.Context, address, generation string, attempt, offset int) (Stream, error)
 	// Cancel ends exactly this attempt on the engine after the delay. It must not block.
 	Cancel func(address, generation string, attempt int, after time.Duration)
@@ -46,6 +47,8 @@
 	// OwnResumes is the number of resumes that a generation has apart from the retry budget. Zero means
 	// DefaultOwnResumes, a negative number none.
 	OwnResumes int
+	// MaxRuns bounds the attempts that may have run. Zero means no bound.
+	MaxRuns int
 
 	Log   *Log
 	Model string
@@ -60,6 +63,8 @@
 	WaitBound time.Duration
 	// FirstBound bounds the wait for the first token in an engine's queue while nothing has failed.
 	FirstBound time.Duration
+	// FirstPick bounds the wait for an endpoint while nothing has run. Zero means WaitBound.
+	FirstPick time.Duration
 	// CallerReturn is the time that a disconnected caller has to come back with its cursor before the cancel.
 	CallerReturn time.Duration
 	// From is the endpoint of a cursor whose stream Run attaches to first; its zero value starts an attempt.
--- a/core/generation/log.go
+++ b/core/generation/log.go
@@ -14,6 +14,8 @@
 	spec      Spec
 	finish    Finish
 	text      strings.Builder
+	// events tells that the log counts opaque events rather than token ids.
+	events bool
 	// bounds maps the offset at which a delivered chunk started or ended to its place in text.
 	bounds map[int]int
 }
@@ -44,14 +46,20 @@
 	return l, nil
 }
 
+// NewEventLog returns the Log of a stream of opaque events, of which the caller has the first ones already.
+func NewEventLog(generation string, delivered int) *Log {
+	return &Log{generation: generation, base: delivered, events: true}
+}
+
 // Generation returns the generation's id.
 func (l *Log) Generation() string { return l.generation }
 
 // Len returns the number of delivered ids, which is also the next expected offset.
 func (l *Log) Len() int { return l.base + len(l.delivered) }
 
-// Complete tells whether the log holds every delivered id, which a resume on another engine needs.
-func (l *Log) Complete() bool { return l.base == 0 }
+// Complete tells whether the log holds all that a resume on another engine needs: every delivered id, or the number of
+// delivered events.
+func (l *Log) Complete() bool { return l.base == 0 || l.events }
 
 // Delivered returns the delivered ids that the log holds, which callers must not change.
 func (l *Log) Delivered() []uint32 { return l.delivered }
@@ -92,6 +100,9 @@
 	if err := l.check(chunk); err != nil {
 		return Chunk{}, false, err
 	}
+	if l.events {
+		return l.acceptEvent(chunk)
+	}
 	next, end := l.Len(), chunk.offset+len(chunk.tokens)
 	ends := chunk.finish != NotFinished
 	if l.finish != NotFinished || end < next || (end == next && !ends) {
@@ -106,6 +117,18 @@
 	return part, true, nil
 }
 
+// acceptEvent takes the next event or the end. An event that was delivered already is not fresh.
+func (l *Log) acceptEvent(chunk Chunk) (part Chunk, fresh bool, err error) {
+	if l.finish != NotFinished || (chunk.finish == NotFinished && chunk.offset < l.Len()) {
+		return Chunk{}, false, nil
+	}
+	l.finish = chunk.finish
+	if chunk.event != nil {
+		l.base++
+	}
+	return chunk, true, nil
+}
+
 func (l *Log) check(chunk Chunk) error {
 	next := l.Len()
 	switch {
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -217,15 +217,22 @@
 		Kind: EventLoss, Class: class, Address: r.choice.Address(), Incarnation: r.choice.Incarnation(),
 		Attempt: r.Log.Attempt(), Cause: err,
 	})
-	_, gap := errors.AsType[GapError](err)
-	alive, _ := r.alive(r.choice.Address())
-	if alive && !r.fresh && (class == ClassConnection || gap) {
+	if r.mayAttach(class, err) {
 		r.reattach = true
 		return
 	}
 	r.abandon(err)
 }
 
+func (r *run) mayAttach(class string, err error) bool {
+	_, gap := errors.AsType[GapError](err)
+	if r.Attach == nil || r.fresh || (class != ClassConnection && !gap) {
+		return false
+	}
+	alive, _ := r.alive(r.choice.Address())
+	return alive
+}
+
 // abandon gives up the current engine and cancels the superseded attempt there. The number is the one that the engine
 // took from this run: a raised one may belong to another entry that attached meanwhile.
 func (r *run) abandon(err error) {
--- a/core/kv/error.go
+++ b/core/kv/error.go
@@ -73,3 +73,31 @@
 	}
 	return failure.NotRun
 }
+
+// CompactedError reports a watch whose history the store no longer has.
+type CompactedError struct{ After uint64 }
+
+// Error implements error.
+func (e CompactedError) Error() string {
+	return fmt.Sprintf("the history after revision %d is no longer available", e.After)
+}
+
+// Code implements failure.Failure.
+func (e CompactedError) Code() string { return "history-compacted" }
+
+// Outcome implements failure.Failure.
+func (e CompactedError) Outcome() failure.Outcome { return failure.NotRun }
+
+// OldRevisionError reports an answer from before what the caller has seen already.
+type OldRevisionError struct{ Want, Got uint64 }
+
+// Error implements error.
+func (e OldRevisionError) Error() string {
+	return fmt.Sprintf("answer of revision %d is older than revision %d", e.Got, e.Want)
+}
+
+// Code implements failure.Failure.
+func (e OldRevisionError) Code() string { return "old-revision" }
+
+// Outcome implements failure.Failure.
+func (e OldRevisionError) Outcome() failure.Outcome { return failure.NotRun }
--- a/core/route/choice.go
+++ b/core/route/choice.go
@@ -6,6 +6,7 @@
 	incarnation string
 	place       string
 	release     func()
+	begun       func()
 }
 
 // NewChoice returns a Choice; release may be nil.
@@ -22,6 +23,13 @@
 // Place returns the endpoint's place.
 func (c Choice) Place() string { return c.place }
 
+// Begun tells that the endpoint has read the prompt: the first output has come.
+func (c Choice) Begun() {
+	if c.begun != nil {
+		c.begun()
+	}
+}
+
 // Release returns the load that the choice reserved.
 func (c Choice) Release() {
 	if c.release != nil {
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -20,6 +20,12 @@
 	Kind        Kind
 	Name        string
 	Leaving     bool
+	// Slots is the number of requests that the endpoint runs at once; 0 where the list does not tell.
+	Slots int
+	// Slow is the time for which the endpoint stays slow after its start.
+	Slow time.Duration
+	// Born tells starts under the same incarnation apart; 0 where the list does not tell.
+	Born int64
 }
 
 // Report is one load report of an endpoint.
--- a/core/route/need.go
+++ b/core/route/need.go
@@ -24,10 +24,20 @@
 	Workspace string
 	// Prompt is the prompt of the attempt for prefix matching; nil for services.
 	Prompt []uint32
+	// PromptTokens is the size of a prompt whose token ids are not known.
+	PromptTokens int
 	// MaxTokens bounds the output that is still to come.
 	MaxTokens int
 	// Resume marks a generation that has lost its engine.
 	Resume bool
+	// Prefer is the address of an endpoint that is chosen if it may be used at all, or empty.
+	Prefer string
+	// Place is the place of the daemon. Among endpoints that are equal otherwise those of the place go first.
+	Place string
+	// AvoidPlace is a place whose endpoints are used only where no other has one left.
+	AvoidPlace string
+	// MaxInFlight bounds the requests of this daemon on one endpoint; 0 means no bound.
+	MaxInFlight int
 	// Exclude holds addresses that already failed this request.
 	Exclude map[string]bool
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -36,14 +36,20 @@
 	}
 	e.reserve(b, now)
 	t.busy[e] = true
-	return NewChoice(e.listing.Address, e.listing.Incarnation, e.listing.Place, func() {
+	choice := NewChoice(e.listing.Address, e.listing.Incarnation, e.listing.Place, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		e.release(b, time.Now())
 		if e.inFlight == 0 {
 			delete(t.busy, e)
 		}
-	}), nil
+	})
+	choice.begun = func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		e.begun(b)
+	}
+	return choice, nil
 }
 
 // pool returns the eligible endpoints of the subset, or of the whole list where the subset has none.
@@ -71,7 +77,8 @@
 			}
 		}
 	}
-	return t.preferWanted(preferRoles(preferReported(pool), need), need), stageReasons[best]
+	pool = t.preferWanted(preferRoles(preferReported(pool), need), need)
+	return preferPlaces(pool, need), stageReasons[best]
 }
 
 // stageReasons are the reasons by the number of filters that the best endpoint passed.
@@ -92,7 +99,7 @@
 		return 1
 	case leaving || dead:
 		return 2
-	case e.unreachable || (e.reported && e.report.State != StateReady):
+	case e.cutOff(now, t.policy) || (e.reported && e.report.State != StateReady):
 		return 3
 	case !e.serves(need):
 		return 4
@@ -107,12 +114,27 @@
 
 // reserved tells whether only resumed generations may use the endpoint's remaining slots.
 func (t *Table) reserved(e *endpoint, need Need) bool {
-	if need.Resume || need.Kind != KindModel || t.policy.Headroom <= 0 || e.report.Slots == 0 {
+	if need.MaxInFlight > 0 && e.inFlight >= need.MaxInFlight {
+		return true
+	}
+	if need.Resume || need.Kind != KindModel || t.policy.Headroom <= 0 || e.slotCount() == 0 {
 		return false
 	}
 	return float64(e.load()) >= e.newWorkSlots(t.policy.Headroom)
 }
 
+// preferPlaces leaves out endpoints other than the preferred one where that may be used, and those of the place to avoid
+// where others exist.
+func preferPlaces(pool []*endpoint, need Need) []*endpoint {
+	if need.Prefer != "" {
+		pool = prefer(pool, func(e *endpoint) bool { return e.listing.Address == need.Prefer })
+	}
+	if need.AvoidPlace == "" {
+		return pool
+	}
+	return prefer(pool, func(e *endpoint) bool { return e.listing.Place != need.AvoidPlace })
+}
+
 // preferReported leaves out endpoints without a report where others have one.
 func preferReported(pool []*endpoint) []*endpoint {
 	return prefer(pool, func(e *endpoint) bool { return e.reported })
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -31,6 +31,8 @@
 	ReportLag time.Duration
 	// AliveFor is the age up to which a report shows that its endpoint is alive.
 	AliveFor time.Duration
+	// UnreachableFor ends the effect of Unreachable where endpoints do not report; 0 waits for the next report.
+	UnreachableFor time.Duration
 	// DeadFor ends a dead mark, because a paused endpoint may return under the same incarnation.
 	DeadFor time.Duration
 	// MarkFor is the age up to which a mark is told to the peers.
@@ -47,6 +49,8 @@
 	BreakAfter int
 	// BreakMin and BreakMax bound the time that a circuit stays open.
 	BreakMin, BreakMax time.Duration
+	// OtherPlace is added to the estimate of an endpoint outside the daemon's place.
+	OtherPlace float64
 	// Seed seeds sampling and ties.
 	Seed uint64
 }
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -19,7 +19,11 @@
 		return t.lowest(pool, reportedLoad)
 	default:
 		return t.lowest(t.sample(pool, need, depth), func(e *endpoint) float64 {
-			return t.estimate(e, need, depth[e.id])
+			score := t.estimate(e, need, depth[e.id])
+			if need.Place != "" && e.listing.Place != need.Place {
+				score += t.policy.OtherPlace
+			}
+			return score
 		})
 	}
 }
@@ -72,7 +76,7 @@
 
 // estimate returns the seconds that the request would lose to waiting and to a fuller batch.
 func (t *Table) estimate(e *endpoint, need Need, depth int) float64 {
-	load, slots := float64(e.load()), float64(max(e.report.Slots, 1))
+	load, slots := float64(e.load()), float64(max(e.slotCount(), 1))
 	if need.Kind == KindService {
 		return load / slots
 	}
@@ -123,5 +127,5 @@
 
 // missing returns the prompt tokens that need prefill after a match of depth blocks.
 func missing(need Need, depth int) int {
-	return max(len(need.Prompt)-depth*BlockTokens, 0)
+	return max(len(need.Prompt)+need.PromptTokens-depth*BlockTokens, 0)
 }
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -39,14 +39,16 @@
 	reported    bool
 	reportedAt  time.Time
 	unreachable bool
-	gapMean     float64 // mean reported token gap, in nanoseconds
-	corrections []correction
-	slots       int // sum of the corrections
-	prefill     int // sum of the corrections
-	inFlight    int
-	resumes     int
-	breaker     breaker
-	inSubset    bool
+	// unreachableAt is the time of the last Unreachable.
+	unreachableAt time.Time
+	gapMean       float64 // mean reported token gap, in nanoseconds
+	corrections   []correction
+	slots         int // sum of the corrections
+	prefill       int // sum of the corrections
+	inFlight      int
+	resumes       int
+	breaker       breaker
+	inSubset      bool
 }
 
 func (e *endpoint) superseded(incarnation string) bool {
@@ -122,6 +124,36 @@
 	e.prefill += c.prefill
 }
 
+// begun drops the prompt of a choice from the prefill work.
+func (e *endpoint) begun(b *booking) {
+	if b.done || b.folded {
+		return
+	}
+	for i := range e.corrections {
+		if c := &e.corrections[i]; c.owner == b && c.slots > 0 {
+			e.prefill -= c.prefill
+			c.prefill = 0
+		}
+	}
+	b.prefill = 0
+}
+
+// slotCount returns the reported slots, or the listed ones of an endpoint that does not report.
+func (e *endpoint) slotCount() int {
+	if e.report.Slots > 0 {
+		return e.report.Slots
+	}
+	return e.listing.Slots
+}
+
+// cutOff tells whether the endpoint could not be reached lately.
+func (e *endpoint) cutOff(now time.Time, p Policy) bool {
+	if p.UnreachableFor > 0 && now.Sub(e.unreachableAt) >= p.UnreachableFor {
+		return false
+	}
+	return e.unreachable
+}
+
 // load returns the corrected number of running and waiting requests.
 func (e *endpoint) load() int {
 	return max(e.report.Running+e.report.Waiting+e.slots, 0)
@@ -133,7 +165,7 @@
 }
 
 func (e *endpoint) newWorkSlots(headroom float64) float64 {
-	return float64(e.report.Slots) * (1 - headroom)
+	return float64(e.slotCount()) * (1 - headroom)
 }
 
 // serves tells whether the endpoint has the model, adapter and spec loaded.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -115,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[address]; e != nil && e.listing.Incarnation == incarnation {
-		e.unreachable = true
+		e.unreachable, e.unreachableAt = true, time.Now()
 	}
 }
 
@@ -148,6 +148,10 @@
 		return false
 	case e.listing.Incarnation != l.Incarnation:
 		e = t.replace(e, l.Incarnation)
+	case e.listing.Born != l.Born:
+		// The endpoint has started again under its id and knows nothing of before.
+		e = t.replace(e, l.Incarnation)
+		e.past = e.past[1:]
 	}
 	old := e.listing
 	e.listing = l
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -40,12 +40,14 @@
 	table *route.Table, services *service.Client, keeper *claim.Keeper, budgets *retry.Budgets, log *logrus.Logger,
 ) *booking.Sender {
 	return &booking.Sender{
-		Pick:  table.Pick,
-		Send:  services.Send,
+		Pick: table.Pick,
+		Send: func(ctx context.Context, choice route.Choice, r booking.Request) (booking.Response, error) {
+			return services.Send(ctx, choice.Address(), r)
+		},
 		Sent:  observeSent(table),
 		Claim: keeper.Claim,
-		MayRetry: func(workspace string) bool {
-			return budgets.Take("booking/" + workspace)
+		MayRetry: func(call booking.Call) bool {
+			return budgets.Take("booking/" + call.Workspace)
 		},
 		Unrecorded: func(err error) { log.WithError(err).Warn("outcome of a booking is not recorded yet") },
 	}
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -13,7 +13,7 @@
 	"radishhollow/io/telemetry"
 )
 
-var configParts = fx.Provide(newStore, newSyncer, newWriter, newOperator)
+var configParts = fx.Provide(newSyncer, newWriter, newOperator)
 
 func newStore() *config.Store { return &config.Store{} }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,17 +59,22 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout+s.Timeouts.DrainDelay.Duration+finalTimeout),
 		fx.Supply(s, log),
-		fx.Provide(newIdentity, telemetry.New),
-		platformParts,
-		configParts,
+		fx.Provide(newIdentity, telemetry.New, newStore, newDrain, newTable, newLimiter),
 		peerParts,
-		policyParts,
-		endpointParts,
-		callerParts,
-		controlParts,
-		fx.Provide(newDrain, newSupervisor),
+		interfaceParts(s),
 		fx.Options(options...),
-		fx.Invoke(runSupervisor, serveAll),
+		fx.Invoke(runSupervisor),
+	)
+}
+
+// interfaceParts are the parts of the interface that the daemon serves.
+func interfaceParts(s settings.Settings) fx.Option {
+	if s.Interface == settings.InterfaceForward {
+		return fx.Options(forwardParts, fx.Invoke(serveForward))
+	}
+	return fx.Options(
+		platformParts, configParts, policyParts, endpointParts, callerParts, controlParts,
+		fx.Provide(newSupervisor), fx.Invoke(serveAll),
 	)
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,10 +20,15 @@
 	store    *config.Store
 	table    *route.Table
 	reach    *member.Reach
+	// reports tells that endpoints report their load, which is then known before the daemon is ready.
+	reports bool
 }
 
 func newDrain(s settings.Settings, store *config.Store, table *route.Table, reach *member.Reach) *Drain {
-	return &Drain{delay: s.Timeouts.DrainDelay.Duration, store: store, table: table, reach: reach}
+	return &Drain{
+		delay: s.Timeouts.DrainDelay.Duration, store: store, table: table, reach: reach,
+		reports: s.Interface == settings.InterfaceOwn,
+	}
 }
 
 // Draining tells whether a planned stop has begun.
@@ -35,7 +40,13 @@
 // survey records that the first load reports are in and the queue's capacity follows them. Later changes of the list
 // leave it as it is, so that a new endpoint does not take a serving daemon out of the load balancer.
 func (d *Drain) survey() {
-	if !d.surveyed.Load() && d.store.Current().Revision() > 0 && d.table.Surveyed() {
+	if d.surveyed.Load() || d.store.Current().Revision() == 0 {
+		return
+	}
+	if d.reports && !d.table.Surveyed() {
+		return
+	}
+	if d.table.Synced() {
 		d.surveyed.Store(true)
 	}
 }
--- a/daemon/endpoint.go
+++ b/daemon/endpoint.go
@@ -19,7 +19,7 @@
 }
 
 func newService(lifecycle fx.Lifecycle, s settings.Settings, table *route.Table) *service.Client {
-	client := service.New(s.Timeouts.Connect.Duration)
+	client := service.New(s.Timeouts.Connect.Duration, s.Timeouts.EndpointIdle.Duration)
 	client.Observe = observeState(table)
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
 	return client
--- /dev/null
+++ b/daemon/forward.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/config"
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/core/retry"
+	"radishhollow/core/route"
+	"radishhollow/io/forward"
+	"radishhollow/io/keyvalue"
+	"radishhollow/io/peer"
+	"radishhollow/io/service"
+	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
+	"radishhollow/platform"
+)
+
+// forwardParts serve requests that are passed on by the routes of the operators' platform.
+var forwardParts = fx.Provide(
+	newForwardKV, newForwardPolicy, newFollowedConfig, newListing, newWindow, newForwardClient, newForward,
+	newForwardSupervisor,
+)
+
+const (
+	// retryMargin keeps the retries of all daemons below the platform's bound while their windows are not aligned.
+	retryMargin = 0.9
+	// reachableTimeout tells a reachable endpoint from a dead one; a round trip within a region takes a few ms.
+	reachableTimeout = 100 * time.Millisecond
+	// memoryShare is the part of the instance's memory, in percent, that the Go heap may take.
+	memoryShare = 65
+)
+
+func newForwardKV(s settings.Settings, m *telemetry.Metrics) kv.Store {
+	store := &platform.Store{Caller: &keyvalue.Client{
+		Address: s.Platform, HTTP: keyvalue.NewHTTP(), Timeout: s.Timeouts.Platform.Duration, Refused: platform.Refused,
+		Count: func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
+	}}
+	return store.KV()
+}
+
+// newForwardPolicy returns the parameters for endpoints that do not report their load to this daemon.
+func newForwardPolicy(s settings.Settings) route.Policy {
+	policy := newPolicy(s)
+	policy.Candidates, policy.ResumeCandidates, policy.PrefixTerm = 0, 0, false
+	policy.UnreachableFor = 600 * time.Millisecond
+	policy.BreakMin, policy.BreakMax = 500*time.Millisecond, 2*time.Second
+	policy.Subset = 0
+	policy.OtherPlace = 0.01
+	return policy
+}
+
+// followedConfig keeps the configuration up to date from the store.
+type followedConfig struct {
+	follower *kv.Follower
+	syncer   *config.Syncer
+}
+
+func newFollowedConfig(
+	s settings.Settings, store kv.Store, current *config.Store, reach *member.Reach, m *telemetry.Metrics, log *logrus.Logger,
+) *followedConfig {
+	syncer := &config.Syncer{
+		Store: current, Decode: platform.Config,
+		Count:    func(class string) { m.Count(telemetry.Revisions, class) },
+		Rejected: func(err error) { log.WithError(err).Warn("configuration is refused; the last one stays in force") },
+	}
+	return &followedConfig{syncer: syncer, follower: &kv.Follower{
+		Store: store, Prefix: platform.ConfigPrefix, Wait: s.Timeouts.WatchWait.Duration,
+		Relist: s.Timeouts.ConfigPoll.Duration,
+		Apply: func(entries []kv.Entry, _ uint64, whole bool) {
+			reach.Contact()
+			for _, entry := range entries {
+				if entry.Key() != platform.ConfigKey || entry.Deleted() {
+					continue
+				}
+				class := config.FromWatch
+				if whole {
+					class = config.FromPoll
+				}
+				syncer.Offer(entry.Value(), class)
+			}
+		},
+	}}
+}
+
+func newListing(
+	s settings.Settings, store kv.Store, peers *peer.Exchanger, table *route.Table, reach *member.Reach,
+	log *logrus.Logger,
+) *listing {
+	l := &listing{
+		parse: platform.Listing, peers: peers, table: table, reach: reach, log: log,
+		rows: map[string]route.Listing{}, missing: map[string]time.Time{},
+	}
+	l.follower = &kv.Follower{
+		Store: store, Prefix: platform.ListingPrefix, Wait: s.Timeouts.WatchWait.Duration,
+		Relist: s.Timeouts.InstancePoll.Duration, Apply: l.apply, Failed: l.fail,
+	}
+	peers.Node.Listings = l.Listings
+	return l
+}
+
+func newWindow(s settings.Settings, members *member.Table) *retry.Window {
+	f := s.Forward
+	return &retry.Window{
+		Span: f.RetryWindow.Duration, Ratio: f.RetryRatio * retryMargin, Slack: float64(f.RetrySlack) * retryMargin,
+		Daemons: func() int { return members.Count() + 1 },
+	}
+}
+
+func newForwardClient(lifecycle fx.Lifecycle, s settings.Settings) *service.Client {
+	client := service.New(s.Timeouts.Connect.Duration, s.Timeouts.EndpointIdle.Duration)
+	client.Check = platform.Format().Check
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
+	return client
+}
+
+func newForward(
+	s settings.Settings, store *config.Store, table *route.Table, client *service.Client, window *retry.Window,
+	members *member.Table, m *telemetry.Metrics, log *logrus.Logger,
+) *forward.Server {
+	format := platform.Format()
+	sender := &booking.Sender{
+		Pick: table.Pick, Send: format.Send(client), Classify: format.Classify, Sent: observeSent(table),
+		MayRetry: func(call booking.Call) bool { return window.Take(call.Service.Name) },
+	}
+	return &forward.Server{
+		Format: format, Document: store.Current, Do: sender.Do, Pick: table.Pick, Open: client.Open,
+		Reachable: func(ctx context.Context, address string) bool {
+			return client.Reachable(ctx, address, reachableTimeout)
+		},
+		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take,
+		Daemons: func() int { return members.Count() + 1 },
+		Place:   s.Place, Metrics: m, Log: log,
+	}
+}
+
+// observeStream feeds the circuit breaker with the attempts of streams.
+func observeStream(table *route.Table) func(choice route.Choice, err error) {
+	return func(choice route.Choice, err error) {
+		_, refused := errors.AsType[forward.RefusedError](err)
+		sent, failed := errors.AsType[service.SendError](err)
+		switch {
+		case err == nil:
+			table.Observe(choice, route.ResultOK)
+		case refused:
+			table.Observe(choice, route.ResultRefused)
+		case failed && !sent.Written:
+			table.Unreachable(choice.Address(), choice.Incarnation())
+		default:
+			table.Observe(choice, route.ResultFailed)
+		}
+	}
+}
+
+// surveyor tells the drain when the daemon knows enough to be ready.
+type surveyor struct{ drain *Drain }
+
+// Run looks until ctx ends.
+func (r *surveyor) Run(ctx context.Context) error {
+	ticker := time.NewTicker(surveyInterval)
+	defer ticker.Stop()
+	for !r.drain.surveyed.Load() {
+		r.drain.survey()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+	<-ctx.Done()
+	return errors.Trace(ctx.Err())
+}
+
+// surveyInterval is short against the start of a daemon, which should be ready as soon as it can serve.
+const surveyInterval = 20 * time.Millisecond
+
+func newForwardSupervisor(
+	followed *followedConfig, list *listing, registrar *peer.Registrar, exchanger *peer.Exchanger, drain *Drain,
+	m *telemetry.Metrics, log *logrus.Logger,
+) *Supervisor {
+	return &Supervisor{
+		Metrics: m,
+		Restarted: func(name string, err error) {
+			log.WithField("component", name).WithError(err).Warn("component restarts")
+		},
+		Children: []Child{
+			{Name: "configuration", Run: followed.follower.Run},
+			{Name: "listing", Run: list.Run},
+			{Name: "registration", Run: registrar.Run},
+			{Name: "exchange", Run: exchanger.Run},
+			{Name: "survey", Run: (&surveyor{drain: drain}).Run},
+		},
+	}
+}
+
+// serveForward registers the listeners. fx stops them in reverse order: callers drain first.
+func serveForward(
+	lifecycle fx.Lifecycle, s settings.Settings, log *logrus.Logger, drain *Drain, callers *forward.Server,
+	peers *peer.Server, m *telemetry.Metrics,
+) {
+	debug.SetMemoryLimit(int64(s.Forward.MemoryMB) << 20 * memoryShare / 100)
+	for _, l := range []*listener{
+		{address: s.PeerListen, log: log, server: newInnerServer(peers.Handler())},
+		{address: s.OperatorListen, log: log, server: newInnerServer(metricsHandler(m))},
+		{address: s.ReadinessListen, log: log, server: newInnerServer(readyHandler(drain))},
+	} {
+		lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(context.Context) error { return l.server.Close() }})
+	}
+	server := callers.HTTP()
+	server.Handler = drain.closeIdle(server.Handler)
+	l := &listener{address: s.Listen, log: log, server: server}
+	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
+		return drain.stop(ctx, server, s.Timeouts.Drain.Duration, log)
+	}})
+}
+
+func newInnerServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+}
+
+func metricsHandler(m *telemetry.Metrics) http.Handler {
+	router := gin.New()
+	router.GET("/metrics", func(c *gin.Context) { m.Write(c.Writer) })
+	return router
+}
+
+func readyHandler(drain *Drain) http.Handler {
+	router := gin.New()
+	router.GET("/readyz", func(c *gin.Context) {
+		if !drain.Ready() {
+			c.Status(http.StatusServiceUnavailable)
+			return
+		}
+		c.Status(http.StatusOK)
+	})
+	return router
+}
--- /dev/null
+++ b/daemon/listing.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/clock"
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+	"radishhollow/core/route"
+	"radishhollow/io/peer"
+)
+
+const (
+	// outageMemory is the time after the last failed call in which the store may still serve what it lost in an outage.
+	outageMemory = 3 * time.Second
+	// returnGrace is the time that endpoints have to register again after an outage in which their entries ran out.
+	returnGrace = 2500 * time.Millisecond
+	// peerListAfter is the age of the list at which a daemon asks its peers for a newer one, and the pause between
+	// questions.
+	peerListAfter = 2500 * time.Millisecond
+	peerListPause = 500 * time.Millisecond
+)
+
+// listing brings the endpoints that are registered in the store into the table. During an outage the last list stays,
+// and peers that still reach the store help out.
+type listing struct {
+	follower *kv.Follower
+	parse    func(entry kv.Entry) (route.Listing, error)
+	peers    *peer.Exchanger
+	table    *route.Table
+	reach    *member.Reach
+	log      *logrus.Logger
+
+	mu       sync.Mutex
+	rows     map[string]route.Listing
+	missing  map[string]time.Time
+	revision uint64
+	synced   bool
+	read     time.Time
+	failed   time.Time
+}
+
+// Run follows the store until ctx ends.
+func (l *listing) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { l.runPeers(ctx) })
+	defer group.Wait()
+	return l.follower.Run(ctx)
+}
+
+// Listings returns the list for peers.
+func (l *listing) Listings() ([]route.Listing, uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list(), l.revision, l.synced
+}
+
+func (l *listing) list() []route.Listing {
+	list := make([]route.Listing, 0, len(l.rows))
+	for _, row := range l.rows {
+		list = append(list, row)
+	}
+	return list
+}
+
+// apply takes what the store says.
+func (l *listing) apply(entries []kv.Entry, revision uint64, whole bool) {
+	l.reach.Contact()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if !l.failed.IsZero() && l.read.Before(l.failed) {
+		l.log.WithField("revision", revision).Info("store answers again")
+	}
+	l.read, l.revision, l.synced = now, max(revision, l.revision), true
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		seen[entry.Key()] = true
+		if entry.Deleted() {
+			l.remove(entry.Key(), now)
+			continue
+		}
+		l.put(entry)
+	}
+	if whole {
+		for key := range l.rows {
+			if !seen[key] {
+				l.remove(key, now)
+			}
+		}
+	}
+	l.expire(now)
+	l.table.Sync(l.list())
+}
+
+func (l *listing) put(entry kv.Entry) {
+	row, err := l.parse(entry)
+	if err != nil {
+		// An entry that can't be read names no endpoint.
+		l.log.WithField("key", entry.Key()).WithError(err).Warn("registration is malformed")
+		delete(l.rows, entry.Key())
+		return
+	}
+	if old, known := l.rows[entry.Key()]; !known || old.Leaving != row.Leaving || old.Address != row.Address {
+		l.log.WithFields(logrus.Fields{
+			"endpoint": row.Incarnation, "address": row.Address, "service": row.Name, "leaving": row.Leaving,
+			"revision": entry.Revision(),
+		}).Info("endpoint registered")
+	}
+	l.rows[entry.Key()] = row
+	delete(l.missing, entry.Key())
+}
+
+// remove drops a row. Around an outage the entry may have run out although its endpoint lives, so that it stays until
+// the endpoint has had time to register again.
+func (l *listing) remove(key string, now time.Time) {
+	row, known := l.rows[key]
+	if !known {
+		return
+	}
+	if !l.failed.IsZero() && now.Sub(l.failed) < outageMemory && !row.Leaving {
+		if _, waiting := l.missing[key]; !waiting {
+			l.missing[key] = now
+		}
+		return
+	}
+	l.drop(key)
+}
+
+func (l *listing) drop(key string) {
+	l.log.WithFields(logrus.Fields{"endpoint": l.rows[key].Incarnation, "revision": l.revision}).Info("endpoint gone")
+	delete(l.rows, key)
+	delete(l.missing, key)
+}
+
+// expire drops the rows that are still missing after an outage.
+func (l *listing) expire(now time.Time) {
+	for key, since := range l.missing {
+		if now.Sub(since) >= returnGrace {
+			l.drop(key)
+		}
+	}
+}
+
+// fail notes a call that the store did not answer.
+func (l *listing) fail(err error) {
+	if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.read.After(l.failed) || l.failed.IsZero() {
+		l.log.WithError(err).Warn("store does not answer; keeping the last list")
+	}
+	l.failed = time.Now()
+}
+
+// runPeers asks peers for a newer list while this daemon does not reach the store.
+func (l *listing) runPeers(ctx context.Context) {
+	for clock.Sleep(ctx, peerListPause) == nil {
+		l.mu.Lock()
+		stale, after, synced := time.Since(l.read) > peerListAfter, l.revision+1, l.synced
+		if !synced {
+			stale, after = true, 0
+		}
+		l.mu.Unlock()
+		if !stale {
+			continue
+		}
+		if rows, revision, found := l.peers.Instances(ctx, after); found {
+			l.adopt(rows, revision)
+		}
+	}
+}
+
+// adopt takes a newer list from a peer.
+func (l *listing) adopt(rows []route.Listing, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.synced && revision <= l.revision {
+		return
+	}
+	l.rows = make(map[string]route.Listing, len(rows))
+	for _, row := range rows {
+		l.rows[l.follower.Prefix+row.Incarnation] = row
+	}
+	clear(l.missing)
+	l.revision, l.synced = revision, true
+	l.table.Sync(l.list())
+	l.log.WithFields(logrus.Fields{"endpoints": len(rows), "revision": revision}).Info("list of endpoints taken from a peer")
+}
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -39,8 +39,11 @@
 		Address: id.address, Incarnation: id.incarnation, Place: id.place,
 		Draining: drain.Draining,
 		Demand:   func() []member.Demand { return demandOf(limiter) },
-		Listings: table.Listings,
-		Table:    members, Store: store, Reach: reach, Metrics: m,
+		Listings: func() ([]route.Listing, uint64, bool) {
+			list, known := table.Listings()
+			return list, 0, known
+		},
+		Table: members, Store: store, Reach: reach, Metrics: m,
 	}
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,28 +11,28 @@
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
+	"radishhollow/io/keyvalue"
 	"radishhollow/io/peer"
-	"radishhollow/io/platform"
 	"radishhollow/io/settings"
 	"radishhollow/io/telemetry"
 )
 
 var platformParts = fx.Provide(newPlatform, newKV, newInstances)
 
-func newPlatform(s settings.Settings, m *telemetry.Metrics) *platform.Client {
-	return &platform.Client{
+func newPlatform(s settings.Settings, m *telemetry.Metrics) *keyvalue.Client {
+	return &keyvalue.Client{
 		Address: s.Platform,
-		HTTP:    platform.NewHTTP(),
+		HTTP:    keyvalue.NewHTTP(),
 		Timeout: s.Timeouts.Platform.Duration,
 		Count:   func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
 	}
 }
 
-func newKV(client *platform.Client) kv.Store { return client.Store() }
+func newKV(client *keyvalue.Client) kv.Store { return client.Store() }
 
 // instances reads the platform's instance list into the table of endpoints. During an outage the last list stays.
 type instances struct {
-	list     *platform.List
+	list     *keyvalue.List
 	peers    *peer.Exchanger
 	table    *route.Table
 	reach    *member.Reach
@@ -42,11 +42,11 @@
 }
 
 func newInstances(
-	s settings.Settings, client *platform.Client, peers *peer.Exchanger, table *route.Table, reach *member.Reach,
+	s settings.Settings, client *keyvalue.Client, peers *peer.Exchanger, table *route.Table, reach *member.Reach,
 	log *logrus.Logger,
 ) *instances {
 	return &instances{
-		list: &platform.List{Client: client}, peers: peers, table: table, reach: reach,
+		list: &keyvalue.List{Client: client}, peers: peers, table: table, reach: reach,
 		interval: s.Timeouts.InstancePoll.Duration, log: log,
 	}
 }
@@ -90,7 +90,7 @@
 	if i.table.Synced() {
 		return
 	}
-	if endpoints, known := i.peers.Instances(ctx); known {
+	if endpoints, _, known := i.peers.Instances(ctx, 0); known {
 		i.table.Sync(endpoints)
 		i.log.WithField("endpoints", len(endpoints)).Info("instance list taken from a peer")
 	}
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -17,7 +17,7 @@
 	"radishhollow/io/settings"
 )
 
-var policyParts = fx.Provide(newPolicy, newTable, newQueue, newLimiter, retry.Default, newRefresh)
+var policyParts = fx.Provide(newPolicy, newQueue, retry.Default, newRefresh)
 
 func newPolicy(s settings.Settings) route.Policy {
 	policy := route.DefaultPolicy()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"radishhollow/core/generation"
+	"radishhollow/io/sse"
 )
 
 const (
@@ -123,7 +124,7 @@
 		return generation.Stream{}, err
 	}
 	if response.StatusCode == http.StatusOK {
-		return newStream(streamCtx, response.Body, cancel), nil
+		return sse.NewStream(streamCtx, response.Body, cancel, newStreamReader(response.Body).nextChunk), nil
 	}
 	defer cancel()
 	defer discard(response)
--- /dev/null
+++ b/io/forward/server.go
@@ -0,0 +1,163 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/config"
+	"radishhollow/core/failure"
+	"radishhollow/core/generation"
+	"radishhollow/core/route"
+	"radishhollow/io/telemetry"
+)
+
+const (
+	// defaultTimeout bounds requests for which neither caller nor route names a time.
+	defaultTimeout = 30 * time.Second
+	// defaultMaxBody and maxHeader bound requests, in bytes, where the configuration does not.
+	defaultMaxBody = 4 << 20
+	maxHeader      = 64 << 10
+	// headerTimeout and idleTimeout are above what configurations allow, so that no caller is cut off too soon.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// channelShare is the part, in percent, of an endpoint's connections that all daemons together use for requests. The
+	// rest covers idle connections and daemons that are not known yet.
+	channelShare = 80
+	// retryAfter is the time after which a caller may try again, about that of a restart of an endpoint.
+	retryAfter = 500 * time.Millisecond
+)
+
+// Server is the HTTP server for callers. All fields but Result are required.
+type Server struct {
+	Format   Format
+	Document func() config.Document
+	// Do sends requests that are answered whole.
+	Do func(ctx context.Context, call booking.Call) (booking.Response, error)
+	// Pick, Open and Reachable serve streams.
+	Pick      func(ctx context.Context, need route.Need) (route.Choice, error)
+	Open      func(ctx context.Context, address string, r booking.Request) (*http.Response, context.CancelFunc, error)
+	Reachable func(ctx context.Context, address string) bool
+	// Result is told how each attempt of a stream went; it may be nil.
+	Result func(choice route.Choice, err error)
+	// Earn counts a request, and MayRetry takes a repetition from the service's budget.
+	Earn     func(service string)
+	MayRetry func(service string) bool
+	// Daemons returns the number of daemons that share the endpoints' connections.
+	Daemons func() int
+	// Stopping tells whether the daemon will stop before a stream could end.
+	Stopping func() bool
+	Place    string
+	Metrics  *telemetry.Metrics
+	Log      *logrus.Logger
+}
+
+// HTTP returns an http.Server with the limits of this package. The caller of HTTP sets its listener and stops it.
+func (s *Server) HTTP() *http.Server {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.NoRoute(s.handle)
+	return &http.Server{
+		Handler: router, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: nil,
+	}
+}
+
+func (s *Server) handle(c *gin.Context) {
+	// gin sets the status of its own answer for paths without a handler.
+	c.Status(http.StatusOK)
+	q, err := s.parse(c.Writer, c.Request)
+	if err == nil {
+		s.Earn(q.service.Name)
+		if q.route.Kind == config.KindStream {
+			err = s.stream(c, q)
+		} else {
+			err = s.whole(c, q)
+		}
+	}
+	s.finish(c, q, err)
+}
+
+// whole answers a request from one complete response.
+func (s *Server) whole(c *gin.Context, q *request) error {
+	call := booking.Call{
+		Workspace: q.workspace.Name, Service: q.service, Request: q.outgoing(), Kind: q.route.Kind, Need: s.need(q),
+		Deadline: q.deadline, MaxAttempts: maxTries, MaxSends: q.route.Attempts,
+	}
+	if q.route.Kind == config.KindIdempotent {
+		call.MaxAttempts = q.route.Attempts
+		call.HedgeAfter = q.route.Target() * hedgePart / 100
+	}
+	response, err := s.Do(c.Request.Context(), call)
+	if err != nil {
+		return err
+	}
+	writeAnswer(c.Writer, response.Status, response.Header, response.Body)
+	return nil
+}
+
+const (
+	// maxTries bounds the endpoints tried for a request that none has received.
+	maxTries = 3
+	// hedgePart is the part of the objective, in percent, after which an idempotent request is sent a second time.
+	hedgePart = 50
+)
+
+// finish writes the answer of a failed request, and the line and the figures of every request.
+func (s *Server) finish(c *gin.Context, q *request, err error) {
+	status := c.Writer.Status()
+	started := c.Writer.Written()
+	_, gone := errors.AsType[generation.CallerGoneError](err)
+	gone = gone || c.Request.Context().Err() != nil
+	if err != nil && !started && !gone {
+		status = statusOf(err, q.deadline)
+		s.refuse(c, status, err)
+	}
+	s.report(q, status, gone, err)
+	if err != nil && started {
+		// The answer must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) refuse(c *gin.Context, status int, err error) {
+	header := c.Writer.Header()
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	if f := failure.Of(err).Code(); f == "body-too-large" || f == "body-incomplete" {
+		header.Set("Connection", "close")
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	c.Status(status)
+	// A caller that has gone needs no error.
+	_, _ = io.WriteString(c.Writer, failure.Of(err).Code()+"\n")
+}
+
+// report writes the line of a request and counts it.
+func (s *Server) report(q *request, status int, gone bool, err error) {
+	code := "ok"
+	switch {
+	case gone:
+		code = "caller-gone"
+	case err != nil:
+		code = failure.Of(err).Code()
+	}
+	s.Metrics.Count(telemetry.Requests, code)
+	s.Metrics.Observe(telemetry.RequestTime, q.workspace.Name, time.Since(q.arrived))
+	entry := s.Log.WithFields(logrus.Fields{
+		"request": q.id, "route": q.route.Name, "service": q.service.Name, "workspace": q.workspace.Name,
+		"revision": q.document.Revision(), "status": status, "outcome": code, "ms": time.Since(q.arrived).Milliseconds(),
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("request ended")
+}
--- /dev/null
+++ b/io/forward/stream.go
@@ -0,0 +1,274 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/failure"
+	"radishhollow/core/generation"
+	"radishhollow/core/route"
+	"radishhollow/io/sse"
+	"radishhollow/io/telemetry"
+)
+
+const (
+	// firstPart is the part of the objective, in percent, for which a stream may wait for an endpoint. Beyond it the
+	// caller is better off at another daemon.
+	firstPart = 25
+	// resumeClass is the rank of a run that goes on, above that of new ones, which is 5.
+	resumeClass = 2
+	// writeTimeout ends a stream whose caller has stopped reading.
+	writeTimeout = 10 * time.Second
+	// maxAnswer bounds the body of an endpoint's own failure.
+	maxAnswer = 1 << 20
+)
+
+// pace gives up an engine that has stopped in time for a resume within the usual pause of 700 ms between events. Before
+// the first event only a broken connection or a dead peer shows a loss, because the prompt may take seconds.
+var pace = generation.Pace{Floor: 300 * time.Millisecond, Ceiling: 400 * time.Millisecond, First: 12 * time.Second}
+
+// streamed answers one request with the events of one or more engines.
+type streamed struct {
+	server  *Server
+	c       *gin.Context
+	control *http.ResponseController
+	request *request
+	// ctx ends with the request.
+	ctx context.Context
+	// choice is the endpoint of the current attempt.
+	choice route.Choice
+	// copy is the engine that holds a copy of the last run's memory, if any.
+	copy route.Choice
+	lost string
+	// head is the header of the first engine's answer.
+	head   http.Header
+	sent   bool
+	answer *booking.Response
+}
+
+func (s *Server) stream(c *gin.Context, q *request) error {
+	ctx, cancel := context.WithDeadlineCause(c.Request.Context(), q.deadline, TimeoutError{
+		After: time.Until(q.deadline), Result: failure.Unknown,
+	})
+	defer cancel()
+	t := &streamed{
+		server: s, c: c, control: http.NewResponseController(c.Writer), request: q, ctx: ctx,
+	}
+	runs := 1
+	if q.route.Resumable {
+		runs = q.route.Attempts
+	}
+	d := &generation.Driver{
+		Pick: t.pick, Open: t.open, Deliver: t.deliver, Observe: t.observe, Alive: t.alive,
+		MayRetry:   func() bool { return s.MayRetry(q.service.Name) },
+		OwnResumes: -1, MaxRuns: runs, FirstPick: q.route.Target() * firstPart / 100,
+		Log: generation.NewEventLog(q.id, q.lastEvent), Need: s.need(q), Pace: pace,
+		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.Pause()),
+	}
+	err := d.Run(ctx)
+	if err == nil {
+		return t.begin()
+	}
+	if t.answer != nil && !t.sent {
+		writeAnswer(c.Writer, t.answer.Status, t.answer.Header, t.answer.Body)
+		return nil
+	}
+	return err
+}
+
+// pick prefers the engine that holds a copy of the run's memory, and keeps away from the place of the last loss, because
+// engines of one place fail together.
+func (t *streamed) pick(ctx context.Context, need route.Need) (route.Choice, error) {
+	need.AvoidPlace, need.Prefer = t.lost, t.copy.Address()
+	need.Spec, need.Prompt = "", nil
+	choice, err := t.server.Pick(ctx, need)
+	if err == nil {
+		t.choice = choice
+	}
+	return choice, err
+}
+
+func (t *streamed) open(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+	f := t.server.Format
+	r := t.request.outgoing()
+	r.Header = r.Header.Clone()
+	f.prepare(r.Header, t.choice, t.request.deadline)
+	if start.Offset > 0 {
+		r.Header.Set(f.LastEvent, strconv.Itoa(start.Offset))
+	}
+	next := t.placeCopy(ctx, address, start.Offset, r.Header)
+	response, cancel, err := t.server.Open(ctx, address, r)
+	t.log("stream sent", logrus.Fields{
+		"endpoint": t.choice.Incarnation(), "address": address, "attempt": start.Attempt, "offset": start.Offset,
+		"from": r.Header.Get(f.From), "backup": next.Address(),
+	}, err)
+	if r.Header.Get(f.From) != "" {
+		// A copy is used once.
+		t.copy = route.Choice{}
+	}
+	if err != nil {
+		return generation.Stream{}, err
+	}
+	if response.StatusCode != http.StatusOK || response.Header.Get(f.Signature) == "" {
+		defer cancel()
+		return generation.Stream{}, t.refusal(ctx, address, response)
+	}
+	if t.head == nil {
+		t.head = response.Header
+	}
+	t.copy = next
+	events := &events{
+		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, count: start.Offset,
+	}
+	return sse.NewStream(t.ctx, response.Body, cancel, events.next), nil
+}
+
+// placeCopy names the copy that the run goes on from, and the engine in another place that gets the next one.
+func (t *streamed) placeCopy(ctx context.Context, address string, offset int, header http.Header) (next route.Choice) {
+	f, q := t.server.Format, t.request
+	if t.lost != "" {
+		header.Set(f.Priority, strconv.Itoa(resumeClass))
+	}
+	if t.copy.Address() == address && offset > 0 {
+		header.Set(f.From, address+"/"+q.id)
+	}
+	if q.service.Engine == nil || !q.service.Engine.Backups || !q.route.Resumable {
+		return route.Choice{}
+	}
+	need := t.server.need(q)
+	need.Exclude, need.AvoidPlace, need.Place, need.PromptTokens = map[string]bool{address: true}, t.choice.Place(), "", 0
+	next, err := t.server.Pick(ctx, need)
+	if err != nil {
+		return route.Choice{}
+	}
+	next.Release()
+	header.Set(f.Backup, next.Address())
+	return next
+}
+
+// refusal reads the answer of an engine that does not stream.
+func (t *streamed) refusal(ctx context.Context, address string, response *http.Response) error {
+	f := t.server.Format
+	defer context.AfterFunc(ctx, func() { _ = response.Body.Close() })()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	_ = response.Body.Close()
+	if f.refused(response.StatusCode, response.Header) {
+		return errors.Trace(RefusedError{Endpoint: address, Status: response.StatusCode})
+	}
+	if err == nil && response.Header.Get(f.Signature) != "" {
+		t.answer = &booking.Response{Status: response.StatusCode, Header: response.Header, Body: body}
+	}
+	return errors.Trace(AnswerError{Endpoint: address, Status: response.StatusCode})
+}
+
+func (t *streamed) alive(address string) (alive bool, slow float64) {
+	return t.server.Reachable(t.ctx, address), aliveFactor
+}
+
+// aliveFactor extends the silence that a reachable engine may keep.
+const aliveFactor = 2
+
+// begin sends the header of the first engine's answer once.
+func (t *streamed) begin() error {
+	if t.sent {
+		return nil
+	}
+	t.sent = true
+	copyHeader(t.c.Writer.Header(), t.head)
+	t.c.Status(http.StatusOK)
+	t.c.Writer.WriteHeaderNow()
+	return nil
+}
+
+func (t *streamed) deliver(part generation.Chunk) error {
+	if part.Event() == nil {
+		return nil
+	}
+	if err := t.begin(); err != nil {
+		return err
+	}
+	// A writer without deadlines is one of a test.
+	_ = t.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := t.c.Writer.Write(part.Event()); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(t.control.Flush())
+}
+
+// observe tells the table and the metrics how the attempts go.
+func (t *streamed) observe(event generation.Event) {
+	m, name := t.server.Metrics, t.request.workspace.Name
+	switch event.Kind {
+	case generation.EventAttempt:
+		m.Count(telemetry.Attempts, event.Class)
+	case generation.EventFirst:
+		m.Observe(telemetry.TimeToFirstToken, name, event.Wait)
+		t.choice.Begun()
+	case generation.EventGap:
+		m.Observe(telemetry.TokenGap, name, event.Wait)
+	case generation.EventResumed:
+		m.Observe(telemetry.ResumeLatency, name, event.Wait)
+		t.log("stream resumed", logrus.Fields{
+			"endpoint": t.choice.Incarnation(), "wait-ms": event.Wait.Milliseconds(),
+		}, nil)
+		t.choice.Begun()
+	case generation.EventLoss:
+		m.Count(telemetry.EngineLosses, event.Class)
+		t.lost = t.choice.Place()
+		t.log("stream lost", logrus.Fields{"endpoint": t.choice.Incarnation(), "class": event.Class}, event.Cause)
+	}
+	t.judge(event)
+}
+
+func (t *streamed) judge(event generation.Event) {
+	if t.server.Result == nil {
+		return
+	}
+	switch event.Kind {
+	case generation.EventFirst, generation.EventResumed:
+		t.server.Result(t.choice, nil)
+	case generation.EventLoss, generation.EventRefused:
+		t.server.Result(t.choice, event.Cause)
+	}
+}
+
+func (t *streamed) log(message string, fields logrus.Fields, err error) {
+	entry := t.server.Log.WithField("request", t.request.id).WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info(message)
+}
+
+// events turns the body of an answer into chunks.
+type events struct {
+	reader     *sse.EventReader
+	generation string
+	attempt    int
+	count      int
+	ended      bool
+}
+
+func (e *events) next() (generation.Chunk, error) {
+	if e.ended {
+		return generation.Chunk{}, io.EOF
+	}
+	id, event, err := e.reader.Next()
+	if errors.Is(err, io.EOF) {
+		e.ended = true
+		return generation.NewChunk(e.generation, e.attempt, generation.Spec{}, e.count, nil, "", generation.FinishStop), nil
+	}
+	if err != nil {
+		return generation.Chunk{}, err
+	}
+	e.count = max(id, e.count)
+	return generation.NewEvent(e.generation, e.attempt, id, event), nil
+}
--- a/io/platform/bench_test.go
+++ b/io/keyvalue/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"radishhollow/io/platform"
+	"radishhollow/io/keyvalue"
 	"radishhollow/standin"
 )
 
@@ -26,7 +26,7 @@
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) }))
 	defer server.Close()
-	client := &platform.Client{Address: server.Listener.Addr().String(), HTTP: platform.NewHTTP()}
+	client := &keyvalue.Client{Address: server.Listener.Addr().String(), HTTP: keyvalue.NewHTTP()}
 	b.SetBytes(int64(len(data)))
 	b.ReportAllocs()
 	for b.Loop() {
--- a/io/platform/client.go
+++ b/io/keyvalue/client.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's key-value service, leases and instance list.
-package platform
+// Package keyvalue is the client of the platform's key-value service, leases and instance list.
+package keyvalue
 
 import (
 	"bytes"
@@ -38,6 +38,8 @@
 	MaxResponse int64
 	// Count is told the kind of each call before it is sent; it may be nil.
 	Count func(kind string)
+	// Refused tells that an error response promises that nothing was done. Nil trusts the header Not-Run.
+	Refused func(status int, header http.Header) bool
 }
 
 // NewHTTP returns an HTTP client that follows no redirect and uses no proxy.
@@ -52,45 +54,49 @@
 	}
 }
 
-// call describes one exchange with the platform.
-type call struct {
-	kind   string
-	method string
-	path   string
-	query  url.Values
-	body   any
-	wait   time.Duration
+// Call describes one exchange with the platform.
+type Call struct {
+	// Kind names the call in errors and metrics.
+	Kind   string
+	Method string
+	Path   string
+	Query  url.Values
+	// Body is sent as JSON; nil sends none.
+	Body any
+	// Wait is the time that the platform may hold the call back.
+	Wait time.Duration
 }
 
-// answer is a complete response.
-type answer struct {
-	status int
-	body   []byte
+// Answer is a complete response.
+type Answer struct {
+	Status int
+	Body   []byte
 }
 
 // onceReader hides the concrete type of a body from net/http, which then cannot rewind and resend it.
 type onceReader struct{ io.Reader }
 
-func (c *Client) do(ctx context.Context, k call) (answer, error) {
+// Do sends a call once. A response with a status that means overload or a server's failure is an UnavailableError.
+func (c *Client) Do(ctx context.Context, k Call) (Answer, error) {
 	if err := ctx.Err(); err != nil {
-		return answer{}, errors.Trace(kv.UnavailableError{Call: k.kind, Cause: err})
+		return Answer{}, errors.Trace(kv.UnavailableError{Call: k.Kind, Cause: err})
 	}
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = DefaultTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+k.wait)
+	ctx, cancel := context.WithTimeout(ctx, timeout+k.Wait)
 	defer cancel()
 	req, err := c.request(ctx, k)
 	if err != nil {
-		return answer{}, errors.Trace(kv.UnavailableError{Call: k.kind, Cause: err})
+		return Answer{}, errors.Trace(kv.UnavailableError{Call: k.Kind, Cause: err})
 	}
 	if c.Count != nil {
-		c.Count(k.kind)
+		c.Count(k.Kind)
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return answer{}, errors.Trace(kv.UnavailableError{Call: k.kind, Written: mayHaveWritten(k, err), Cause: err})
+		return Answer{}, errors.Trace(kv.UnavailableError{Call: k.Kind, Written: mayHaveWritten(k, err), Cause: err})
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return c.read(k, resp)
@@ -98,53 +104,56 @@
 
 // request builds a request that net/http sends at most once: without GetBody and with a body that it cannot rewind,
 // a failed write on a reused connection is reported instead of repeated.
-func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
+func (c *Client) request(ctx context.Context, k Call) (*http.Request, error) {
 	var data []byte
-	if k.body != nil {
+	if k.Body != nil {
 		var err error
-		if data, err = json.Marshal(k.body); err != nil {
+		if data, err = json.Marshal(k.Body); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
-	target := url.URL{Scheme: "http", Host: c.Address, Path: k.path, RawQuery: k.query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, k.method, target.String(), onceReader{bytes.NewReader(data)})
+	target := url.URL{Scheme: "http", Host: c.Address, Path: k.Path, RawQuery: k.Query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, k.Method, target.String(), onceReader{bytes.NewReader(data)})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	req.ContentLength = int64(len(data))
-	if k.body != nil {
+	if k.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	return req, nil
 }
 
-func (c *Client) read(k call, resp *http.Response) (answer, error) {
+func (c *Client) read(k Call, resp *http.Response) (Answer, error) {
 	limit := c.MaxResponse
 	if limit == 0 {
 		limit = DefaultMaxResponse
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		err = TooLargeError{Call: k.kind, Limit: limit}
+		err = TooLargeError{Call: k.Kind, Limit: limit}
 	}
 	if err != nil {
-		return answer{}, errors.Trace(kv.UnavailableError{Call: k.kind, Written: isWrite(k), Cause: err})
+		return Answer{}, errors.Trace(kv.UnavailableError{Call: k.Kind, Written: isWrite(k), Cause: err})
 	}
 	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests {
-		return answer{status: resp.StatusCode, body: body}, nil
+		return Answer{Status: resp.StatusCode, Body: body}, nil
 	}
-	refused := resp.Header.Get("Not-Run") == "1"
-	return answer{}, errors.Trace(kv.UnavailableError{
-		Call:    k.kind,
-		Written: isWrite(k) && !refused,
-		Cause:   StatusError{Call: k.kind, Status: resp.StatusCode},
+	refused := c.Refused
+	if refused == nil {
+		refused = func(_ int, header http.Header) bool { return header.Get("Not-Run") == "1" }
+	}
+	return Answer{}, errors.Trace(kv.UnavailableError{
+		Call:    k.Kind,
+		Written: isWrite(k) && !refused(resp.StatusCode, resp.Header),
+		Cause:   StatusError{Call: k.Kind, Status: resp.StatusCode},
 	})
 }
 
-func isWrite(k call) bool { return k.method != http.MethodGet }
+func isWrite(k Call) bool { return k.Method != http.MethodGet }
 
 // mayHaveWritten is false only for reads and for a connection that was never established.
-func mayHaveWritten(k call, err error) bool {
+func mayHaveWritten(k Call, err error) bool {
 	if !isWrite(k) {
 		return false
 	}
@@ -152,19 +161,19 @@
 	return !ok || op.Op != "dial"
 }
 
-// decode reads the JSON body of an answer; a body that cannot be read leaves the effect of a write open.
-func decode(k call, a answer, into any) error {
-	if err := json.Unmarshal(a.body, into); err != nil {
-		return errors.Trace(kv.UnavailableError{Call: k.kind, Written: isWrite(k), Cause: err})
+// Decode reads the JSON body of an answer; a body that cannot be read leaves the effect of a write open.
+func Decode(k Call, a Answer, into any) error {
+	if err := json.Unmarshal(a.Body, into); err != nil {
+		return errors.Trace(kv.UnavailableError{Call: k.Kind, Written: isWrite(k), Cause: err})
 	}
 	return nil
 }
 
-// unexpected is the error for a status that the protocol does not name for a call.
-func unexpected(k call, a answer) error {
+// Unexpected is the error for a status that the protocol does not name for a call.
+func Unexpected(k Call, a Answer) error {
 	return errors.Trace(kv.UnavailableError{
-		Call:    k.kind,
+		Call:    k.Kind,
 		Written: isWrite(k),
-		Cause:   StatusError{Call: k.kind, Status: a.status},
+		Cause:   StatusError{Call: k.Kind, Status: a.Status},
 	})
 }
--- a/io/platform/client_test.go
+++ b/io/keyvalue/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -15,14 +15,14 @@
 
 	"radishhollow/core/kv"
 	"radishhollow/core/route"
-	"radishhollow/io/platform"
+	"radishhollow/io/keyvalue"
 )
 
-func clientFor(t *testing.T, handler http.HandlerFunc) *platform.Client {
+func clientFor(t *testing.T, handler http.HandlerFunc) *keyvalue.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return &platform.Client{Address: server.Listener.Addr().String(), HTTP: platform.NewHTTP(), Timeout: time.Second}
+	return &keyvalue.Client{Address: server.Listener.Addr().String(), HTTP: keyvalue.NewHTTP(), Timeout: time.Second}
 }
 
 // Guards against a claim that took effect being taken for one that surely did not.
@@ -91,7 +91,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	client := &platform.Client{Address: address, HTTP: platform.NewHTTP()}
+	client := &keyvalue.Client{Address: address, HTTP: keyvalue.NewHTTP()}
 	err = client.Store().Delete(t.Context(), "k", 1)
 	lost, ok := errors.AsType[kv.UnavailableError](err)
 	require.True(t, ok)
@@ -181,7 +181,7 @@
 // Guards against requests that net/http may repeat: those without a body, and those whose body it can rewind.
 func TestRequestsCannotBeRepeated(t *testing.T) {
 	calls := 0
-	client := &platform.Client{Address: "127.0.0.1:1", HTTP: &http.Client{
+	client := &keyvalue.Client{Address: "127.0.0.1:1", HTTP: &http.Client{
 		Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
 			calls++
 			require.Nil(t, r.GetBody, r.URL.Path)
--- a/io/platform/instances.go
+++ b/io/keyvalue/instances.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -39,15 +39,15 @@
 
 func (c *Client) readInstances(ctx context.Context, query url.Values) (instanceList, error) {
 	var body instanceList
-	k := call{kind: CallInstances, method: http.MethodGet, path: "/instances", query: query}
-	a, err := c.do(ctx, k)
+	k := Call{Kind: CallInstances, Method: http.MethodGet, Path: "/instances", Query: query}
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return body, err
 	}
-	if a.status != http.StatusOK {
-		return body, unexpected(k, a)
+	if a.Status != http.StatusOK {
+		return body, Unexpected(k, a)
 	}
-	return body, decode(k, a, &body)
+	return body, Decode(k, a, &body)
 }
 
 // Instances returns the endpoints and the entries of the platform's list, which lags.
@@ -72,7 +72,7 @@
 	if row.Leaving {
 		state = string(route.StateLeaving)
 	}
-	return c.change(ctx, call{kind: CallPutInstance, method: http.MethodPut, path: "/instances", body: instance{
+	return c.change(ctx, Call{Kind: CallPutInstance, Method: http.MethodPut, Path: "/instances", Body: instance{
 		Address: row.Address, Incarnation: row.Incarnation, Place: row.Place,
 		Kind: row.Kind, Name: row.Name, State: state,
 	}})
@@ -81,16 +81,16 @@
 // DeleteInstance removes the row of an address. Only stand-ins and tests use it.
 func (c *Client) DeleteInstance(ctx context.Context, address string) error {
 	query := url.Values{"address": {address}}
-	return c.change(ctx, call{kind: CallDeleteInstance, method: http.MethodDelete, path: "/instances", query: query})
+	return c.change(ctx, Call{Kind: CallDeleteInstance, Method: http.MethodDelete, Path: "/instances", Query: query})
 }
 
-func (c *Client) change(ctx context.Context, k call) error {
-	a, err := c.do(ctx, k)
+func (c *Client) change(ctx context.Context, k Call) error {
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return err
 	}
-	if a.status >= http.StatusMultipleChoices {
-		return unexpected(k, a)
+	if a.Status >= http.StatusMultipleChoices {
+		return Unexpected(k, a)
 	}
 	return nil
 }
--- a/io/platform/list.go
+++ b/io/keyvalue/list.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
--- a/io/platform/list_test.go
+++ b/io/keyvalue/list_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/route"
-	"radishhollow/io/platform"
+	"radishhollow/io/keyvalue"
 	standin "radishhollow/standin/platform"
 )
 
@@ -38,8 +38,8 @@
 // platform whose list has started anew with higher sequence numbers.
 func TestListFollowsChanges(t *testing.T) {
 	address, stop := startPlatform(t)
-	client := &platform.Client{Address: address, HTTP: platform.NewHTTP()}
-	list, ctx := &platform.List{Client: client}, t.Context()
+	client := &keyvalue.Client{Address: address, HTTP: keyvalue.NewHTTP()}
+	list, ctx := &keyvalue.List{Client: client}, t.Context()
 	read := func(changed bool, rows ...route.Listing) {
 		t.Helper()
 		got, err := list.Read(ctx)
@@ -74,7 +74,7 @@
 		_, _ = w.Write([]byte(`{"sequence":1,"instances":` + bodies[0] + `}`))
 		bodies = bodies[1:]
 	})
-	list := &platform.List{Client: client}
+	list := &keyvalue.List{Client: client}
 	for _, want := range []int{1, 0} {
 		changed, err := list.Read(t.Context())
 		require.NoError(t, err)
--- a/io/platform/store.go
+++ b/io/keyvalue/store.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -43,57 +43,57 @@
 }
 
 func (c *Client) get(ctx context.Context, key string) (kv.Entry, error) {
-	k := call{kind: CallGet, method: http.MethodGet, path: "/kv/" + key}
-	a, err := c.do(ctx, k)
+	k := Call{Kind: CallGet, Method: http.MethodGet, Path: "/kv/" + key}
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return kv.Entry{}, err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusOK:
 		var it item
-		if err := decode(k, a, &it); err != nil {
+		if err := Decode(k, a, &it); err != nil {
 			return kv.Entry{}, err
 		}
 		return kv.NewEntry(key, it.Value, it.Revision, false), nil
 	case http.StatusNotFound:
 		return kv.Entry{}, errors.Trace(kv.NotFoundError{Key: key})
 	default:
-		return kv.Entry{}, unexpected(k, a)
+		return kv.Entry{}, Unexpected(k, a)
 	}
 }
 
 func (c *Client) put(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
-	k := call{kind: CallPut, method: http.MethodPut, path: "/kv/" + key, body: struct {
+	k := Call{Kind: CallPut, Method: http.MethodPut, Path: "/kv/" + key, Body: struct {
 		Value      []byte `json:"value"`
 		IfRevision uint64 `json:"if-revision"`
 		Lease      string `json:"lease"`
 	}{value, ifRevision, lease}}
-	a, err := c.do(ctx, k)
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return 0, err
 	}
 	switch {
-	case a.status == http.StatusOK || a.status == http.StatusCreated:
+	case a.Status == http.StatusOK || a.Status == http.StatusCreated:
 		var it item
-		err := decode(k, a, &it)
+		err := Decode(k, a, &it)
 		return it.Revision, err
-	case a.status == http.StatusConflict:
+	case a.Status == http.StatusConflict:
 		return 0, conflict(k, a, key, ifRevision)
-	case (a.status == http.StatusNotFound || a.status == http.StatusGone) && lease != "":
+	case (a.Status == http.StatusNotFound || a.Status == http.StatusGone) && lease != "":
 		return 0, errors.Trace(kv.LeaseLostError{Lease: lease})
 	default:
-		return 0, unexpected(k, a)
+		return 0, Unexpected(k, a)
 	}
 }
 
 func (c *Client) delete(ctx context.Context, key string, ifRevision uint64) error {
 	query := url.Values{"if-revision": {strconv.FormatUint(ifRevision, 10)}}
-	k := call{kind: CallDelete, method: http.MethodDelete, path: "/kv/" + key, query: query}
-	a, err := c.do(ctx, k)
+	k := Call{Kind: CallDelete, Method: http.MethodDelete, Path: "/kv/" + key, Query: query}
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusOK, http.StatusNoContent:
 		return nil
 	case http.StatusConflict:
@@ -101,20 +101,20 @@
 	case http.StatusNotFound:
 		return errors.Trace(kv.NotFoundError{Key: key})
 	default:
-		return unexpected(k, a)
+		return Unexpected(k, a)
 	}
 }
 
-func conflict(k call, a answer, key string, want uint64) error {
+func conflict(k Call, a Answer, key string, want uint64) error {
 	var it item
-	if err := decode(k, a, &it); err != nil {
+	if err := Decode(k, a, &it); err != nil {
 		return err
 	}
 	return errors.Trace(kv.ConflictError{Key: key, Want: want, Current: it.Revision})
 }
 
 func (c *Client) list(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
-	k := call{kind: CallList, method: http.MethodGet, path: "/kv", query: url.Values{"prefix": {prefix}}}
+	k := Call{Kind: CallList, Method: http.MethodGet, Path: "/kv", Query: url.Values{"prefix": {prefix}}}
 	return c.items(ctx, k)
 }
 
@@ -126,22 +126,22 @@
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	return c.items(ctx, call{kind: CallWatch, method: http.MethodGet, path: "/watch", query: query, wait: wait})
+	return c.items(ctx, Call{Kind: CallWatch, Method: http.MethodGet, Path: "/watch", Query: query, Wait: wait})
 }
 
-func (c *Client) items(ctx context.Context, k call) ([]kv.Entry, uint64, error) {
-	a, err := c.do(ctx, k)
+func (c *Client) items(ctx context.Context, k Call) ([]kv.Entry, uint64, error) {
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return nil, 0, err
 	}
-	if a.status != http.StatusOK {
-		return nil, 0, unexpected(k, a)
+	if a.Status != http.StatusOK {
+		return nil, 0, Unexpected(k, a)
 	}
 	var body struct {
 		Items    []item `json:"items"`
 		Revision uint64 `json:"revision"`
 	}
-	if err := decode(k, a, &body); err != nil {
+	if err := Decode(k, a, &body); err != nil {
 		return nil, 0, err
 	}
 	entries := make([]kv.Entry, 0, len(body.Items))
@@ -152,43 +152,43 @@
 }
 
 func (c *Client) grant(ctx context.Context, ttl time.Duration) (string, error) {
-	k := call{kind: CallGrant, method: http.MethodPost, path: "/leases", body: struct {
+	k := Call{Kind: CallGrant, Method: http.MethodPost, Path: "/leases", Body: struct {
 		TTL int64 `json:"ttl-ms"`
 	}{ttl.Milliseconds()}}
-	a, err := c.do(ctx, k)
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return "", err
 	}
-	if a.status != http.StatusOK && a.status != http.StatusCreated {
-		return "", unexpected(k, a)
+	if a.Status != http.StatusOK && a.Status != http.StatusCreated {
+		return "", Unexpected(k, a)
 	}
 	var body struct {
 		Lease string `json:"lease"`
 	}
-	err = decode(k, a, &body)
+	err = Decode(k, a, &body)
 	return body.Lease, err
 }
 
 func (c *Client) renew(ctx context.Context, lease string) error {
 	path := "/leases/" + lease + "/renew"
-	return c.onLease(ctx, lease, call{kind: CallRenew, method: http.MethodPost, path: path})
+	return c.onLease(ctx, lease, Call{Kind: CallRenew, Method: http.MethodPost, Path: path})
 }
 
 func (c *Client) revoke(ctx context.Context, lease string) error {
-	return c.onLease(ctx, lease, call{kind: CallRevoke, method: http.MethodDelete, path: "/leases/" + lease})
+	return c.onLease(ctx, lease, Call{Kind: CallRevoke, Method: http.MethodDelete, Path: "/leases/" + lease})
 }
 
-func (c *Client) onLease(ctx context.Context, lease string, k call) error {
-	a, err := c.do(ctx, k)
+func (c *Client) onLease(ctx context.Context, lease string, k Call) error {
+	a, err := c.Do(ctx, k)
 	if err != nil {
 		return err
 	}
-	switch a.status {
+	switch a.Status {
 	case http.StatusOK, http.StatusNoContent:
 		return nil
 	case http.StatusNotFound, http.StatusGone:
 		return errors.Trace(kv.LeaseLostError{Lease: lease})
 	default:
-		return unexpected(k, a)
+		return Unexpected(k, a)
 	}
 }
--- a/io/peer/exchange_test.go
+++ b/io/peer/exchange_test.go
@@ -98,18 +98,18 @@
 // none itself.
 func TestInstancesComeFromAPeerThatHasThem(t *testing.T) {
 	good := newDaemon(t)
-	good.Listings = func() ([]route.Listing, bool) { return nil, false }
+	good.Listings = func() ([]route.Listing, uint64, bool) { return nil, 0, false }
 	_, err := (&Server{Node: good.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
 	require.Error(t, err)
 	server := httptest.NewServer(rpc.NewPeerServer(&lyingPeer{}))
 	defer server.Close()
 	d := newDaemon(t, strings.TrimPrefix(server.URL, "http://"))
-	list, known := d.exchanger.Instances(t.Context())
+	list, _, known := d.exchanger.Instances(t.Context(), 0)
 	require.True(t, known)
 	require.Equal(t, []route.Listing{{
 		Address: "127.0.0.1:2", Incarnation: "1", Place: "p", Kind: route.KindModel, Name: "briefing", Leaving: true,
 	}}, list)
-	d.Listings = func() ([]route.Listing, bool) { return list, true }
+	d.Listings = func() ([]route.Listing, uint64, bool) { return list, 0, true }
 	answer, err := (&Server{Node: d.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
 	require.NoError(t, err)
 	require.Len(t, answer.GetInstances(), 1)
--- a/io/peer/instances.go
+++ b/io/peer/instances.go
@@ -11,37 +11,38 @@
 )
 
 // Instances implements rpc.Peer.
-func (s *Server) Instances(context.Context, *rpc.InstancesRequest) (*rpc.InstanceList, error) {
-	listings, known := s.Node.Listings()
-	if !known {
-		return nil, twirp.NotFoundError("there was no instance list yet")
+func (s *Server) Instances(_ context.Context, r *rpc.InstancesRequest) (*rpc.InstanceList, error) {
+	listings, revision, known := s.Node.Listings()
+	if !known || revision < r.GetAfter() {
+		return nil, twirp.NotFoundError("there was no such instance list yet")
 	}
-	list := &rpc.InstanceList{}
+	list := &rpc.InstanceList{Revision: revision}
 	for _, l := range listings {
 		list.Instances = append(list.Instances, &rpc.Instance{
 			Address: l.Address, Incarnation: l.Incarnation, Place: l.Place, Kind: string(l.Kind), Name: l.Name,
-			Leaving: l.Leaving,
+			Leaving: l.Leaving, Slots: uint32(l.Slots), Born: l.Born,
 		})
 	}
 	return list, nil
 }
 
-// Instances asks a few random peers for the instance list, and returns false where none has one.
-func (x *Exchanger) Instances(ctx context.Context) ([]route.Listing, bool) {
+// Instances asks a few random peers for an instance list of the given revision or a later one, and returns false where
+// none has one.
+func (x *Exchanger) Instances(ctx context.Context, after uint64) ([]route.Listing, uint64, bool) {
 	for _, address := range x.targets() {
-		if list, err := x.instancesOf(ctx, address); err == nil {
-			return list, true
+		if list, revision, err := x.instancesOf(ctx, address, after); err == nil {
+			return list, revision, true
 		}
 	}
-	return nil, false
+	return nil, 0, false
 }
 
-func (x *Exchanger) instancesOf(ctx context.Context, address string) ([]route.Listing, error) {
+func (x *Exchanger) instancesOf(ctx context.Context, address string, after uint64) ([]route.Listing, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
-	answer, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{})
+	answer, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{After: after})
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, 0, errors.Trace(err)
 	}
 	list := make([]route.Listing, 0, len(answer.GetInstances()))
 	for _, i := range answer.GetInstances() {
@@ -50,8 +51,9 @@
 		}
 		list = append(list, route.Listing{
 			Address: i.GetAddress(), Incarnation: i.GetIncarnation(), Place: i.GetPlace(),
-			Kind: route.Kind(i.GetKind()), Name: i.GetName(), Leaving: i.GetLeaving(),
+			Kind: route.Kind(i.GetKind()), Name: i.GetName(), Leaving: i.GetLeaving(), Slots: int(i.GetSlots()),
+			Born: i.GetBorn(),
 		})
 	}
-	return list, nil
+	return list, answer.GetRevision(), nil
 }
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -36,8 +36,9 @@
 	Draining func() bool
 	// Demand returns the daemon's own demand by workspace.
 	Demand func() []member.Demand
-	// Listings returns the endpoints of the platform's instance list, and false where there was no list yet.
-	Listings func() ([]route.Listing, bool)
+	// Listings returns the endpoints of the platform's instance list and its revision, and false where there was no list
+	// yet.
+	Listings func() ([]route.Listing, uint64, bool)
 	Table    *member.Table
 	Store    *config.Store
 	Reach    *member.Reach
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -22,10 +22,10 @@
 const (
 	DefaultDialTimeout = time.Second
 	DefaultLoadTimeout = time.Second
+	DefaultIdleTimeout = 30 * time.Second
 	DefaultMaxResponse = 8 << 20
 	maxLoadResponse    = 64 << 10
 	maxHeader          = 64 << 10
-	idleTimeout        = 30 * time.Second
 	idleConnections    = 8
 )
 
@@ -37,21 +37,25 @@
 	fresh       *http.Transport
 	pooled      *http.Transport
 	maxResponse int64
+	// Check refuses a response by its header, for example one that belongs to another request. Its connection is closed. It
+	// may be nil and is set before use.
+	Check func(r booking.Request, header http.Header) error
 	// Observe is told the state that each response header names; it may be nil and is set before use.
 	Observe func(address, incarnation, state string)
 }
 
-// New returns a Client that waits up to dial for a connection. Close ends its idle connections.
-func New(dial time.Duration) *Client {
+// New returns a Client that waits up to dial for a connection and keeps an idle one for the given time. Close ends its
+// idle connections.
+func New(dial, idle time.Duration) *Client {
 	return &Client{
-		fresh:       transport(dial, true),
-		pooled:      transport(dial, false),
+		fresh:       transport(dial, idle, true),
+		pooled:      transport(dial, idle, false),
 		maxResponse: DefaultMaxResponse,
 	}
 }
 
-func transport(dial time.Duration, fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dial}
+func transport(dial, idle time.Duration, fresh bool) *http.Transport {
+	dialer := newDialer(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -63,7 +67,7 @@
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnections,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: maxHeader,
 	}
 }
@@ -81,6 +85,23 @@
 	if err := ctx.Err(); err != nil {
 		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
+	resp, err := c.roundTrip(ctx, address, r)
+	if err != nil {
+		return booking.Response{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if c.Observe != nil {
+		c.Observe(address, resp.Header.Get("Endpoint-Incarnation"), resp.Header.Get("Endpoint-State"))
+	}
+	body, err := readAll(address, resp.Body, c.maxResponse)
+	if err != nil {
+		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+	}
+	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// roundTrip sends the request once and returns the response with its body unread.
+func (c *Client) roundTrip(ctx context.Context, address string, r booking.Request) (*http.Response, error) {
 	var conn net.Conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn = info.Conn
@@ -90,7 +111,7 @@
 	}})
 	req, err := request(ctx, address, r)
 	if err != nil {
-		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
+		return nil, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
 	used := c.fresh
 	if r.Reuse {
@@ -98,28 +119,48 @@
 	}
 	resp, err := used.RoundTrip(req)
 	if err != nil {
-		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Written: seal(conn), Cause: err})
+		return nil, errors.Trace(SendError{Endpoint: address, Written: seal(conn), Cause: err})
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if c.Observe != nil {
-		c.Observe(address, resp.Header.Get("Endpoint-Incarnation"), resp.Header.Get("Endpoint-State"))
+	if c.Check == nil {
+		return resp, nil
+	}
+	if err := c.Check(r, resp.Header); err != nil {
+		// What follows on this connection belongs to unknown requests.
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+	}
+	return resp, nil
+}
+
+// Open sends the request once and returns a response whose body is read by the caller. The context bounds the opening
+// only; the returned function ends the request at any time and must be called.
+func (c *Client) Open(ctx context.Context, address string, r booking.Request) (*http.Response, context.CancelFunc, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, nil, errors.Trace(SendError{Endpoint: address, Cause: err})
+	}
+	opened, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	resp, err := c.roundTrip(opened, address, r)
+	if !stop() && err == nil {
+		_ = resp.Body.Close()
+		err = errors.Trace(SendError{Endpoint: address, Written: true, Cause: ctx.Err()})
 	}
-	body, err := readAll(address, resp.Body, c.maxResponse)
 	if err != nil {
-		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+		cancel()
+		return nil, nil, err
 	}
-	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return resp, cancel, nil
 }
 
 // onceReader hides the concrete type of a body from net/http, which then cannot rewind and resend it.
 type onceReader struct{ io.Reader }
 
 func request(ctx context.Context, address string, r booking.Request) (*http.Request, error) {
-	path, err := url.PathUnescape(r.Path)
+	target, err := targetOf(address, r)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	target := url.URL{Scheme: "http", Host: address, Path: path, RawPath: r.Path, RawQuery: r.Query}
 	var body io.Reader = onceReader{bytes.NewReader(r.Body)}
 	if len(r.Body) == 0 && !r.Reuse {
 		// A new connection is never retried, so the request needs no body that cannot be rewound.
@@ -129,7 +170,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	req.URL = &target
+	req.URL, req.Host = &target, r.Host
 	req.Header = r.Header.Clone()
 	if req.Header == nil {
 		req.Header = http.Header{}
@@ -141,6 +182,14 @@
 	return req, nil
 }
 
+func targetOf(address string, r booking.Request) (url.URL, error) {
+	if r.Target != "" {
+		return url.URL{Scheme: "http", Host: address, Opaque: r.Target}, nil
+	}
+	path, err := url.PathUnescape(r.Path)
+	return url.URL{Scheme: "http", Host: address, Path: path, RawPath: r.Path, RawQuery: r.Query}, err
+}
+
 func readAll(address string, from io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(from, limit+1))
 	if err != nil {
--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -51,7 +51,7 @@
 
 func newClient(t *testing.T) *Client {
 	t.Helper()
-	client := New(DefaultDialTimeout)
+	client := New(DefaultDialTimeout, DefaultIdleTimeout)
 	t.Cleanup(func() { require.NoError(t, client.Close()) })
 	return client
 }
--- a/io/settings/load.go
+++ b/io/settings/load.go
@@ -100,6 +100,8 @@
 	switch field.Interface().(type) {
 	case Duration:
 		wanted = `must be a duration such as "1.5s"`
+	case float64:
+		wanted = "must be a number"
 	case int:
 		wanted = "must be a whole number"
 	case []string:
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -5,11 +5,16 @@
 
 // Settings are the values that one daemon starts with. Addresses have the form IP:PORT.
 type Settings struct {
+	// Interface is what the daemon serves: InterfaceOwn or InterfaceForward.
+	Interface string `toml:"interface"`
 	// Place is the data centre or zone of the daemon.
 	Place string `toml:"place"`
 	// Listen is the address for callers.
 	Listen string `toml:"listen"`
-	// OperatorListen is the address for operators.
+	// ReadinessListen is the address of the load balancer's question whether the daemon is ready. It is used with
+	// InterfaceForward.
+	ReadinessListen string `toml:"readiness-listen"`
+	// OperatorListen is the address for operators, with InterfaceForward that of the metrics.
 	OperatorListen string `toml:"operator-listen"`
 	// PeerListen is the address for other daemons, under which the daemon is registered.
 	PeerListen string `toml:"peer-listen"`
@@ -25,6 +30,27 @@
 	LogLevel string   `toml:"log-level"`
 	Timeouts Timeouts `toml:"timeouts"`
 	Limits   Limits   `toml:"limits"`
+	Forward  Forward  `toml:"forward"`
+}
+
+// Interfaces of a daemon.
+const (
+	// InterfaceOwn is the published completions format with the operators' sheet.
+	InterfaceOwn = "own"
+	// InterfaceForward passes requests on by the routes of the operators' platform.
+	InterfaceForward = "forward"
+)
+
+// Forward holds the bounds of InterfaceForward.
+type Forward struct {
+	// RetryRatio is the number of repetitions for each request, over all daemons and in any RetryWindow.
+	RetryRatio float64 `toml:"retry-ratio"`
+	// RetrySlack is the number of repetitions beyond RetryRatio that all daemons have together.
+	RetrySlack int `toml:"retry-slack"`
+	// RetryWindow is the span in which repetitions are counted.
+	RetryWindow Duration `toml:"retry-window"`
+	// MemoryMB is the memory of the instance in MB, which the runtime keeps away from.
+	MemoryMB int `toml:"memory-mb"`
 }
 
 // Timeouts are intervals and bounds of waits.
@@ -33,6 +59,8 @@
 	QueueWait Duration `toml:"queue-wait"`
 	// Connect bounds the connection to an endpoint.
 	Connect Duration `toml:"connect"`
+	// EndpointIdle is the time for which an idle connection to an endpoint is kept.
+	EndpointIdle Duration `toml:"endpoint-idle"`
 	// Platform bounds one call to the platform, apart from a watch.
 	Platform Duration `toml:"platform"`
 	// Peer bounds one call to another daemon.
@@ -104,10 +132,12 @@
 // Defaults returns the values that hold where the file is silent.
 func Defaults() Settings {
 	return Settings{
-		LogLevel: "info",
+		Interface: InterfaceOwn,
+		LogLevel:  "info",
 		Timeouts: Timeouts{
 			QueueWait:        Duration{10 * time.Second},
 			Connect:          Duration{500 * time.Millisecond},
+			EndpointIdle:     Duration{30 * time.Second},
 			Platform:         Duration{2 * time.Second},
 			Peer:             Duration{time.Second},
 			ExchangeInterval: Duration{time.Second},
@@ -137,5 +167,6 @@
 			BookingBytes:   1 << 20,
 			HeaderBytes:    64 << 10,
 		},
+		Forward: Forward{RetryRatio: 0.1, RetrySlack: 20, RetryWindow: Duration{10 * time.Second}, MemoryMB: 256},
 	}
 }
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -27,6 +27,9 @@
 // validate returns the faults of all values.
 func (s Settings) validate() []Fault {
 	c := &checker{}
+	if s.Interface != InterfaceOwn && s.Interface != InterfaceForward {
+		c.fault("interface", fmt.Sprintf("%q is neither %q nor %q", s.Interface, InterfaceOwn, InterfaceForward))
+	}
 	if strings.TrimSpace(s.Place) == "" {
 		c.fault("place", "the place is missing")
 	}
@@ -39,6 +42,41 @@
 		c.address(fmt.Sprintf("peers[%d]", i), peer, false)
 	}
 	c.distinct(s)
+	if s.Interface == InterfaceForward {
+		c.forward(s)
+	} else {
+		c.keys(s)
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		c.fault("log-level", fmt.Sprintf("%q is not one of error, warning, info, debug", s.LogLevel))
+	}
+	c.timeouts(s.Timeouts)
+	c.limits(s.Limits)
+	return c.faults
+}
+
+func (c *checker) forward(s Settings) {
+	c.address("readiness-listen", s.ReadinessListen, true)
+	f := s.Forward
+	if f.RetryRatio < 0 || f.RetryRatio > 10 {
+		c.fault("forward.retry-ratio", fmt.Sprintf("%g is not between 0 and 10", f.RetryRatio))
+	}
+	if f.RetrySlack < 0 {
+		c.fault("forward.retry-slack", fmt.Sprintf("%d is negative", f.RetrySlack))
+	}
+	if f.RetryWindow.Duration < time.Second || f.RetryWindow.Duration > time.Hour {
+		c.fault("forward.retry-window", fmt.Sprintf("%s is not between 1s and 1h", f.RetryWindow))
+	}
+	if f.MemoryMB < minMemoryMB {
+		c.fault("forward.memory-mb", fmt.Sprintf("%d is under %d", f.MemoryMB, minMemoryMB))
+	}
+}
+
+// minMemoryMB is what a daemon needs at rest, with room for its requests.
+const minMemoryMB = 48
+
+// keys checks what only the own interface uses.
+func (c *checker) keys(s Settings) {
 	if raw, err := hex.DecodeString(s.OperatorKeyDigest); err != nil || len(raw) != 32 {
 		c.fault("operator-key-digest", "must be the SHA-256 digest of the operator key in 64 hex digits")
 	}
@@ -50,12 +88,6 @@
 			c.fault(fmt.Sprintf("cursor-keys[%d]", i), fmt.Sprintf("must have at least %d bytes in hex", minCursorKeyBytes))
 		}
 	}
-	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
-		c.fault("log-level", fmt.Sprintf("%q is not one of error, warning, info, debug", s.LogLevel))
-	}
-	c.timeouts(s.Timeouts)
-	c.limits(s.Limits)
-	return c.faults
 }
 
 func (c *checker) address(key, value string, any bool) {
@@ -87,6 +119,7 @@
 	seen := map[string]string{}
 	for _, listener := range [][2]string{
 		{"listen", s.Listen}, {"operator-listen", s.OperatorListen}, {"peer-listen", s.PeerListen},
+		{"readiness-listen", s.ReadinessListen},
 	} {
 		if first, found := seen[listener[1]]; found && listener[1] != "" {
 			c.fault(listener[0], "the address is already used by "+first)
@@ -99,6 +132,7 @@
 	const day = 24 * time.Hour
 	c.duration("queue-wait", t.QueueWait, time.Millisecond, time.Hour)
 	c.duration("connect", t.Connect, time.Millisecond, time.Minute)
+	c.duration("endpoint-idle", t.EndpointIdle, 10*time.Millisecond, time.Hour)
 	c.duration("platform", t.Platform, 10*time.Millisecond, time.Minute)
 	c.duration("peer", t.Peer, 10*time.Millisecond, time.Minute)
 	c.duration("exchange-interval", t.ExchangeInterval, 50*time.Millisecond, time.Minute)
--- /dev/null
+++ b/io/sse/event.go
@@ -0,0 +1,79 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"radishhollow/core/failure"
+)
+
+// maxEvent bounds one event. Events of model output have a few hundred bytes.
+const maxEvent = 1 << 20
+
+// TruncatedError reports a stream that ended within an event, or an event that is no event.
+type TruncatedError struct{ Cause error }
+
+// Error implements error.
+func (e TruncatedError) Error() string { return fmt.Sprintf("event is incomplete: %v", e.Cause) }
+
+// Unwrap returns the error of the read.
+func (e TruncatedError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Failure.
+func (e TruncatedError) Code() string { return "event-truncated" }
+
+// Outcome implements failure.Failure.
+func (e TruncatedError) Outcome() failure.Outcome { return failure.Unknown }
+
+// EventReader reads whole events with their bytes unchanged.
+type EventReader struct {
+	in *bufio.Reader
+}
+
+// NewEventReader returns an EventReader of a body.
+func NewEventReader(body io.Reader) *EventReader { return &EventReader{in: bufio.NewReader(body)} }
+
+// Next returns the next event and its id, which is 0 where it has none. It returns io.EOF at a clean end.
+func (r *EventReader) Next() (id int, event []byte, err error) {
+	for {
+		line, err := r.in.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err == nil:
+		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEvent:
+			continue
+		case errors.Is(err, io.EOF) && len(event) == 0:
+			return 0, nil, io.EOF
+		case errors.Is(err, io.EOF):
+			return 0, nil, TruncatedError{Cause: io.ErrUnexpectedEOF}
+		default:
+			return 0, nil, TruncatedError{Cause: err}
+		}
+		if len(event) > maxEvent {
+			return 0, nil, TruncatedError{Cause: bufio.ErrTooLong}
+		}
+		if line := bytes.TrimRight(line, "\r\n"); len(line) == 0 {
+			return idOf(event), event, nil
+		}
+	}
+}
+
+// idOf returns the number in the event's last id line, or 0.
+func idOf(event []byte) int {
+	id := 0
+	for line := range bytes.Lines(event) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		if number, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
+			id = number
+		}
+	}
+	return id
+}
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -7,6 +7,7 @@
 	ResumeLatency    = "resume_latency"
 	QueueWait        = "queue_wait"
 	BookingTime      = "booking_time"
+	RequestTime      = "request_time"
 )
 
 // Names of counters, each with a class label.
--- a/test/config_write_test.go
+++ b/test/config_write_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/config"
-	"radishhollow/io/platform"
+	"radishhollow/io/keyvalue"
 	standin "radishhollow/standin/platform"
 	"radishhollow/test/harness"
 )
@@ -66,7 +66,7 @@
 	d.Adjust = func(_ int, s *harness.Settings) { s.Timeouts["config-poll"] = "200ms" }
 	start(t, d)
 	neverBack(t, d, 2)
-	client := &platform.Client{Address: d.Platform().Address(), HTTP: platform.NewHTTP()}
+	client := &keyvalue.Client{Address: d.Platform().Address(), HTTP: keyvalue.NewHTTP()}
 	store := client.Store()
 	old, err := store.Get(t.Context(), config.Key)
 	require.NoError(t, err)
