--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -238,7 +238,7 @@
 func (r *run) abandon(err error) {
 	r.last = err
 	r.exclude[r.choice.Address()] = true
-	if r.owned > 0 {
+	if r.owned > 0 && r.Cancel != nil {
 		r.Cancel(r.choice.Address(), r.Log.Generation(), r.owned, 0)
 	}
 	r.release()
