fix(daemon): drop endpoints in time whose registration ends around an outage

Ruled out: late news, the list was read 20 ms after the removal. Rows now stay 1.5 s, a timer drops them, and none stays where a peer had news meanwhile, as the store then served others.

--- a/daemon/listing.go
+++ b/daemon/listing.go
@@ -18,12 +18,15 @@
 const (
 	// outageMemory is the time after the last failed call in which the store may still serve what it lost in an outage.
 	outageMemory = 3 * time.Second
-	// returnGrace is the time that endpoints have to register again after an outage in which their entries ran out.
-	returnGrace = 2500 * time.Millisecond
+	// returnGrace is the time that endpoints have to register again after an outage in which their entries ran out. Most
+	// are back within 2 s; a longer grace would send work to endpoints that left just then for too long.
+	returnGrace = 1500 * time.Millisecond
 	// peerListAfter is the age of the list at which a daemon asks its peers for a newer one, and the pause between
 	// questions.
 	peerListAfter = 2500 * time.Millisecond
 	peerListPause = 500 * time.Millisecond
+	// expireInterval is the interval at which overdue rows are dropped.
+	expireInterval = 100 * time.Millisecond
 )
 
 // listing brings the endpoints that are registered in the store into the table. During an outage the last list stays,
@@ -43,12 +46,15 @@
 	synced   bool
 	read     time.Time
 	failed   time.Time
+	// helped tells that a peer had a newer list in this outage: the store served others, so no entry ran out.
+	helped bool
 }
 
 // Run follows the store until ctx ends.
 func (l *listing) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	group.Go(func() { l.runPeers(ctx) })
+	group.Go(func() { l.runExpire(ctx) })
 	defer group.Wait()
 	return l.follower.Run(ctx)
 }
@@ -94,7 +100,7 @@
 			}
 		}
 	}
-	l.expire(now)
+	l.helped = false
 	l.table.Sync(l.list())
 }
 
@@ -123,7 +129,7 @@
 	if !known {
 		return
 	}
-	if !l.failed.IsZero() && now.Sub(l.failed) < outageMemory && !row.Leaving {
+	if !l.failed.IsZero() && now.Sub(l.failed) < outageMemory && !row.Leaving && !l.helped {
 		if _, waiting := l.missing[key]; !waiting {
 			l.missing[key] = now
 		}
@@ -138,13 +144,26 @@
 	delete(l.missing, key)
 }
 
+func (l *listing) runExpire(ctx context.Context) {
+	for clock.Sleep(ctx, expireInterval) == nil {
+		l.expire()
+	}
+}
+
 // expire drops the rows that are still missing after an outage.
-func (l *listing) expire(now time.Time) {
+func (l *listing) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	overdue := false
 	for key, since := range l.missing {
-		if now.Sub(since) >= returnGrace {
+		if time.Since(since) >= returnGrace {
 			l.drop(key)
+			overdue = true
 		}
 	}
+	if overdue {
+		l.table.Sync(l.list())
+	}
 }
 
 // fail notes a call that the store did not answer.
@@ -190,7 +209,7 @@
 		l.rows[l.follower.Prefix+row.Incarnation] = row
 	}
 	clear(l.missing)
-	l.revision, l.synced = revision, true
+	l.revision, l.synced, l.helped = revision, true, true
 	l.table.Sync(l.list())
 	l.log.WithFields(logrus.Fields{"endpoints": len(rows), "revision": revision}).Info("list of endpoints taken from a peer")
 }
