feat(forward): go on from the copy of a run that was lost while it read its prompt

Cause: a run that dies before its first event has sent part of its memory to the copy already, but the next attempt read the whole prompt again. Ruled out: refusals of the copy, all were taken.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -115,6 +115,9 @@
 		t.copy = route.Choice{}
 	}
 	if err != nil {
+		if failure.Of(err).Outcome() != failure.NotRun {
+			t.copy = next
+		}
 		return generation.Stream{}, err
 	}
 	if response.StatusCode != http.StatusOK || response.Header.Get(f.Signature) == "" {
@@ -137,8 +140,9 @@
 	if t.lost != "" {
 		header.Set(f.Priority, strconv.Itoa(resumeClass))
 	}
-	if t.copy.Address() == address && offset > 0 {
+	if t.copy.Address() == address {
 		header.Set(f.From, address+"/"+q.id)
+		header.Set(f.LastEvent, strconv.Itoa(offset))
 	}
 	if q.service.Engine == nil || !q.service.Engine.Backups || !q.route.Resumable {
 		return route.Choice{}
