feat(route): place a prompt on the same engine from all daemons where engines are equal

Cause: callers whose daemon stops come back at another one, which read the whole prompt again on another engine.

--- a/core/route/need.go
+++ b/core/route/need.go
@@ -36,6 +36,9 @@
 	Place string
 	// AvoidPlace is a place whose endpoints are used only where no other has one left.
 	AvoidPlace string
+	// Affinity names what the request shares with others, or with itself when its caller returns at another daemon. Of
+	// endpoints that are about equal, all daemons choose the same one for it, which may still hold the prompt.
+	Affinity string
 	// MaxInFlight bounds the requests of this daemon on one endpoint; 0 means no bound.
 	MaxInFlight int
 	// Exclude holds addresses that already failed this request.
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -51,6 +51,9 @@
 	BreakMin, BreakMax time.Duration
 	// OtherPlace is added to the estimate of an endpoint outside the daemon's place.
 	OtherPlace float64
+	// AffinityTolerance is the estimate, in seconds, by which an endpoint may be worse than the best and still be chosen by
+	// Need.Affinity.
+	AffinityTolerance float64
 	// Seed seeds sampling and ties.
 	Seed uint64
 }
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// defaultPrefillRate stands in for an engine that has not reported a rate, in tokens per second.
@@ -18,13 +22,19 @@
 	case MethodLeastReported:
 		return t.lowest(pool, reportedLoad)
 	default:
-		return t.lowest(t.sample(pool, need, depth), func(e *endpoint) float64 {
+		score := func(e *endpoint) float64 {
 			score := t.estimate(e, need, depth[e.id])
 			if need.Place != "" && e.listing.Place != need.Place {
 				score += t.policy.OtherPlace
 			}
 			return score
-		})
+		}
+		pool = t.sample(pool, need, depth)
+		best := t.lowest(pool, score)
+		if need.Affinity == "" {
+			return best
+		}
+		return closest(pool, need.Affinity, score, score(best)+t.policy.AffinityTolerance)
 	}
 }
 
@@ -55,6 +65,21 @@
 	return chosen
 }
 
+// closest returns the endpoint with the highest rendezvous hash among those that score up to the limit.
+func closest(pool []*endpoint, affinity string, score func(*endpoint) float64, limit float64) *endpoint {
+	var best *endpoint
+	var high uint64
+	for _, e := range pool {
+		if score(e) > limit {
+			continue
+		}
+		if weight := xxhash.Sum64String(affinity + "\x00" + e.listing.Address); best == nil || weight > high {
+			best, high = e, weight
+		}
+	}
+	return best
+}
+
 // lowest returns an endpoint of the lowest score; ties are broken at random.
 func (t *Table) lowest(pool []*endpoint, score func(*endpoint) float64) *endpoint {
 	var best *endpoint
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -57,6 +57,7 @@
 	policy.BreakMin, policy.BreakMax = 500*time.Millisecond, 2*time.Second
 	policy.Subset = 0
 	policy.OtherPlace = 0.01
+	policy.AffinityTolerance = 0.03
 	return policy
 }
 
--- a/io/forward/format.go
+++ b/io/forward/format.go
@@ -31,6 +31,8 @@
 	Key func(header http.Header) string
 	// Size returns the tokens of the prompt, and the most that may follow.
 	Size func(header http.Header) (prompt, output int)
+	// Affinity returns what identifies the prompt, or an empty text.
+	Affinity func(header http.Header) string
 }
 
 // hopByHop are headers that concern one connection only.
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/booking"
 	"radishhollow/core/config"
@@ -33,6 +34,8 @@
 	lastEvent int
 	prompt    int
 	output    int
+	// facts are further fields of the request's log line.
+	facts logrus.Fields
 }
 
 // parse finds the route and the workspace and reads the body.
@@ -152,7 +155,7 @@
 		PromptTokens: q.prompt, MaxTokens: q.output,
 	}
 	if q.route.Kind == config.KindStream {
-		need.Kind = route.KindModel
+		need.Kind, need.Affinity = route.KindModel, s.Format.Affinity(q.header)
 	}
 	if q.service.MaxChannels > 0 {
 		need.MaxInFlight = max(q.service.MaxChannels*channelShare/100/max(s.Daemons(), 1), 1)
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -155,7 +155,7 @@
 	entry := s.Log.WithFields(logrus.Fields{
 		"request": q.id, "route": q.route.Name, "service": q.service.Name, "workspace": q.workspace.Name,
 		"revision": q.document.Revision(), "status": status, "outcome": code, "ms": time.Since(q.arrived).Milliseconds(),
-	})
+	}).WithFields(q.facts)
 	if err != nil {
 		entry = entry.WithError(err)
 	}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -52,6 +52,9 @@
 	head   http.Header
 	sent   bool
 	answer *booking.Response
+	// first is the wait for the first event, and pause the longest wait for a later one.
+	first, pause time.Duration
+	runs         int
 }
 
 func (s *Server) stream(c *gin.Context, q *request) error {
@@ -74,6 +77,9 @@
 		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.Pause()),
 	}
 	err := d.Run(ctx)
+	q.facts = logrus.Fields{
+		"first-ms": t.first.Milliseconds(), "pause-ms": t.pause.Milliseconds(), "runs": t.runs,
+	}
 	if err == nil {
 		return t.begin()
 	}
@@ -149,6 +155,7 @@
 	}
 	need := t.server.need(q)
 	need.Exclude, need.AvoidPlace, need.Place, need.PromptTokens = map[string]bool{address: true}, t.choice.Place(), "", 0
+	need.Affinity = ""
 	next, err := t.server.Pick(ctx, need)
 	if err != nil {
 		return route.Choice{}
@@ -212,13 +219,17 @@
 	m, name := t.server.Metrics, t.request.workspace.Name
 	switch event.Kind {
 	case generation.EventAttempt:
+		t.runs++
 		m.Count(telemetry.Attempts, event.Class)
 	case generation.EventFirst:
+		t.first = event.Wait
 		m.Observe(telemetry.TimeToFirstToken, name, event.Wait)
 		t.choice.Begun()
 	case generation.EventGap:
+		t.pause = max(t.pause, event.Wait)
 		m.Observe(telemetry.TokenGap, name, event.Wait)
 	case generation.EventResumed:
+		t.pause = max(t.pause, event.Wait)
 		m.Observe(telemetry.ResumeLatency, name, event.Wait)
 		t.log("stream resumed", logrus.Fields{
 			"endpoint": t.choice.Incarnation(), "wait-ms": event.Wait.Milliseconds(),
