feat(daemon): share changes of the list of endpoints and coalesce watches

SIGHUP no longer ends the process. Log lines are written in the background. A repetition that reached no endpoint is given back to the budget.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -11,6 +12,7 @@
 
 	"radishhollow/daemon"
 	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
 )
 
 // RunServe runs one daemon until SIGTERM or SIGINT, and then drains.
@@ -28,15 +30,26 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := newLog(s.LogLevel, stderr)
 	if s.Interface == settings.InterfaceForward {
-		log = newLog(s.LogLevel, stdout)
+		// The operators' platform keeps what a process writes to its standard output.
+		stderr = stdout
 	}
+	out := telemetry.NewLogWriter(stderr)
+	defer func() { _ = out.Close() }()
+	log := newLog(s.LogLevel, out)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go (&reloader{path: options.Settings, current: s, log: log, signals: hangup}).run(ctx)
+	log.WithFields(logrus.Fields{"interface": s.Interface, "place": s.Place, "listen": s.Listen}).Info("daemon starts")
 	ready := func() { _, _ = fmt.Fprintf(stdout, "listening %s\n", s.Listen) }
-	if err := daemon.Run(ctx, s, log, ready); err != nil {
+	err = daemon.Run(ctx, s, log, ready)
+	if err != nil {
+		log.WithError(err).Error("daemon ends")
 		_, _ = fmt.Fprintf(stderr, "radishhollow serve: %v\n", err)
 		return ExitFailed
 	}
+	log.Info("daemon ends")
 	return ExitOK
 }
 
--- a/core/kv/follower.go
+++ b/core/kv/follower.go
@@ -24,6 +24,8 @@
 	Prefix string
 	// Wait bounds one watch.
 	Wait time.Duration
+	// Pause follows each change, so that changes in quick succession are read in one call. It delays their effect.
+	Pause time.Duration
 	// Relist is the interval of full reads beside the watch.
 	Relist time.Duration
 	// Apply takes the entries of a full read, or the changes of a watch, and the store's revision. It is called from the
@@ -73,6 +75,9 @@
 		}
 		after = revision
 		f.Apply(changes, revision, false)
+		if len(changes) > 0 && clock.Sleep(ctx, f.Pause) != nil {
+			break
+		}
 	}
 	return after, nil
 }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -60,6 +60,16 @@
 	return true
 }
 
+// Return gives a retry back that reached no endpoint.
+func (w *Window) Return(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.at(key)
+	if i := c.part % (windowParts + 1); c.retries[i] > 0 {
+		c.retries[i]--
+	}
+}
+
 // at returns the counts of a key after the parts that have passed are cleared.
 func (w *Window) at(key string) *counts {
 	if w.counts == nil {
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -104,9 +104,9 @@
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, Wait: s.Timeouts.WatchWait.Duration,
-		Relist: s.Timeouts.InstancePoll.Duration, Apply: l.apply, Failed: l.fail,
+		Relist: s.Timeouts.InstancePoll.Duration, Pause: changePause, Apply: l.apply, Failed: l.fail,
 	}
-	peers.Node.Listings = l.Listings
+	peers.Node.Listings, peers.Node.Heard = l.Listings, l.heard
 	return l
 }
 
@@ -139,7 +139,7 @@
 		Reachable: func(ctx context.Context, address string) bool {
 			return client.Reachable(ctx, address, reachableTimeout)
 		},
-		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take,
+		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take, Return: window.Return,
 		Daemons: func() int { return members.Count() + 1 },
 		Place:   s.Place, Metrics: m, Log: log,
 	}
--- a/daemon/listing.go
+++ b/daemon/listing.go
@@ -21,10 +21,14 @@
 	// returnGrace is the time that endpoints have to register again after an outage in which their entries ran out. Most
 	// are back within 2 s; a longer grace would send work to endpoints that left just then for too long.
 	returnGrace = 1500 * time.Millisecond
-	// peerListAfter is the age of the list at which a daemon asks its peers for a newer one, and the pause between
-	// questions.
-	peerListAfter = 2500 * time.Millisecond
-	peerListPause = 500 * time.Millisecond
+	// peerListAfter is the time for which the store may be silent, or a peer ahead, before a daemon asks its peers for a
+	// newer list. A change reaches all watches within the pause between two of them.
+	peerListAfter = 700 * time.Millisecond
+	// peerListPause is the pause between questions.
+	peerListPause = 300 * time.Millisecond
+	// changePause is the pause between two watches. It is a quarter of the time within which a leaving endpoint must get
+	// no new work.
+	changePause = 500 * time.Millisecond
 	// expireInterval is the interval at which overdue rows are dropped.
 	expireInterval = 100 * time.Millisecond
 )
@@ -39,13 +43,17 @@
 	reach    *member.Reach
 	log      *logrus.Logger
 
-	mu       sync.Mutex
-	rows     map[string]route.Listing
-	missing  map[string]time.Time
+	mu      sync.Mutex
+	rows    map[string]route.Listing
+	missing map[string]time.Time
+	// revision is that of the last change of the rows.
 	revision uint64
 	synced   bool
-	read     time.Time
-	failed   time.Time
+	// ahead is the highest revision that a peer has told, and aheadAt when it was first above revision.
+	ahead   uint64
+	aheadAt time.Time
+	read    time.Time
+	failed  time.Time
 	// helped tells that a peer had a newer list in this outage: the store served others, so no entry ran out.
 	helped bool
 }
@@ -83,7 +91,10 @@
 	if !l.failed.IsZero() && l.read.Before(l.failed) {
 		l.log.WithField("revision", revision).Info("store answers again")
 	}
-	l.read, l.revision, l.synced = now, max(revision, l.revision), true
+	l.read, l.synced = now, true
+	if len(entries) > 0 {
+		l.revision = max(revision, l.revision)
+	}
 	seen := map[string]bool{}
 	for _, entry := range entries {
 		seen[entry.Key()] = true
@@ -183,8 +194,10 @@
 func (l *listing) runPeers(ctx context.Context) {
 	for clock.Sleep(ctx, peerListPause) == nil {
 		l.mu.Lock()
-		stale, after, synced := time.Since(l.read) > peerListAfter, l.revision+1, l.synced
-		if !synced {
+		outage := l.failed.After(l.read) && time.Since(l.read) > peerListAfter
+		behind := l.ahead > l.revision && time.Since(l.aheadAt) > peerListAfter
+		stale, after := outage || behind, l.revision+1
+		if !l.synced {
 			stale, after = true, 0
 		}
 		l.mu.Unlock()
@@ -197,6 +210,16 @@
 	}
 }
 
+// heard notes the revision of a peer's list. A watch may be silent for good although the store serves others.
+func (l *listing) heard(revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.revision && l.ahead <= l.revision {
+		l.aheadAt = time.Now()
+	}
+	l.ahead = max(revision, l.ahead)
+}
+
 // adopt takes a newer list from a peer.
 func (l *listing) adopt(rows []route.Listing, revision uint64) {
 	l.mu.Lock()
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"go.uber.org/fx"
 
 	"radishhollow/core/config"
@@ -79,10 +81,13 @@
 func newRegistrar(s settings.Settings, store kv.Store, node *peer.Node) *peer.Registrar {
 	return &peer.Registrar{
 		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, Wait: s.Timeouts.WatchWait.Duration,
-		Relist: s.Timeouts.ConfigPoll.Duration,
+		Relist: s.Timeouts.ConfigPoll.Duration, Pause: memberPause,
 	}
 }
 
+// memberPause bounds the reads of the list of daemons while many start at once.
+const memberPause = time.Second
+
 func newPeerServer(node *peer.Node, exchanger *peer.Exchanger) *peer.Server {
 	return &peer.Server{Node: node, Ahead: exchanger.Ahead}
 }
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -50,6 +50,8 @@
 	// Earn counts a request, and MayRetry takes a repetition from the service's budget.
 	Earn     func(service string)
 	MayRetry func(service string) bool
+	// Return gives back a repetition that reached no endpoint.
+	Return func(service string)
 	// Daemons returns the number of daemons that share the endpoints' connections.
 	Daemons func() int
 	// Stopping tells whether the daemon will stop before a stream could end.
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -15,6 +15,7 @@
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
 	"radishhollow/core/route"
+	"radishhollow/io/service"
 	"radishhollow/io/sse"
 	"radishhollow/io/telemetry"
 )
@@ -55,6 +56,8 @@
 	// first is the wait for the first event, and pause the longest wait for a later one.
 	first, pause time.Duration
 	runs         int
+	// taken tells that the current attempt has drawn on the retry budget.
+	taken bool
 }
 
 func (s *Server) stream(c *gin.Context, q *request) error {
@@ -71,7 +74,7 @@
 	}
 	d := &generation.Driver{
 		Pick: t.pick, Open: t.open, Deliver: t.deliver, Observe: t.observe, Alive: t.alive,
-		MayRetry:   func() bool { return s.MayRetry(q.service.Name) },
+		MayRetry:   t.mayRetry,
 		OwnResumes: -1, MaxRuns: runs, FirstPick: q.route.Target() * firstPart / 100,
 		Log: generation.NewEventLog(q.id, q.lastEvent), Need: s.need(q), Pace: pace,
 		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.Pause()),
@@ -235,6 +238,8 @@
 			"endpoint": t.choice.Incarnation(), "wait-ms": event.Wait.Milliseconds(),
 		}, nil)
 		t.choice.Begun()
+	case generation.EventRefused:
+		t.refund(event.Cause)
 	case generation.EventLoss:
 		m.Count(telemetry.EngineLosses, event.Class)
 		t.lost = t.choice.Place()
@@ -243,6 +248,20 @@
 	t.judge(event)
 }
 
+func (t *streamed) mayRetry() bool {
+	t.taken = t.server.MayRetry(t.request.service.Name)
+	return t.taken
+}
+
+// refund gives back what an attempt took from the retry budget, if nothing of it was written.
+func (t *streamed) refund(err error) {
+	sent, failed := errors.AsType[service.SendError](err)
+	if t.taken && failed && !sent.Written {
+		t.server.Return(t.request.service.Name)
+	}
+	t.taken = false
+}
+
 func (t *streamed) judge(event generation.Event) {
 	if t.server.Result == nil {
 		return
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -37,19 +37,26 @@
 	// Demand returns the daemon's own demand by workspace.
 	Demand func() []member.Demand
 	// Listings returns the endpoints of the platform's instance list and its revision, and false where there was no list
-	// yet.
+	// yet. It may be nil where no peer asks for it.
 	Listings func() ([]route.Listing, uint64, bool)
-	Table    *member.Table
-	Store    *config.Store
-	Reach    *member.Reach
-	Metrics  *telemetry.Metrics
+	// Heard is told the revision of the instance list of each peer that is heard from; it may be nil.
+	Heard   func(listing uint64)
+	Table   *member.Table
+	Store   *config.Store
+	Reach   *member.Reach
+	Metrics *telemetry.Metrics
 }
 
 func (n *Node) view() member.View {
 	current := n.Store.Current()
 	demand := n.Demand()
 	rand.Shuffle(len(demand), func(i, j int) { demand[i], demand[j] = demand[j], demand[i] })
+	var listing uint64
+	if n.Listings != nil {
+		_, listing, _ = n.Listings()
+	}
 	return member.View{
+		Listing: listing,
 		Address: n.Address, Incarnation: n.Incarnation, Place: n.Place, Draining: n.Draining(),
 		Revision: current.Revision(), Digest: current.Digest(),
 		Demand:  demand[:min(maxSentDemand, len(demand))],
@@ -60,6 +67,9 @@
 
 // behind tells whether the view shows a newer configuration. It counts a digest that differs at the same revision.
 func (n *Node) behind(v member.View) bool {
+	if n.Heard != nil {
+		n.Heard(v.Listing)
+	}
 	current := n.Store.Current()
 	if v.Revision == current.Revision() && v.Digest != current.Digest() {
 		n.Metrics.Count(telemetry.Revisions, config.Refused)
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -28,6 +28,8 @@
 	Wait time.Duration
 	// Relist is the interval of full reads beside the watch.
 	Relist time.Duration
+	// Pause follows each change of the list, so that daemons that start together are read in few calls.
+	Pause time.Duration
 }
 
 // registration is the value at members/{address}.
@@ -144,6 +146,9 @@
 		if len(changes) > 0 {
 			apply(known, changes)
 			r.Node.Table.List(values(known))
+			if clock.Sleep(ctx, r.Pause) != nil {
+				return
+			}
 		}
 	}
 }
--- /dev/null
+++ b/io/telemetry/log_test.go
@@ -0,0 +1,44 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/io/telemetry"
+)
+
+// blocked is a log output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (b *blocked) Write(data []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+// Guards against a request that waits for its log line, and against lines that disappear without a count.
+func TestLogNeverBlocks(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := telemetry.NewLogWriter(out)
+	line := []byte(strings.Repeat("x", 64<<10) + "\n")
+	for range 5000 {
+		n, err := w.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+	}
+	dropped := w.Dropped()
+	require.Positive(t, dropped)
+	close(out.release)
+	require.NoError(t, w.Close())
+	require.Equal(t, 5000-int(dropped), strings.Count(out.text.String(), "x\n"))
+	require.Contains(t, out.text.String(), "log lines dropped")
+}
