--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -134,11 +134,7 @@
 			}
 			pause = min(2*pause, lastPickPause)
 		} else {
-			if r.last == nil {
-				r.last = err
-			}
-			clear(r.exclude)
-			if r.runs == 0 && r.FirstPick > 0 && time.Since(r.started) >= r.FirstPick {
+			if r.unserved(err) {
 				return r.giveUp(r.last)
 			}
 			if pauseErr := clock.Sleep(ctx, pause); pauseErr != nil {
@@ -152,6 +148,15 @@
 	}
 }
 
+// unserved notes that no endpoint was found, and tells whether a generation that has not run waits no longer.
+func (r *run) unserved(err error) bool {
+	if r.last == nil {
+		r.last = err
+	}
+	clear(r.exclude)
+	return r.runs == 0 && r.FirstPick > 0 && time.Since(r.started) >= r.FirstPick
+}
+
 // mayRetry draws on the retry budget, unless output has arrived since the last attempt: a resume then repeats no work
 // but the prefill.
 func (r *run) mayRetry() bool {
--- a/core/kv/follower.go
+++ b/core/kv/follower.go
@@ -75,8 +75,9 @@
 		}
 		after = revision
 		f.Apply(changes, revision, false)
-		if len(changes) > 0 && clock.Sleep(ctx, f.Pause) != nil {
-			break
+		if len(changes) > 0 {
+			// Where the pause is cut short, ctx has ended.
+			_ = clock.Sleep(ctx, f.Pause)
 		}
 	}
 	return after, nil
