--- /dev/null
+++ b/daemon/forward_test.go
@@ -0,0 +1,328 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/daemon"
+	"radishhollow/io/settings"
+	"radishhollow/platform/platformtest"
+)
+
+const forwardConfig = `{"version":%d,"routes":[
+ {"name":"once","host":"h.example","prefix":"/once/","type":"unsafe","timeout_ms":900,"slo_ms":200,"service":"plain","attempts":1},
+ {"name":"safe","host":"h.example","prefix":"/safe/","type":"safe","timeout_ms":900,"slo_ms":200,"service":"plain","attempts":2},
+ {"name":"stream","host":"h.example","prefix":"/stream/","type":"streaming","timeout_ms":5000,"slo_ms":2000,"service":"model",
+  "attempts":5,"resumable":true,"gap_aim_ms":700}],
+ "services":[{"name":"plain","max_conns":90},{"name":"model","max_conns":90,"engine":{"slots":4,"kv_capacity":9000,"backups":true}}],
+ "tenants":[{"name":"t1","api_keys":[%q]}]}`
+
+// deployment is one daemon between callers, the platform's store and runners.
+type deployment struct {
+	store    *platformtest.Store
+	settings settings.Settings
+	ids      atomic.Int64
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{store: platformtest.NewStore(), settings: settings.Defaults()}
+	t.Cleanup(d.store.Close)
+	s := &d.settings
+	s.Interface, s.Place, s.Platform = settings.InterfaceForward, "a", d.store.Address()
+	s.Listen, s.ReadinessListen = freeAddress(t), freeAddress(t)
+	s.PeerListen, s.OperatorListen = freeAddress(t), freeAddress(t)
+	s.Timeouts.WatchWait.Duration, s.Timeouts.DrainDelay.Duration = time.Second, 100*time.Millisecond
+	s.Timeouts.ExchangeInterval.Duration = 100 * time.Millisecond
+	s.Forward.RetrySlack = 100
+	return d
+}
+
+// start runs the daemon until the returned function stops it.
+func (d *deployment) start(t *testing.T) (stop func()) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	listening := make(chan struct{})
+	go func() { done <- daemon.Run(ctx, d.settings, log, func() { close(listening) }) }()
+	<-listening
+	stop = func() {
+		cancel()
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+		case <-time.After(20 * time.Second):
+			t.Error("daemon does not stop")
+		}
+	}
+	return stop
+}
+
+func (d *deployment) ready(t *testing.T) bool {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.settings.ReadinessListen+"/readyz", nil)
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+// runner registers a new runner.
+func (d *deployment) runner(t *testing.T, id, service, phase string) *platformtest.Runner {
+	t.Helper()
+	r := platformtest.NewRunner(id)
+	t.Cleanup(r.Close)
+	d.store.Put("servers/"+id, r.Entry(service, "a", "ready", phase))
+	return r
+}
+
+func (d *deployment) send(t *testing.T, method, path, key string, header map[string]string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+d.settings.Listen+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set(platformtest.RequestID, fmt.Sprintf("id-%d", d.ids.Add(1)))
+	r.Header.Set("X-Radishhollow-Deadline-Ms", "4000")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 15 * time.Second}
+	response, err := client.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return response, string(body)
+}
+
+func (d *deployment) await(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	require.Eventually(t, met, 10*time.Second, 10*time.Millisecond, what)
+}
+
+// Guards against a daemon that answers 404 or 401 before it knows a configuration, that hands the key or a header of the
+// system's own to a runner, or that keeps serving a revoked key.
+func TestForwardWholePath(t *testing.T) {
+	d := newDeployment(t)
+	defer d.start(t)()
+	response, _ := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.False(t, d.ready(t))
+
+	plain := d.runner(t, "i-1", "plain", "")
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	response, body := d.send(t, http.MethodPost, "/once/x?q=1", "k1", map[string]string{
+		"X-Radishhollow-Tenant": "forged", "X-Radishhollow-Hold": "h", "Kv-From": "10.0.0.1:1/x", "X-Other": "kept",
+	})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "i-1", body)
+	require.Equal(t, "signed-by-i-1", response.Header.Get(platformtest.Signature))
+	seen := plain.Seen()[0]
+	require.Equal(t, "t1", seen.Get("X-Radishhollow-Tenant"))
+	require.Equal(t, "kept", seen.Get("X-Other"))
+	require.Equal(t, "i-1", seen.Get("X-Radishhollow-Expect-Instance"))
+	for _, name := range []string{"Authorization", "X-Radishhollow-Hold", "Kv-From"} {
+		require.Empty(t, seen.Get(name), name)
+	}
+
+	response, _ = d.send(t, http.MethodPost, "/none/x", "k1", nil)
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+	response, _ = d.send(t, http.MethodPost, "/once/x", "other", nil)
+	require.Equal(t, http.StatusUnauthorized, response.StatusCode)
+
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 9, "k2"))
+	d.await(t, "revoked", func() bool {
+		response, _ := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+		return response.StatusCode == http.StatusUnauthorized
+	})
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 4, "k1"))
+	d.store.Put("op/config", `{"version":`)
+	time.Sleep(300 * time.Millisecond)
+	response, _ = d.send(t, http.MethodPost, "/once/x", "k2", nil)
+	require.Equal(t, http.StatusOK, response.StatusCode, "an older or malformed configuration changes nothing")
+}
+
+// Guards against a booking that runs twice, and against a refusal for one that may have run.
+func TestForwardOnce(t *testing.T) {
+	d := newDeployment(t)
+	first, second := d.runner(t, "i-1", "plain", ""), d.runner(t, "i-2", "plain", "")
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	var runs atomic.Int32
+	broken := func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	first.Answer, second.Answer = broken, broken
+	defer d.start(t)()
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	response, _ := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.EqualValues(t, 1, runs.Load())
+
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del(platformtest.Signature)
+		w.Header().Set("X-Radishhollow-Not-Processed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	first.Answer, second.Answer = refuse, refuse
+	response, _ = d.send(t, http.MethodPost, "/once/x", "k1", nil)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+// Guards against answers that are passed on although they belong to another request, are unsigned or encoded.
+func TestForwardRefusesForeignAnswers(t *testing.T) {
+	d := newDeployment(t)
+	runner := d.runner(t, "i-1", "plain", "")
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	defer d.start(t)()
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	for name, change := range map[string]func(http.Header){
+		"other id":    func(h http.Header) { h.Set(platformtest.RequestID, "id-of-another") },
+		"no id":       func(h http.Header) { h.Del(platformtest.RequestID) },
+		"unsigned":    func(h http.Header) { h.Del(platformtest.Signature) },
+		"encoded":     func(h http.Header) { h.Set("Content-Encoding", "gzip") },
+		"cut in body": func(h http.Header) { h.Set("Content-Length", "9999") },
+	} {
+		runner.Answer = func(w http.ResponseWriter, _ *http.Request) {
+			change(w.Header())
+			_, _ = w.Write([]byte("x"))
+		}
+		response, _ := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+		require.GreaterOrEqual(t, response.StatusCode, 502, name)
+		require.Empty(t, response.Header.Get(platformtest.Signature), name)
+	}
+}
+
+// Guards against a lost stream that repeats or skips an event, joins half an event, or reads its prompt again although
+// a copy of its memory exists.
+func TestForwardStreamGoesOnFromItsCopy(t *testing.T) {
+	d := newDeployment(t)
+	runners := map[string]*platformtest.Runner{}
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r := d.runner(t, id, "model", "both")
+		r.Answer = func(w http.ResponseWriter, request *http.Request) {
+			if request.Header.Get("Kv-From") != "" {
+				platformtest.Events(9, 0)(w, request)
+				return
+			}
+			platformtest.Events(9, 4)(w, request)
+		}
+		runners[r.Address()] = r
+	}
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	defer d.start(t)()
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	response, body := d.send(t, http.MethodPost, "/stream/x", "k1", map[string]string{
+		"X-Radishhollow-Token-Usage": "8000,900",
+	})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var want strings.Builder
+	for id := 1; id <= 9; id++ {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: part %d\n\n", id, id)
+	}
+	require.Equal(t, want.String(), body)
+	resumed := 0
+	for address, r := range runners {
+		for _, seen := range r.Seen() {
+			if seen.Get("Kv-From") == "" {
+				continue
+			}
+			resumed++
+			require.Equal(t, address+"/"+seen.Get(platformtest.RequestID), seen.Get("Kv-From"))
+			require.Equal(t, "4", seen.Get("Last-Event-Id"))
+			require.NotEqual(t, "signed-by-"+r.ID, response.Header.Get(platformtest.Signature), "the first runner's head stays")
+		}
+	}
+	require.Equal(t, 1, resumed)
+}
+
+// Guards against a stream that ends as complete although no runner finished it.
+func TestForwardStreamDoesNotLookComplete(t *testing.T) {
+	d := newDeployment(t)
+	runner := d.runner(t, "i-1", "model", "both")
+	runner.Answer = platformtest.Events(9, 4)
+	d.settings.Forward.RetrySlack, d.settings.Forward.RetryRatio = 0, 0
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	defer d.start(t)()
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.settings.Listen+"/stream/x", nil)
+	require.NoError(t, err)
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Token k1")
+	r.Header.Set(platformtest.RequestID, "id")
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+}
+
+// Guards against new work on a runner that is leaving or gone, and against a list that an outage of the store empties.
+func TestForwardLeaving(t *testing.T) {
+	d := newDeployment(t)
+	first, second := d.runner(t, "i-1", "plain", ""), d.runner(t, "i-2", "plain", "")
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	defer d.start(t)()
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	d.store.Put("servers/i-1", first.Entry("plain", "a", "draining", ""))
+	d.await(t, "leaving", func() bool {
+		before := len(first.Seen())
+		for range 10 {
+			d.send(t, http.MethodPost, "/once/x", "k1", nil)
+		}
+		return len(first.Seen()) == before
+	})
+	d.store.Refuse(http.StatusServiceUnavailable)
+	d.store.Remove("servers/i-2")
+	time.Sleep(200 * time.Millisecond)
+	before := len(second.Seen())
+	response, _ := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, second.Seen(), before+1)
+}
+
+// Guards against a planned stop that cuts a request in flight, or stays ready.
+func TestForwardStopCutsNothing(t *testing.T) {
+	d := newDeployment(t)
+	runner := d.runner(t, "i-1", "plain", "")
+	started := make(chan struct{})
+	runner.Answer = func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		time.Sleep(400 * time.Millisecond)
+		_, _ = w.Write([]byte("late"))
+	}
+	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
+	stop := d.start(t)
+	d.await(t, "ready", func() bool { return d.ready(t) })
+	answer := make(chan string, 1)
+	go func() {
+		_, body := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+		answer <- body
+	}()
+	<-started
+	stop()
+	require.Equal(t, "late", <-answer)
+}
