--- /dev/null
+++ b/io/sse/event_test.go
@@ -0,0 +1,67 @@
+package sse_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/io/sse"
+)
+
+// Guards against an event whose bytes change on the way, and against half an event that is passed on.
+func TestEventReader(t *testing.T) {
+	first, second := "id: 7\r\ndata: a\r\n\r\n", "x-version: 3\nid:8\ndata: b\ndata: c\n\n"
+	r := sse.NewEventReader(strings.NewReader(first + second + "id: 9\ndata: ha"))
+	id, event, err := r.Next()
+	require.NoError(t, err)
+	require.Equal(t, 7, id)
+	require.Equal(t, first, string(event))
+	id, event, err = r.Next()
+	require.NoError(t, err)
+	require.Equal(t, 8, id)
+	require.Equal(t, second, string(event))
+	_, _, err = r.Next()
+	_, truncated := errors.AsType[sse.TruncatedError](err)
+	require.True(t, truncated)
+}
+
+// Guards against a clean end that is taken for a loss, and against an event without bound.
+func TestEventReaderEnds(t *testing.T) {
+	_, _, err := sse.NewEventReader(strings.NewReader("")).Next()
+	require.ErrorIs(t, err, io.EOF)
+	_, _, err = sse.NewEventReader(io.MultiReader(strings.NewReader("data: "), endless{})).Next()
+	_, truncated := errors.AsType[sse.TruncatedError](err)
+	require.True(t, truncated)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n\n"))
+	f.Add([]byte("\n\n\r\nid: -4\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		r := sse.NewEventReader(bytes.NewReader(input))
+		var whole []byte
+		for {
+			_, event, err := r.Next()
+			if err != nil {
+				break
+			}
+			whole = append(whole, event...)
+		}
+		if !bytes.HasPrefix(input, whole) {
+			t.Fatal("events differ from the input")
+		}
+	})
+}
