--- a/core/booking/sender_test.go
+++ b/core/booking/sender_test.go
@@ -218,3 +218,53 @@
 	require.Error(t, err)
 	require.Len(t, f.sent, 1, "a call of a caller that has left is not sent")
 }
+
+// Guards against a forwarded booking that is sent to more endpoints than its route allows, and against one that gives up
+// although nothing could be sent.
+func TestMaxSends(t *testing.T) {
+	refused := status(503, "1")
+	tests := []struct {
+		name     string
+		steps    steps
+		sends    int
+		sent     int
+		outcome  failure.Outcome
+		attempts int
+	}{
+		{name: "refused once", steps: steps{refused, status(200, "")}, sends: 1, sent: 1, outcome: failure.NotRun},
+		{name: "refused twice", steps: steps{refused, status(200, "")}, sends: 2, sent: 2, outcome: failure.Ran},
+		{name: "unreachable", steps: steps{fail(unwritten{}), status(200, "")}, sends: 1, sent: 2, outcome: failure.Ran},
+		{name: "attempts", steps: steps{fail(unwritten{})}, sends: 1, attempts: 2, sent: 2, outcome: failure.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fleet{steps: tt.steps}
+			resp, err := f.sender(true).Do(t.Context(), booking.Call{
+				Kind: config.KindOnce, Service: config.Service{Name: "s", Refusal: true}, MaxSends: tt.sends,
+				MaxAttempts: tt.attempts, Request: booking.Request{Method: "GET", Path: "/x", Reuse: true},
+			})
+			outcome := resp.Outcome
+			if err != nil {
+				outcome = failure.Of(err).Outcome()
+			}
+			require.Equal(t, tt.outcome, outcome)
+			require.Len(t, f.sent, tt.sent)
+		})
+	}
+}
+
+// Guards against a booking that outlives its caller's deadline on an endpoint that hangs.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{steps: steps{func(ctx context.Context) (booking.Response, error) {
+			<-ctx.Done()
+			return booking.Response{}, ctx.Err()
+		}}}
+		begin := time.Now()
+		_, err := f.sender(true).Do(t.Context(), booking.Call{
+			Kind: config.KindOnce, Deadline: begin.Add(1200 * time.Millisecond),
+		})
+		require.Equal(t, failure.Unknown, failure.Of(err).Outcome())
+		require.Equal(t, 1200*time.Millisecond, time.Since(begin))
+	})
+}
--- /dev/null
+++ b/core/route/forward_test.go
@@ -0,0 +1,148 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/route"
+)
+
+// silent returns a table of endpoints that do not report their load: three in each of the places a and b.
+func silent(change func(*route.Policy)) *route.Table {
+	p := route.DefaultPolicy()
+	p.Candidates, p.ResumeCandidates, p.Subset = 0, 0, 0
+	p.UnreachableFor = 500 * time.Millisecond
+	if change != nil {
+		change(&p)
+	}
+	t := route.New("daemon", p)
+	var list []route.Listing
+	for i := range 6 {
+		list = append(list, route.Listing{
+			Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: fmt.Sprint(i), Place: string(rune('a' + i%2)),
+			Kind: route.KindModel, Name: "m", Slots: 10,
+		})
+	}
+	t.Sync(list)
+	return t
+}
+
+func pick(t *testing.T, tab *route.Table, need route.Need) route.Choice {
+	t.Helper()
+	need.Kind, need.Name = route.KindModel, "m"
+	choice, err := tab.Pick(t.Context(), need)
+	require.NoError(t, err)
+	return choice
+}
+
+// Guards against prompts that pile up on one engine while others are idle, where engines report nothing. Load pattern:
+// a burst of long prompts on one daemon.
+func TestPromptsSpreadWithoutReports(t *testing.T) {
+	tab := silent(nil)
+	used := map[string]int{}
+	for range 6 {
+		used[pick(t, tab, route.Need{PromptTokens: 8000}).Address()]++
+	}
+	require.Len(t, used, 6)
+}
+
+// Guards against an engine that counts as busy with a prompt which it has read already.
+func TestBegunReleasesThePrompt(t *testing.T) {
+	tab := silent(nil)
+	var choices []route.Choice
+	for range 6 {
+		choices = append(choices, pick(t, tab, route.Need{PromptTokens: 8000}))
+	}
+	choices[3].Begun()
+	require.Equal(t, choices[3].Address(), pick(t, tab, route.Need{PromptTokens: 8000}).Address())
+	for _, c := range choices {
+		c.Release()
+		c.Begun()
+	}
+}
+
+// Guards against a resume that goes to the place whose engines have just failed together, or past the engine that holds
+// a copy of the run's memory.
+func TestResumePlaces(t *testing.T) {
+	tab := silent(nil)
+	for range 20 {
+		c := pick(t, tab, route.Need{AvoidPlace: "a"})
+		require.Equal(t, "b", c.Place())
+		c.Release()
+		c = pick(t, tab, route.Need{AvoidPlace: "a", Prefer: "10.0.0.2:80"})
+		require.Equal(t, "10.0.0.2:80", c.Address(), "the copy is worth more than the place")
+		c.Release()
+	}
+	c := pick(t, tab, route.Need{Prefer: "10.0.0.2:80", Exclude: map[string]bool{"10.0.0.2:80": true}})
+	require.NotEqual(t, "10.0.0.2:80", c.Address())
+}
+
+// Guards against a returning caller's prompt that is read again on another engine. Load pattern: callers of a daemon
+// that stops come back at the others.
+func TestAffinityIsSharedByDaemons(t *testing.T) {
+	p := func(p *route.Policy) { p.AffinityTolerance = 0.03 }
+	hits := 0
+	for i := range 100 {
+		need := route.Need{PromptTokens: 8000, Affinity: fmt.Sprint("prompt-", i)}
+		first, second := pick(t, silent(p), need), pick(t, silent(p), need)
+		if first.Address() == second.Address() {
+			hits++
+		}
+	}
+	require.Equal(t, 100, hits)
+	tab := silent(p)
+	need := route.Need{PromptTokens: 8000, Affinity: "hot"}
+	require.NotEqual(t, pick(t, tab, need).Address(), pick(t, tab, need).Address(), "a hot prompt crowds no engine")
+}
+
+// Guards against more connections to one endpoint than this daemon's part.
+func TestMaxInFlight(t *testing.T) {
+	tab := silent(nil)
+	var last route.Choice
+	for range 12 {
+		last = pick(t, tab, route.Need{MaxInFlight: 2})
+	}
+	_, err := tab.Pick(t.Context(), route.Need{Kind: route.KindModel, Name: "m", MaxInFlight: 2})
+	require.Error(t, err)
+	last.Release()
+	pick(t, tab, route.Need{MaxInFlight: 2})
+}
+
+// Guards against an endpoint that stays unused for ever after one refused connection, where none reports.
+func TestUnreachableEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := silent(nil)
+		tab.Unreachable("10.0.0.0:80", "0")
+		used := func() bool {
+			for range 60 {
+				c := pick(t, tab, route.Need{})
+				c.Release()
+				if c.Address() == "10.0.0.0:80" {
+					return true
+				}
+			}
+			return false
+		}
+		require.False(t, used())
+		time.Sleep(600 * time.Millisecond)
+		require.True(t, used())
+	})
+}
+
+// Guards against state of before that stays with an endpoint which has started again under its id.
+func TestBornReplaces(t *testing.T) {
+	tab := silent(nil)
+	tab.Unreachable("10.0.0.0:80", "0")
+	list, _ := tab.Listings()
+	for i := range list {
+		list[i].Born = 5
+	}
+	tab.Sync(list)
+	c := pick(t, tab, route.Need{Prefer: "10.0.0.0:80"})
+	require.Equal(t, "10.0.0.0:80", c.Address())
+	require.True(t, tab.Known("10.0.0.0:80", "0"))
+}
