--- a/core/generation/events_test.go
+++ b/core/generation/events_test.go
@@ -94,7 +94,9 @@
 func TestEventsOfAReturningCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{endpoints: []string{"a"}}
-		f.open = func(_ string, start generation.Start) ([]step, error) { return eventSteps(1, start.Offset+1, 8, 8), nil }
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			return eventSteps(1, start.Offset+1, 8, 8), nil
+		}
 		d, got := eventDriver(f, 5)
 		require.NoError(t, d.Run(t.Context()))
 		require.Equal(t, 5, f.starts[0].Offset)
--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -96,7 +96,8 @@
 	require.Equal(t, 100, hits)
 	tab := silent(p)
 	need := route.Need{PromptTokens: 8000, Affinity: "hot"}
-	require.NotEqual(t, pick(t, tab, need).Address(), pick(t, tab, need).Address(), "a hot prompt crowds no engine")
+	first, second := pick(t, tab, need), pick(t, tab, need)
+	require.NotEqual(t, first.Address(), second.Address(), "a hot prompt crowds no engine")
 }
 
 // Guards against more connections to one endpoint than this daemon's part.
--- a/daemon/forward_test.go
+++ b/daemon/forward_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/daemon"
@@ -70,7 +71,7 @@
 		cancel()
 		select {
 		case err := <-done:
-			require.NoError(t, err)
+			assert.NoError(t, err) //nolint:testifylint // The function runs in another goroutine than the test.
 		case <-time.After(20 * time.Second):
 			t.Error("daemon does not stop")
 		}
@@ -317,12 +318,13 @@
 	d.store.Put("op/config", fmt.Sprintf(forwardConfig, 3, "k1"))
 	stop := d.start(t)
 	d.await(t, "ready", func() bool { return d.ready(t) })
-	answer := make(chan string, 1)
+	stopped := make(chan struct{})
 	go func() {
-		_, body := d.send(t, http.MethodPost, "/once/x", "k1", nil)
-		answer <- body
+		defer close(stopped)
+		<-started
+		stop()
 	}()
-	<-started
-	stop()
-	require.Equal(t, "late", <-answer)
+	_, body := d.send(t, http.MethodPost, "/once/x", "k1", nil)
+	require.Equal(t, "late", body)
+	<-stopped
 }
