fix(daemon): take the newest registration of an address

Cause: a crashed engine's registration stays in the store beside that of its successor at the same address. A test failed first.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -26,6 +26,8 @@
 	Slow time.Duration
 	// Born tells starts under the same incarnation apart; 0 where the list does not tell.
 	Born int64
+	// Since is the revision of the registration, by which the newest of an address is told; 0 where the list has none.
+	Since uint64
 }
 
 // Report is one load report of an endpoint.
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -33,6 +33,8 @@
 	AliveFor time.Duration
 	// UnreachableFor ends the effect of Unreachable where endpoints do not report; 0 waits for the next report.
 	UnreachableFor time.Duration
+	// CurrentList tells that the instance list does not lag, so that it may name an incarnation again that was superseded.
+	CurrentList bool
 	// DeadFor ends a dead mark, because a paused endpoint may return under the same incarnation.
 	DeadFor time.Duration
 	// MarkFor is the age up to which a mark is told to the peers.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -144,7 +144,7 @@
 	switch {
 	case created:
 		e = t.create(l)
-	case e.superseded(l.Incarnation):
+	case e.superseded(l.Incarnation) && !t.policy.CurrentList:
 		return false
 	case e.listing.Incarnation != l.Incarnation:
 		e = t.replace(e, l.Incarnation)
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -53,6 +53,7 @@
 func newForwardPolicy(s settings.Settings) route.Policy {
 	policy := newPolicy(s)
 	policy.Candidates, policy.ResumeCandidates, policy.PrefixTerm = 0, 0, false
+	policy.CurrentList = true
 	policy.UnreachableFor = 600 * time.Millisecond
 	policy.BreakMin, policy.BreakMax = 500*time.Millisecond, 2*time.Second
 	policy.Subset = 0
--- a/daemon/listing.go
+++ b/daemon/listing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,13 +74,7 @@
 func (l *listing) Listings() ([]route.Listing, uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := make([]route.Listing, 0, len(l.rows))
-	for key, row := range l.rows {
-		if _, missing := l.missing[key]; !missing {
-			list = append(list, row)
-		}
-	}
-	return list, l.revision, l.synced
+	return l.list(false), l.revision, l.synced
 }
 
 // version returns the revision of the list and the time since the store has last answered.
@@ -88,12 +84,19 @@
 	return l.revision, time.Since(l.read)
 }
 
-func (l *listing) list() []route.Listing {
-	list := make([]route.Listing, 0, len(l.rows))
-	for _, row := range l.rows {
-		list = append(list, row)
+// list returns one row for each address. A crashed endpoint's registration stays for some seconds beside that of its
+// successor at the same address.
+func (l *listing) list(missing bool) []route.Listing {
+	newest := make(map[string]route.Listing, len(l.rows))
+	for key, row := range l.rows {
+		if _, waits := l.missing[key]; waits && !missing {
+			continue
+		}
+		if other, taken := newest[row.Address]; !taken || row.Since > other.Since {
+			newest[row.Address] = row
+		}
 	}
-	return list
+	return slices.Collect(maps.Values(newest))
 }
 
 // apply takes what the store says.
@@ -126,7 +129,7 @@
 		}
 	}
 	l.helped = false
-	l.table.Sync(l.list())
+	l.table.Sync(l.list(true))
 }
 
 func (l *listing) put(entry kv.Entry) {
@@ -187,7 +190,7 @@
 		}
 	}
 	if overdue {
-		l.table.Sync(l.list())
+		l.table.Sync(l.list(true))
 	}
 }
 
@@ -247,6 +250,6 @@
 	}
 	clear(l.missing)
 	l.revision, l.synced, l.helped = revision, true, true
-	l.table.Sync(l.list())
+	l.table.Sync(l.list(true))
 	l.log.WithFields(logrus.Fields{"endpoints": len(rows), "revision": revision}).Info("list of endpoints taken from a peer")
 }
--- a/daemon/listing_test.go
+++ b/daemon/listing_test.go
@@ -17,14 +17,17 @@
 func newTestListing() *listing {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	policy := route.DefaultPolicy()
+	policy.CurrentList = true
 	return &listing{
 		follower: &kv.Follower{Prefix: "e/"},
 		parse: func(e kv.Entry) (route.Listing, error) {
 			return route.Listing{
 				Address: "10.0.0.1:" + string(e.Value()), Incarnation: e.Key()[2:], Kind: route.KindService, Name: "s",
+				Since: e.Revision(),
 			}, nil
 		},
-		table: route.New("d", route.DefaultPolicy()), reach: &member.Reach{Bound: time.Minute}, log: log,
+		table: route.New("d", policy), reach: &member.Reach{Bound: time.Minute}, log: log,
 		rows: map[string]route.Listing{}, missing: map[string]time.Time{},
 	}
 }
@@ -90,7 +93,7 @@
 }
 
 // Guards against a row that a peer keeps only for a moment after an outage and that stays for good where its list is
-// taken over. In inc-d005 of kjaer-ruter one daemon sent 43 requests to endpoints that were gone for 10 s and more.
+// taken over.
 func TestListingForPeersHasNoOverdueRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newTestListing()
@@ -103,3 +106,21 @@
 		require.Len(t, kept, 2)
 	})
 }
+
+// Guards against an endpoint that is asked under the incarnation of its predecessor. In inc-d005 of kjaer-ruter a daemon
+// started while the store still had the registrations of crashed engines beside those of their successors at the same
+// addresses; it took the old ones for the successors and got 421 for the rest of the day.
+func TestListingTakesTheNewestOfAnAddress(t *testing.T) {
+	for range 50 {
+		l := newTestListing()
+		old, fresh := kv.NewEntry("e/old", []byte("1"), 3, false), kv.NewEntry("e/new", []byte("1"), 8, false)
+		l.apply([]kv.Entry{fresh, old}, 9, true)
+		require.True(t, l.table.Known("10.0.0.1:1", "new"))
+		rows, _, _ := l.Listings()
+		require.Len(t, rows, 1)
+		l.apply([]kv.Entry{kv.NewEntry("e/old", nil, 10, true)}, 10, false)
+		require.True(t, l.table.Known("10.0.0.1:1", "new"))
+		l.apply([]kv.Entry{kv.NewEntry("e/old", []byte("1"), 11, false)}, 11, false)
+		require.True(t, l.table.Known("10.0.0.1:1", "old"), "a later registration counts, also under an earlier id")
+	}
+}
