feat(route): ask three engines for their load before a prompt is placed

Cause: daemons don't see one another's prompts; on the grown sites 5 % of the streams got their first event late because a prompt waited behind another one while engines were idle. Three engines that look equal are asked, and the one with the least waiting prompts is taken; the answer counts for 500 ms.

--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -147,3 +147,25 @@
 	require.Equal(t, "10.0.0.0:80", c.Address())
 	require.True(t, tab.Known("10.0.0.0:80", "0"))
 }
+
+// Guards against a prompt that is queued behind those of other daemons while engines are idle. Load pattern: many daemons
+// that each place few long prompts.
+func TestPeekShowsThePromptsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := silent(func(p *route.Policy) { p.PeekFor, p.PeekLag = 500*time.Millisecond, 200*time.Millisecond })
+		need := route.Need{Kind: route.KindModel, Name: "m", PromptTokens: 8000, Affinity: "x"}
+		asked := tab.Candidates(need, 2)
+		require.Len(t, asked, 2)
+		tab.Peek(asked[0], route.Peek{Running: 2, Reading: 2})
+		tab.Peek(asked[1], route.Peek{Running: 3})
+		need.Among = asked
+		c := pick(t, tab, need)
+		require.Equal(t, asked[1], c.Address(), "a prompt before it is worse than a fuller batch")
+		next := pick(t, tab, need)
+		require.Equal(t, asked[0], next.Address(), "what was sent since the peek counts")
+		c.Release()
+		next.Release()
+		time.Sleep(time.Second)
+		require.Equal(t, asked, tab.Candidates(need, 2), "an old peek counts no longer")
+	})
+}
--- a/core/route/need.go
+++ b/core/route/need.go
@@ -41,6 +41,8 @@
 	Affinity string
 	// MaxInFlight bounds the requests of this daemon on one endpoint; 0 means no bound.
 	MaxInFlight int
+	// Among limits the choice to these addresses, if one of them may be used.
+	Among []string
 	// Exclude holds addresses that already failed this request.
 	Exclude map[string]bool
 }
--- /dev/null
+++ b/core/route/peek.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peek is the load of an endpoint that was asked for just before a choice.
+type Peek struct {
+	// Running and Waiting are requests.
+	Running, Waiting int
+	// Reading are the running requests that have made no output yet.
+	Reading int
+	// NextPrompt is the prompt of the first waiting request in tokens.
+	NextPrompt int
+}
+
+// halfPrompt stands for the rest of a prompt that is being read, in tokens, which reports don't tell.
+const halfPrompt = 4000
+
+// prefill returns the work that waits before a new prompt is read, in tokens.
+func (p Peek) prefill() int { return p.Reading*halfPrompt + p.Waiting*p.NextPrompt }
+
+// peek is a Peek with the time at which it was taken.
+type peek struct {
+	Peek
+	at time.Time
+}
+
+// Peek takes the load of an endpoint. It counts for Policy.PeekFor, beside what this daemon has sent since.
+func (t *Table) Peek(address string, load Peek) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[address]; e != nil {
+		e.peek = peek{Peek: load, at: time.Now()}
+	}
+}
+
+// Candidates returns up to n addresses that are worth a Peek: of the endpoints that look about equal, those that all
+// daemons name for the need's affinity.
+func (t *Table) Candidates(need Need, n int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pool, _ := t.pool(need, time.Now())
+	if len(pool) == 0 {
+		return nil
+	}
+	score := func(e *endpoint) float64 { return t.score(e, need, 0) }
+	limit := score(t.lowest(pool, score)) + t.policy.AffinityTolerance
+	pool = prefer(pool, func(e *endpoint) bool { return score(e) <= limit })
+	slices.SortFunc(pool, func(a, b *endpoint) int {
+		return cmp.Compare(rendezvous(need.Affinity, b), rendezvous(need.Affinity, a))
+	})
+	var addresses []string
+	for _, e := range pool[:min(n, len(pool))] {
+		addresses = append(addresses, e.listing.Address)
+	}
+	return addresses
+}
+
+// rendezvous is the weight of an endpoint for an affinity.
+func rendezvous(affinity string, e *endpoint) uint64 {
+	return xxhash.Sum64String(affinity + "\x00" + e.listing.Address)
+}
+
+// observed returns the load and the prefill work of an endpoint: what this daemon knows of its own, or what a fresh peek
+// shows with what was sent after it.
+func (e *endpoint) observed(p Policy) (load, prefill int) {
+	load, prefill = e.load(), e.waitingPrefill()
+	if e.peek.at.IsZero() || time.Since(e.peek.at) > p.PeekFor {
+		return load, prefill
+	}
+	sent, tokens := 0, 0
+	for _, c := range e.corrections {
+		// A peek is as old as a report.
+		if c.slots > 0 && c.at.After(e.peek.at.Add(-p.PeekLag)) {
+			sent, tokens = sent+1, tokens+c.prefill
+		}
+	}
+	return max(load, e.peek.Running+e.peek.Waiting+sent), max(prefill, e.peek.prefill()+tokens)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -137,6 +137,9 @@
 	if need.Prefer != "" {
 		pool = prefer(pool, func(e *endpoint) bool { return e.listing.Address == need.Prefer })
 	}
+	if len(need.Among) > 0 {
+		pool = prefer(pool, func(e *endpoint) bool { return slices.Contains(need.Among, e.listing.Address) })
+	}
 	if need.AvoidPlace == "" {
 		return pool
 	}
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -35,6 +35,8 @@
 	UnreachableFor time.Duration
 	// CurrentList tells that the instance list does not lag, so that it may name an incarnation again that was superseded.
 	CurrentList bool
+	// PeekFor is the time for which a Peek counts, and PeekLag the age that its figures have when it is taken.
+	PeekFor, PeekLag time.Duration
 	// DeadFor ends a dead mark, because a paused endpoint may return under the same incarnation.
 	DeadFor time.Duration
 	// MarkFor is the age up to which a mark is told to the peers.
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -1,10 +1,6 @@
 package route
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// defaultPrefillRate stands in for an engine that has not reported a rate, in tokens per second.
@@ -22,13 +18,7 @@
 	case MethodLeastReported:
 		return t.lowest(pool, reportedLoad)
 	default:
-		score := func(e *endpoint) float64 {
-			score := t.estimate(e, need, depth[e.id])
-			if need.Place != "" && e.listing.Place != need.Place {
-				score += t.policy.OtherPlace
-			}
-			return score
-		}
+		score := func(e *endpoint) float64 { return t.score(e, need, depth[e.id]) }
 		pool = t.sample(pool, need, depth)
 		best := t.lowest(pool, score)
 		if need.Affinity == "" {
@@ -73,7 +63,7 @@
 		if score(e) > limit {
 			continue
 		}
-		if weight := xxhash.Sum64String(affinity + "\x00" + e.listing.Address); best == nil || weight > high {
+		if weight := rendezvous(affinity, e); best == nil || weight > high {
 			best, high = e, weight
 		}
 	}
@@ -99,9 +89,19 @@
 	return best
 }
 
+// score is the estimate and what another place costs.
+func (t *Table) score(e *endpoint, need Need, depth int) float64 {
+	score := t.estimate(e, need, depth)
+	if need.Place != "" && e.listing.Place != need.Place {
+		score += t.policy.OtherPlace
+	}
+	return score
+}
+
 // estimate returns the seconds that the request would lose to waiting and to a fuller batch.
 func (t *Table) estimate(e *endpoint, need Need, depth int) float64 {
-	load, slots := float64(e.load()), float64(max(e.slotCount(), 1))
+	running, waitingPrefill := e.observed(t.policy)
+	load, slots := float64(running), float64(max(e.slotCount(), 1))
 	if need.Kind == KindService {
 		return load / slots
 	}
@@ -118,7 +118,7 @@
 		output = min(output, float64(need.MaxTokens))
 	}
 	own := float64(missing(need, depth)) / rate
-	prefill := float64(e.waitingPrefill())/rate + own
+	prefill := float64(waitingPrefill)/rate + own
 	turnover := float64(t.policy.TypicalOutput) * gap.Seconds() / slots
 	queue := max(load+1-slots, 0) * turnover
 	growth := output * gap.Seconds() * min(load/slots, 1)
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -39,6 +39,7 @@
 	reported    bool
 	reportedAt  time.Time
 	unreachable bool
+	peek        peek
 	// unreachableAt is the time of the last Unreachable.
 	unreachableAt time.Time
 	gapMean       float64 // mean reported token gap, in nanoseconds
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// UnreachableNow is Unreachable for whatever incarnation is listed under the address.
+func (t *Table) UnreachableNow(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[address]; e != nil {
+		e.unreachable, e.unreachableAt = true, time.Now()
+	}
+}
+
 // CacheEvents feeds the prefix index. Events of other incarnations are ignored.
 func (t *Table) CacheEvents(address, incarnation string, events []CacheEvent) {
 	now := time.Now()
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -58,6 +58,7 @@
 	policy.BreakMin, policy.BreakMax = 500*time.Millisecond, 2*time.Second
 	policy.Subset = 0
 	policy.OtherPlace = 0.01
+	policy.PeekFor, policy.PeekLag = 500*time.Millisecond, 250*time.Millisecond
 	policy.AffinityTolerance = 0.03
 	return policy
 }
@@ -136,6 +137,7 @@
 		Reachable: func(ctx context.Context, address string) bool {
 			return client.Reachable(ctx, address, reachableTimeout)
 		},
+		Candidates: table.Candidates, Peek: newPeek(table, client),
 		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take, Return: window.Return,
 		Daemons: func() int { return members.Count() + 1 },
 		Place:   s.Place, Metrics: m, Log: log,
@@ -148,6 +150,22 @@
 	return server
 }
 
+// newPeek asks an engine for its load. One that can't be reached is not used for a moment.
+func newPeek(table *route.Table, client *service.Client) func(ctx context.Context, address string) {
+	return func(ctx context.Context, address string) {
+		response, err := client.Send(ctx, address, booking.Request{
+			Method: http.MethodGet, Path: platform.ReportPath, Reuse: true,
+		})
+		if err != nil {
+			table.UnreachableNow(address)
+			return
+		}
+		if load, err := platform.Report(response.Body); err == nil {
+			table.Peek(address, load)
+		}
+	}
+}
+
 // sentTo logs each attempt, and marks an endpoint whose address another one has.
 func sentTo(
 	table *route.Table, server *forward.Server,
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -45,6 +45,9 @@
 	Pick      func(ctx context.Context, need route.Need) (route.Choice, error)
 	Open      func(ctx context.Context, address string, r booking.Request) (*http.Response, context.CancelFunc, error)
 	Reachable func(ctx context.Context, address string) bool
+	// Candidates returns addresses that are worth a Peek, and Peek asks one of them for its load.
+	Candidates func(need route.Need, n int) []string
+	Peek       func(ctx context.Context, address string)
 	// Result is told how each attempt of a stream went; it may be nil.
 	Result func(choice route.Choice, err error)
 	// Earn counts a request, and MayRetry takes a repetition from the service's budget.
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -26,6 +27,12 @@
 	firstPart = 25
 	// resumeClass is the rank of a run that goes on, above that of new ones, which is 5.
 	resumeClass = 2
+	// peekTokens is the prompt from which on it pays to ask engines for their load: some 100 ms of reading.
+	peekTokens = 1000
+	// peekCount is the number of engines that are asked. Two are nearly as good as all.
+	peekCount = 3
+	// peekTimeout is well above a round trip within a region, and short against the reading of a prompt.
+	peekTimeout = 60 * time.Millisecond
 	// writeTimeout ends a stream whose caller has stopped reading.
 	writeTimeout = 10 * time.Second
 	// maxAnswer bounds the body of an endpoint's own failure.
@@ -98,6 +105,9 @@
 func (t *streamed) pick(ctx context.Context, need route.Need) (route.Choice, error) {
 	need.AvoidPlace, need.Prefer = t.lost, t.copy.Address()
 	need.Spec, need.Prompt = "", nil
+	if need.Prefer == "" {
+		need.Among = t.peek(ctx, need)
+	}
 	choice, err := t.server.Pick(ctx, need)
 	if err == nil {
 		t.choice = choice
@@ -105,6 +115,22 @@
 	return choice, err
 }
 
+// peek asks a few engines for their load, because daemons don't see one another's prompts.
+func (t *streamed) peek(ctx context.Context, need route.Need) []string {
+	if need.PromptTokens < peekTokens {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peekTimeout)
+	defer cancel()
+	addresses := t.server.Candidates(need, peekCount)
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() { t.server.Peek(ctx, address) })
+	}
+	group.Wait()
+	return addresses
+}
+
 func (t *streamed) open(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
 	f := t.server.Format
 	r := t.request.outgoing()
