feat(route): learn of other starts and of leaving engines from their load reports

A report's start that differs from the listed one marks the incarnation. Copies of runs younger than 500 ms are not tried, and the budget's ratio is used whole.

--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -169,3 +169,33 @@
 		require.Equal(t, asked, tab.Candidates(need, 2), "an old peek counts no longer")
 	})
 }
+
+// Guards against a request to an endpoint that has crashed and started again at its address, before the
+// list tells.
+func TestPeekShowsAnotherStart(t *testing.T) {
+	tab := silent(nil)
+	list, _ := tab.Listings()
+	for i := range list {
+		list[i].Born = 5
+	}
+	tab.Sync(list)
+	tab.Peek("10.0.0.0:80", route.Peek{Born: 6})
+	for range 60 {
+		c := pick(t, tab, route.Need{})
+		require.NotEqual(t, "10.0.0.0:80", c.Address())
+		c.Release()
+	}
+}
+
+// Guards against new work on an engine that is about to leave while others are as good, and against none at all where
+// all say so. Load pattern: engines are replaced while the store is down.
+func TestPeekPrefersEnginesThatStay(t *testing.T) {
+	tab := silent(func(p *route.Policy) { p.PeekFor = time.Minute })
+	for i := range 5 {
+		tab.Peek(fmt.Sprintf("10.0.0.%d:80", i), route.Peek{Leaving: true})
+	}
+	c := pick(t, tab, route.Need{})
+	require.Equal(t, "10.0.0.5:80", c.Address())
+	tab.Peek("10.0.0.5:80", route.Peek{Leaving: true})
+	pick(t, tab, route.Need{})
+}
--- a/core/route/peek.go
+++ b/core/route/peek.go
@@ -16,8 +16,16 @@
 	Reading int
 	// NextPrompt is the prompt of the first waiting request in tokens.
 	NextPrompt int
+	// Born tells the start of the endpoint that has answered; 0 where it does not tell.
+	Born int64
+	// Leaving tells that the endpoint is about to leave.
+	Leaving bool
 }
 
+// leavingCost is added to the estimate, in seconds, of an endpoint that says that it is about to leave. It still serves:
+// while the store is down, none is gone before the store has taken its word, and without them too few may be left.
+const leavingCost = 0.5
+
 // halfPrompt stands for the rest of a prompt that is being read, in tokens, which reports don't tell.
 const halfPrompt = 4000
 
@@ -30,12 +38,19 @@
 	at time.Time
 }
 
-// Peek takes the load of an endpoint. It counts for Policy.PeekFor, beside what this daemon has sent since.
+// Peek takes the load of an endpoint. It counts for Policy.PeekFor, beside what this daemon has sent since. An answer of
+// another start shows that the listed incarnation is gone; its successor is listed a little later.
 func (t *Table) Peek(address string, load Peek) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.endpoints[address]; e != nil {
-		e.peek = peek{Peek: load, at: time.Now()}
+	e := t.endpoints[address]
+	if e == nil {
+		return
+	}
+	now := time.Now()
+	e.peek = peek{Peek: load, at: now}
+	if load.Born != 0 && e.listing.Born != 0 && load.Born != e.listing.Born {
+		t.mark(markKey{address, e.listing.Incarnation}, true, now)
 	}
 }
 
@@ -66,11 +81,14 @@
 	return xxhash.Sum64String(affinity + "\x00" + e.listing.Address)
 }
 
+// fresh tells whether the last peek still counts.
+func (p peek) fresh(policy Policy) bool { return !p.at.IsZero() && time.Since(p.at) <= policy.PeekFor }
+
 // observed returns the load and the prefill work of an endpoint: what this daemon knows of its own, or what a fresh peek
 // shows with what was sent after it.
 func (e *endpoint) observed(p Policy) (load, prefill int) {
 	load, prefill = e.load(), e.waitingPrefill()
-	if e.peek.at.IsZero() || time.Since(e.peek.at) > p.PeekFor {
+	if !e.peek.fresh(p) {
 		return load, prefill
 	}
 	sent, tokens := 0, 0
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -95,6 +95,9 @@
 	if need.Place != "" && e.listing.Place != need.Place {
 		score += t.policy.OtherPlace
 	}
+	if e.peek.Leaving && e.peek.fresh(t.policy) {
+		score += leavingCost
+	}
 	return score
 }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -33,7 +33,8 @@
 )
 
 const (
-	// retryMargin keeps the retries of all daemons below the platform's bound while their windows are not aligned.
+	// retryMargin is the part of the shared slack that is divided, so that a daemon which is not known yet has some. The
+	// ratio needs no margin: each daemon's window is longer than the platform's by a tenth.
 	retryMargin = 0.9
 	// reachableTimeout tells a reachable endpoint from a dead one; a round trip within a region takes a few ms.
 	reachableTimeout = 100 * time.Millisecond
@@ -115,7 +116,7 @@
 func newWindow(s settings.Settings, members *member.Table) *retry.Window {
 	f := s.Forward
 	return &retry.Window{
-		Span: f.RetryWindow.Duration, Ratio: f.RetryRatio * retryMargin, Slack: float64(f.RetrySlack) * retryMargin,
+		Span: f.RetryWindow.Duration, Ratio: f.RetryRatio, Slack: float64(f.RetrySlack) * retryMargin,
 		Daemons: func() int { return members.Count() + 1 },
 	}
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -27,6 +27,9 @@
 	firstPart = 25
 	// resumeClass is the rank of a run that goes on, above that of new ones, which is 5.
 	resumeClass = 2
+	// copyDelay is the age of a run from which on its copy holds part of the prompt. Memory is sent several times a
+	// second.
+	copyDelay = 500 * time.Millisecond
 	// peekTokens is the prompt from which on it pays to ask engines for their load: some 100 ms of reading.
 	peekTokens = 1000
 	// peekCount is the number of engines that are asked. Two are nearly as good as all.
@@ -56,6 +59,8 @@
 	// copy is the engine that holds a copy of the last run's memory, if any.
 	copy route.Choice
 	lost string
+	// since is the time at which the last run was sent.
+	since time.Time
 	// head is the header of the first engine's answer.
 	head   http.Header
 	sent   bool
@@ -140,6 +145,7 @@
 		r.Header.Set(f.LastEvent, strconv.Itoa(start.Offset))
 	}
 	next := t.placeCopy(ctx, address, start.Offset, r.Header)
+	t.since = time.Now()
 	response, cancel, err := t.server.Open(ctx, address, r)
 	fields := t.server.chosen(t.choice)
 	fields["attempt"], fields["offset"] = start.Attempt, start.Offset
@@ -150,7 +156,7 @@
 		t.copy = route.Choice{}
 	}
 	if err != nil {
-		if failure.Of(err).Outcome() != failure.NotRun {
+		if failure.Of(err).Outcome() != failure.NotRun && time.Since(t.since) >= copyDelay {
 			t.copy = next
 		}
 		return generation.Stream{}, err
