--- a/test/forward_soak_test.go
+++ b/test/forward_soak_test.go
@@ -165,7 +165,7 @@
 		id := fmt.Sprintf("caller-%d-%d", n, i)
 		kind := []string{"/once/x", "/stream/x"}[rand.IntN(2)]
 		r, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.entries[rand.IntN(soakDaemons)]+kind, nil)
-		if !assert.NoError(s.t, err) {
+		if !assert.NoError(s.t, err) { //nolint:testifylint // The method runs in another goroutine than the test.
 			return
 		}
 		r.Host = "h"
