--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -199,3 +199,28 @@
 	tab.Peek("10.0.0.5:80", route.Peek{Leaving: true})
 	pick(t, tab, route.Need{})
 }
+
+// Guards against new work on an engine that is still slow after its start while others are as good. Load pattern: empty
+// engines are added under load.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := silent(nil)
+		list, _ := tab.Listings()
+		fresh := list[0]
+		fresh.Address, fresh.Incarnation, fresh.Slow = "10.0.0.9:80", "9", 3*time.Second
+		tab.Sync(append(list, fresh))
+		used := func() bool {
+			for range 80 {
+				c := pick(t, tab, route.Need{})
+				c.Release()
+				if c.Address() == fresh.Address {
+					return true
+				}
+			}
+			return false
+		}
+		require.False(t, used())
+		time.Sleep(3 * time.Second)
+		require.True(t, used())
+	})
+}
--- a/core/route/score.go
+++ b/core/route/score.go
@@ -7,6 +7,8 @@
 	defaultPrefillRate = 5000
 	// defaultGap stands in for an engine that has not reported a token gap.
 	defaultGap = 20 * time.Millisecond
+	// slowCost bounds what is added to the estimate, in seconds, of an endpoint that has just started.
+	slowCost = 0.5
 	// tie is the relative difference below which two estimates count as equal.
 	tie = 1e-9
 )
@@ -95,6 +97,9 @@
 	if need.Place != "" && e.listing.Place != need.Place {
 		score += t.policy.OtherPlace
 	}
+	if left := time.Until(e.slowUntil); left > 0 {
+		score += min(left.Seconds(), slowCost)
+	}
 	if e.peek.Leaving && e.peek.fresh(t.policy) {
 		score += leavingCost
 	}
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -40,6 +40,8 @@
 	reportedAt  time.Time
 	unreachable bool
 	peek        peek
+	// slowUntil is the end of the time for which the endpoint stays slow after its start.
+	slowUntil time.Time
 	// unreachableAt is the time of the last Unreachable.
 	unreachableAt time.Time
 	gapMean       float64 // mean reported token gap, in nanoseconds
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -172,7 +172,7 @@
 
 func (t *Table) create(l Listing) *endpoint {
 	t.nextID++
-	e := &endpoint{id: t.nextID, listing: l}
+	e := &endpoint{id: t.nextID, listing: l, slowUntil: time.Now().Add(l.Slow)}
 	t.endpoints[l.Address] = e
 	return e
 }
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -72,7 +73,7 @@
 	}
 }
 
-// write passes an endpoint's answer on.
+// writeAnswer passes an endpoint's answer on.
 func writeAnswer(w http.ResponseWriter, status int, header http.Header, body []byte) {
 	copyHeader(w.Header(), header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -81,19 +82,13 @@
 	_, _ = w.Write(body)
 }
 
+// copyHeader copies what does not concern the endpoint's connection.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range hopByHop {
-		if name != "Connection" {
-			to.Del(name)
+		if name != "Content-Length" && !slices.Contains(hopByHop, name) {
+			to[name] = values
 		}
 	}
-	to.Del("Content-Length")
-	if from.Get("Connection") != "" {
-		to.Del("Connection")
-	}
 	if _, ok := to["Content-Type"]; !ok {
 		// net/http would guess one from the body.
 		to["Content-Type"] = nil
--- /dev/null
+++ b/io/forward/answer_test.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/config"
+	"radishhollow/core/failure"
+	"radishhollow/io/service"
+)
+
+func testFormat() Format {
+	return Format{
+		RequestID: "Id", Deadline: "Left", LastEvent: "Last", Signature: "Signed", NotRun: "Not-Run", Workspace: "Workspace",
+		Expect: "Expect", Internal: []string{"Secret", "Expect"},
+		Key:      func(h http.Header) string { return h.Get("Secret") },
+		Size:     func(http.Header) (int, int) { return 0, 0 },
+		Affinity: func(http.Header) string { return "" },
+	}
+}
+
+// Guards against an answer that is taken for the one that is waited for.
+func TestCheck(t *testing.T) {
+	r := booking.Request{Header: http.Header{"Id": {"1"}}}
+	for _, tt := range []struct {
+		name   string
+		header http.Header
+		ok     bool
+	}{
+		{"own", http.Header{"Id": {"1"}, "Signed": {"x"}}, true},
+		{"other id", http.Header{"Id": {"2"}, "Signed": {"x"}}, false},
+		{"signed without id", http.Header{"Signed": {"x"}}, false},
+		{"refusal without id", http.Header{"Not-Run": {"1"}}, true},
+		{"refusal of another", http.Header{"Id": {"2"}, "Not-Run": {"1"}}, false},
+		{"encoded", http.Header{"Id": {"1"}, "Signed": {"x"}, "Content-Encoding": {"gzip"}}, false},
+	} {
+		require.Equal(t, tt.ok, testFormat().Check(r, tt.header) == nil, tt.name)
+	}
+}
+
+// Guards against a promise that a request has not run where it may have, and against a repeated booking.
+func TestClassify(t *testing.T) {
+	signed := http.Header{"Signed": {"x"}}
+	for _, tt := range []struct {
+		name   string
+		kind   config.Kind
+		status int
+		header http.Header
+		err    error
+		want   failure.Outcome
+	}{
+		{"answer", config.KindOnce, 200, signed, nil, failure.Ran},
+		{"own failure", config.KindOnce, 500, signed, nil, failure.Ran},
+		{"own failure, repeatable", config.KindIdempotent, 500, signed, nil, failure.Unknown},
+		{"refused", config.KindOnce, 503, http.Header{"Not-Run": {"1"}}, nil, failure.NotRun},
+		{"another endpoint", config.KindOnce, 421, nil, nil, failure.NotRun},
+		{"not written", config.KindOnce, 0, nil, service.SendError{}, failure.NotRun},
+		{"written", config.KindOnce, 0, nil, service.SendError{Written: true}, failure.Unknown},
+		{"crossed", config.KindOnce, 0, nil, service.ResponseError{Cause: CrossedError{}}, failure.Unknown},
+	} {
+		response := booking.Response{Status: tt.status, Header: tt.header}
+		require.Equal(t, tt.want, testFormat().Classify(booking.Call{Kind: tt.kind}, response, tt.err), tt.name)
+	}
+}
+
+// Guards against a status that promises more than is known.
+func TestStatusOf(t *testing.T) {
+	later, past := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
+	for _, tt := range []struct {
+		err      error
+		deadline time.Time
+		want     int
+	}{
+		{NoRouteError{}, later, 404},
+		{UnknownKeyError{}, later, 401},
+		{NotReadyError{}, later, 503},
+		{BodyError{Limit: 1}, later, 413},
+		{RefusedError{}, later, 503},
+		{AnswerError{}, later, 502},
+		{TimeoutError{Result: failure.Unknown}, past, 504},
+		{errors.Trace(service.SendError{Written: true}), later, 502},
+	} {
+		require.Equal(t, tt.want, statusOf(tt.err, tt.deadline), "%T", tt.err)
+	}
+}
+
+// Guards against an endpoint's connection headers that reach the caller, or replace the daemon's own in a planned stop.
+func TestCopyHeader(t *testing.T) {
+	to := http.Header{"Connection": {"close"}}
+	copyHeader(to, http.Header{
+		"Connection": {"keep-alive"}, "Keep-Alive": {"timeout=5"}, "Content-Length": {"7"}, "Signed": {"x"},
+	})
+	require.Equal(t, http.Header{"Connection": {"close"}, "Signed": {"x"}, "Content-Type": nil}, to)
+}
+
+// Guards against headers of the system's own, of the caller's connection, or its key that reach an endpoint, and against
+// more time than is left.
+func TestHeaderAndDeadline(t *testing.T) {
+	s := &Server{Format: testFormat()}
+	q := &request{
+		arrived: time.Now(), route: config.Route{TimeoutMS: 1000}, workspace: config.Workspace{Name: "w"},
+	}
+	header := s.headerOf(q, http.Header{
+		"Secret": {"k"}, "Expect": {"x"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "Id": {"1"},
+		"Workspace": {"forged"}, "X-Other": {"kept"},
+	})
+	require.Equal(t, http.Header{"Id": {"1"}, "Workspace": {"w"}, "X-Other": {"kept"}}, header)
+	for left, want := range map[string]time.Duration{
+		"400": 400 * time.Millisecond, "5000": time.Second, "": time.Second, "x": time.Second, "-1": time.Second,
+	} {
+		require.Equal(t, q.arrived.Add(want), s.deadlineOf(q, http.Header{"Left": {left}}), left)
+	}
+}
+
+// Guards against a body without bound, with and without a length.
+func TestReadBody(t *testing.T) {
+	for _, length := range []int64{9, -1} {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+		r.Body, r.ContentLength = http.MaxBytesReader(nil, endless{}, 1<<20), length
+		_, err := readBody(httptest.NewRecorder(), r, 8)
+		body, ok := errors.AsType[BodyError](err)
+		require.True(t, ok)
+		require.Equal(t, "body-too-large", body.Code())
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+func (endless) Close() error { return nil }
--- a/io/forward/error.go
+++ b/io/forward/error.go
@@ -71,18 +71,6 @@
 // Outcome implements failure.Failure.
 func (e BodyError) Outcome() failure.Outcome { return failure.NotRun }
 
-// StoppingError reports a request that a daemon about to stop could not finish.
-type StoppingError struct{}
-
-// Error implements error.
-func (e StoppingError) Error() string { return "this daemon is about to stop" }
-
-// Code implements failure.Failure.
-func (e StoppingError) Code() string { return "stopping" }
-
-// Outcome implements failure.Failure.
-func (e StoppingError) Outcome() failure.Outcome { return failure.NotRun }
-
 // CrossedError reports an answer that belongs to another request or is not the endpoint's own.
 type CrossedError struct{ Want, Got, Reason string }
 
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -59,11 +59,9 @@
 	Listing func() (revision uint64, age time.Duration)
 	// Daemons returns the number of daemons that share the endpoints' connections.
 	Daemons func() int
-	// Stopping tells whether the daemon will stop before a stream could end.
-	Stopping func() bool
-	Place    string
-	Metrics  *telemetry.Metrics
-	Log      *logrus.Logger
+	Place   string
+	Metrics *telemetry.Metrics
+	Log     *logrus.Logger
 }
 
 // HTTP returns an http.Server with the limits of this package. The caller of HTTP sets its listener and stops it.
@@ -73,7 +71,6 @@
 	router.NoRoute(s.handle)
 	return &http.Server{
 		Handler: router, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: nil,
 	}
 }
 
