feat(forward): bound the bodies in memory and spread the return of refused callers

Cause: bodies of up to 4 MB each were bounded one by one, which many at once would take past an instance of 134 MB; and all refused callers were told the same time. Found by reading; tested with TestBuffer.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -38,6 +38,9 @@
 	retryMargin = 0.9
 	// reachableTimeout tells a reachable endpoint from a dead one; a round trip within a region takes a few ms.
 	reachableTimeout = 100 * time.Millisecond
+	// bodyShare is the part of the instance's memory, in percent, that requests' bodies may take. Reading them takes up to
+	// twice their size.
+	bodyShare = 20
 	// memoryShare is the part of the instance's memory, in percent, that the Go heap may take.
 	memoryShare = 65
 )
@@ -140,8 +143,9 @@
 		},
 		Candidates: table.Candidates, Peek: newPeek(table, client),
 		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take, Return: window.Return,
-		Daemons: func() int { return members.Count() + 1 },
-		Place:   s.Place, Metrics: m, Log: log,
+		Daemons:     func() int { return members.Count() + 1 },
+		MaxBuffered: int64(s.Forward.MemoryMB) << 20 * bodyShare / 100,
+		Place:       s.Place, Metrics: m, Log: log,
 	}
 	sender := &booking.Sender{
 		Pick: table.Pick, Send: format.Send(client, sentTo(table, server)), Classify: format.Classify, Sent: observeSent(table),
--- a/io/forward/answer_test.go
+++ b/io/forward/answer_test.go
@@ -135,3 +135,15 @@
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
 func (endless) Close() error { return nil }
+
+// Guards against bodies that together exceed the instance's memory, and against memory that is not given back.
+func TestBuffer(t *testing.T) {
+	s := &Server{MaxBuffered: 10}
+	require.NoError(t, s.buffer(&request{body: make([]byte, 6)}))
+	err := s.buffer(&request{body: make([]byte, 6)})
+	require.Equal(t, failure.NotRun, failure.Of(err).Outcome())
+	s.buffered.Add(-6)
+	require.Error(t, s.buffer(&request{body: make([]byte, 5)}))
+	s.buffered.Add(-5)
+	require.NoError(t, s.buffer(&request{body: make([]byte, 4)}))
+}
--- a/io/forward/error.go
+++ b/io/forward/error.go
@@ -71,6 +71,20 @@
 // Outcome implements failure.Failure.
 func (e BodyError) Outcome() failure.Outcome { return failure.NotRun }
 
+// OverloadedError reports a request whose body would exceed the memory for bodies.
+type OverloadedError struct{ Bytes, Limit int64 }
+
+// Error implements error.
+func (e OverloadedError) Error() string {
+	return fmt.Sprintf("request bodies would take %d bytes of %d", e.Bytes, e.Limit)
+}
+
+// Code implements failure.Failure.
+func (e OverloadedError) Code() string { return "overloaded" }
+
+// Outcome implements failure.Failure.
+func (e OverloadedError) Outcome() failure.Outcome { return failure.NotRun }
+
 // CrossedError reports an answer that belongs to another request or is not the endpoint's own.
 type CrossedError struct{ Want, Got, Reason string }
 
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -31,7 +33,8 @@
 	// channelShare is the part, in percent, of an endpoint's connections that all daemons together use for requests. The
 	// rest covers idle connections and daemons that are not known yet.
 	channelShare = 80
-	// retryAfter is the time after which a caller may try again, about that of a restart of an endpoint.
+	// retryAfter is the mean time after which a caller may try again, about that of a restart of an endpoint. It is spread
+	// over half of it in both directions, so that those who were refused together don't come back together.
 	retryAfter = 500 * time.Millisecond
 )
 
@@ -59,9 +62,14 @@
 	Listing func() (revision uint64, age time.Duration)
 	// Daemons returns the number of daemons that share the endpoints' connections.
 	Daemons func() int
+	// MaxBuffered bounds the bodies of all requests in bytes.
+	MaxBuffered int64
+
 	Place   string
 	Metrics *telemetry.Metrics
 	Log     *logrus.Logger
+
+	buffered atomic.Int64
 }
 
 // HTTP returns an http.Server with the limits of this package. The caller of HTTP sets its listener and stops it.
@@ -78,6 +86,10 @@
 	// gin sets the status of its own answer for paths without a handler.
 	c.Status(http.StatusOK)
 	q, err := s.parse(c.Writer, c.Request)
+	defer func() { s.buffered.Add(-int64(len(q.body))) }()
+	if err == nil {
+		err = s.buffer(q)
+	}
 	if err == nil {
 		s.Earn(q.service.Name)
 		if q.route.Kind == config.KindStream {
@@ -89,6 +101,14 @@
 	s.finish(c, q, err)
 }
 
+// buffer counts the request's body, which stays in memory until the answer.
+func (s *Server) buffer(q *request) error {
+	if total := s.buffered.Add(int64(len(q.body))); total > s.MaxBuffered {
+		return errors.Trace(OverloadedError{Bytes: total, Limit: s.MaxBuffered})
+	}
+	return nil
+}
+
 // Sent writes the line of one attempt of a request that is answered whole.
 func (s *Server) Sent(r booking.Request, choice route.Choice, status int, err error) {
 	fields := s.chosen(choice)
@@ -154,7 +174,8 @@
 func (s *Server) refuse(c *gin.Context, status int, err error) {
 	header := c.Writer.Header()
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		wait := retryAfter/2 + rand.N(retryAfter)
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	if f := failure.Of(err).Code(); f == "body-too-large" || f == "body-incomplete" {
 		header.Set("Connection", "close")
