fix(route): spread load reports where nothing identifies the prompt

Cause: without an affinity all daemons asked the same three engines, and placed all prompts there. A test failed first.

--- a/core/route/forward_test.go
+++ b/core/route/forward_test.go
@@ -170,6 +170,18 @@
 	})
 }
 
+// Guards against three engines that are asked and used by all daemons for all prompts that nothing identifies.
+func TestCandidatesWithoutAffinity(t *testing.T) {
+	tab := silent(func(p *route.Policy) { p.AffinityTolerance = 0.03 })
+	used := map[string]bool{}
+	for range 60 {
+		for _, address := range tab.Candidates(route.Need{Kind: route.KindModel, Name: "m", PromptTokens: 8000}, 2) {
+			used[address] = true
+		}
+	}
+	require.Len(t, used, 6)
+}
+
 // Guards against a request to an endpoint that has crashed and started again at its address, before the
 // list tells.
 func TestPeekShowsAnotherStart(t *testing.T) {
--- a/core/route/peek.go
+++ b/core/route/peek.go
@@ -55,7 +55,7 @@
 }
 
 // Candidates returns up to n addresses that are worth a Peek: of the endpoints that look about equal, those that all
-// daemons name for the need's affinity.
+// daemons name for the need's affinity, or random ones without it.
 func (t *Table) Candidates(need Need, n int) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,9 +66,12 @@
 	score := func(e *endpoint) float64 { return t.score(e, need, 0) }
 	limit := score(t.lowest(pool, score)) + t.policy.AffinityTolerance
 	pool = prefer(pool, func(e *endpoint) bool { return score(e) <= limit })
-	slices.SortFunc(pool, func(a, b *endpoint) int {
-		return cmp.Compare(rendezvous(need.Affinity, b), rendezvous(need.Affinity, a))
-	})
+	t.random.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	if need.Affinity != "" {
+		slices.SortFunc(pool, func(a, b *endpoint) int {
+			return cmp.Compare(rendezvous(need.Affinity, b), rendezvous(need.Affinity, a))
+		})
+	}
 	var addresses []string
 	for _, e := range pool[:min(n, len(pool))] {
 		addresses = append(addresses, e.listing.Address)
