refactor(daemon): share the supervisor and say why a load report is missing

Found on rereading: two supervisors wrote the same restart hook, the number of daemons was computed twice, and a load report that failed or could not be read left no line. One that its caller gave up no longer counts against the engine, by the same rule as observeSent.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -133,7 +133,7 @@
 
 func newForward(
 	s settings.Settings, store *config.Store, table *route.Table, client *service.Client, window *retry.Window,
-	members *member.Table, list *listing, m *telemetry.Metrics, log *logrus.Logger,
+	list *listing, m *telemetry.Metrics, log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
 	server := &forward.Server{
@@ -141,9 +141,9 @@
 		Reachable: func(ctx context.Context, address string) bool {
 			return client.Reachable(ctx, address, reachableTimeout)
 		},
-		Candidates: table.Candidates, Peek: newPeek(table, client),
+		Candidates: table.Candidates, Peek: newPeek(table, client, log),
 		Result: observeStream(table), Earn: window.Earn, MayRetry: window.Take, Return: window.Return,
-		Daemons:     func() int { return members.Count() + 1 },
+		Daemons:     window.Daemons,
 		MaxBuffered: int64(s.Forward.MemoryMB) << 20 * bodyShare / 100,
 		Place:       s.Place, Metrics: m, Log: log,
 	}
@@ -155,19 +155,29 @@
 	return server
 }
 
-// newPeek asks an engine for its load. One that can't be reached is not used for a moment.
-func newPeek(table *route.Table, client *service.Client) func(ctx context.Context, address string) {
+// newPeek asks an engine for its load. One that can't be reached is not used for a moment; like in observeSent, a question
+// that its caller gave up says nothing about the engine.
+func newPeek(
+	table *route.Table, client *service.Client, log *logrus.Logger,
+) func(ctx context.Context, address string) {
 	return func(ctx context.Context, address string) {
 		response, err := client.Send(ctx, address, booking.Request{
 			Method: http.MethodGet, Path: platform.ReportPath, Reuse: true,
 		})
+		if errors.Is(err, context.Canceled) {
+			return
+		}
 		if err != nil {
+			log.WithField("address", address).WithError(err).Warn("engine does not report its load")
 			table.UnreachableNow(address)
 			return
 		}
-		if load, err := platform.Report(response.Body); err == nil {
-			table.Peek(address, load)
+		load, err := platform.Report(response.Body)
+		if err != nil {
+			log.WithField("address", address).WithError(err).Warn("load report is malformed")
+			return
 		}
+		table.Peek(address, load)
 	}
 }
 
@@ -230,19 +240,13 @@
 	followed *followedConfig, list *listing, registrar *peer.Registrar, exchanger *peer.Exchanger, drain *Drain,
 	m *telemetry.Metrics, log *logrus.Logger,
 ) *Supervisor {
-	return &Supervisor{
-		Metrics: m,
-		Restarted: func(name string, err error) {
-			log.WithField("component", name).WithError(err).Warn("component restarts")
-		},
-		Children: []Child{
-			{Name: "configuration", Run: followed.follower.Run},
-			{Name: "listing", Run: list.Run},
-			{Name: "registration", Run: registrar.Run},
-			{Name: "exchange", Run: exchanger.Run},
-			{Name: "survey", Run: (&surveyor{drain: drain}).Run},
-		},
-	}
+	return supervise(m, log,
+		Child{Name: "configuration", Run: followed.follower.Run},
+		Child{Name: "listing", Run: list.Run},
+		Child{Name: "registration", Run: registrar.Run},
+		Child{Name: "exchange", Run: exchanger.Run},
+		Child{Name: "survey", Run: (&surveyor{drain: drain}).Run},
+	)
 }
 
 // serveForward registers the listeners. fx stops them in reverse order: callers drain first.
--- a/daemon/tree.go
+++ b/daemon/tree.go
@@ -32,22 +32,26 @@
 }
 
 func newSupervisor(t tree) *Supervisor {
+	return supervise(t.Metrics, t.Log,
+		Child{Name: "instances", Run: t.Instances.Run},
+		Child{Name: "configuration", Run: t.Syncer.Run},
+		Child{Name: "registration", Run: t.Registrar.Run},
+		Child{Name: "exchange", Run: t.Exchanger.Run},
+		Child{Name: "refresh", Run: t.Refresh.Run},
+		Child{Name: "model-poller", Run: t.Pollers.models.Run},
+		Child{Name: "service-poller", Run: t.Pollers.services.Run},
+		Child{Name: "claims", Run: t.Keeper.Run},
+		Child{Name: "lease", Run: t.Holder.Run},
+		Child{Name: "orders", Run: t.Dispatcher.Run},
+	)
+}
+
+// supervise returns the Supervisor of the children, which logs restarts.
+func supervise(m *telemetry.Metrics, log *logrus.Logger, children ...Child) *Supervisor {
 	return &Supervisor{
-		Metrics: t.Metrics,
+		Metrics: m, Children: children,
 		Restarted: func(name string, err error) {
-			t.Log.WithField("component", name).WithError(err).Warn("component restarts")
-		},
-		Children: []Child{
-			{Name: "instances", Run: t.Instances.Run},
-			{Name: "configuration", Run: t.Syncer.Run},
-			{Name: "registration", Run: t.Registrar.Run},
-			{Name: "exchange", Run: t.Exchanger.Run},
-			{Name: "refresh", Run: t.Refresh.Run},
-			{Name: "model-poller", Run: t.Pollers.models.Run},
-			{Name: "service-poller", Run: t.Pollers.services.Run},
-			{Name: "claims", Run: t.Keeper.Run},
-			{Name: "lease", Run: t.Holder.Run},
-			{Name: "orders", Run: t.Dispatcher.Run},
+			log.WithField("component", name).WithError(err).Warn("component restarts")
 		},
 	}
 }
