feat(relay): follow the key-value store through a few readers among the daemons

Cause: each of 118 daemons listed and watched three prefixes of the store by itself.

Change: package relay answers lists and watches of the followed prefixes. Two readers, and one more for each 40 daemons, are chosen for each prefix by rendezvous hashing; the others ask them by a waiting call of the peer protocol. There is no agreement: a daemon that is asked reads, too. An answer carries its age, the reader's last failure and a digest; an old, late, torn or implausible answer sends the follower to the store at once. Up to 8 daemons all read by themselves, as before.

--- a/bench/fake_peer.go
+++ b/bench/fake_peer.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"radishhollow/core/config"
 	"radishhollow/io/peer"
 	"radishhollow/io/peer/rpc"
@@ -69,6 +71,11 @@
 	return &rpc.ConfigDocument{}, nil
 }
 
+// Changes answers that the peer passes on no changes.
+func (p *fakePeerServer) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangeList, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "this peer passes on no changes")
+}
+
 // Instances returns an empty list.
 func (p *fakePeerServer) Instances(context.Context, *rpc.InstancesRequest) (*rpc.InstanceList, error) {
 	return &rpc.InstanceList{}, nil
--- a/core/clock/sleep.go
+++ b/core/clock/sleep.go
@@ -11,6 +11,9 @@
 
 // Sleep waits for d. It returns the context's error if the context ends first.
 func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return errors.Trace(ctx.Err())
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -205,6 +205,19 @@
 	return list
 }
 
+// ListedAddresses returns the addresses of the listed peers of which no planned stop is known, in no particular order.
+func (t *Table) ListedAddresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]string, 0, len(t.peers))
+	for address, p := range t.peers {
+		if p.listed && !p.draining {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // SampleMembers returns up to n random peers that any daemon has received a message from within PeerExpiry.
 func (t *Table) SampleMembers(n int) []Member {
 	now := time.Now()
--- /dev/null
+++ b/core/relay/error.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"radishhollow/core/failure"
+)
+
+// StaleError reports a copy that the key-value service has not confirmed recently enough.
+type StaleError struct {
+	Prefix string
+	Age    time.Duration
+}
+
+func (e StaleError) Error() string {
+	return fmt.Sprintf("the copy of %q was confirmed %s ago", e.Prefix, e.Age)
+}
+
+func (e StaleError) Code() string { return "copy-stale" }
+
+func (e StaleError) Outcome() failure.Outcome { return failure.NotRun }
+
+// PrefixError reports a request for a prefix that the daemon does not follow.
+type PrefixError struct{ Prefix string }
+
+func (e PrefixError) Error() string { return fmt.Sprintf("the prefix %q is not followed", e.Prefix) }
+
+func (e PrefixError) Code() string { return "prefix-unknown" }
+
+func (e PrefixError) Outcome() failure.Outcome { return failure.NotRun }
+
+// ImplausibleError reports a reader's answer that would remove a large part of the entries.
+type ImplausibleError struct {
+	Prefix         string
+	Removed, Known int
+}
+
+func (e ImplausibleError) Error() string {
+	return fmt.Sprintf("the answer for %q removes %d of %d entries", e.Prefix, e.Removed, e.Known)
+}
+
+func (e ImplausibleError) Code() string { return "change-implausible" }
+
+func (e ImplausibleError) Outcome() failure.Outcome { return failure.NotRun }
--- /dev/null
+++ b/core/relay/replica.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"radishhollow/core/kv"
+)
+
+// maxChanges is the number of changes that a Replica keeps. A follower polls about once a second, so this covers some
+// seconds of changes of the planned 12,000 endpoints while each of them changes.
+const maxChanges = 16384
+
+// Replica is a copy of the entries under a prefix, with the recent changes in the order in which they were received. It
+// is safe for concurrent use.
+type Replica struct {
+	mu      sync.Mutex
+	entries map[string]kv.Entry
+	changes []kv.Entry
+	// floor is the revision after which changes is complete.
+	floor    uint64
+	revision uint64
+	// newest is the highest revision of an entry. It exceeds revision after a list whose later pages contain changes made
+	// after the first one.
+	newest uint64
+	// digest is the XOR of the digests of all entries, so that it can be updated with each change.
+	digest      uint64
+	synced      bool
+	confirmedAt time.Time
+	changed     chan struct{}
+}
+
+// Response is a reader's answer: the changes after a revision, or a page of all entries.
+type Response struct {
+	Entries  []kv.Entry
+	Revision uint64
+	// Digest is the digest of all entries at Revision, or 0 if it does not apply to exactly that revision.
+	Digest uint64
+	// Age is the time since the key-value service confirmed Revision.
+	Age time.Duration
+	// FailureAge is the time since the reader's last failed call to the key-value service, or 0 if none is known.
+	FailureAge time.Duration
+	// HasMore is set if a page of a list is not the last one.
+	HasMore bool
+}
+
+// ApplyChanges applies the changes of a watch that the key-value service confirmed at the given time.
+func (r *Replica) ApplyChanges(changes []kv.Entry, revision uint64, confirmedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, change := range changes {
+		r.apply(change)
+	}
+	r.confirm(revision, confirmedAt)
+}
+
+// ApplyList replaces the entries with those of a list. Entries that the list lacks become deletions.
+func (r *Replica) ApplyList(entries []kv.Entry, revision uint64, confirmedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.synced {
+		r.floor = revision
+	}
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.Key()] = true
+		r.apply(entry)
+	}
+	for key := range r.entries {
+		if !listed[key] {
+			r.apply(kv.NewEntry(key, nil, revision, true))
+		}
+	}
+	r.synced = true
+	r.confirm(revision, confirmedAt)
+}
+
+// apply applies one change, unless the entry is already known at that revision or a later one.
+func (r *Replica) apply(change kv.Entry) {
+	if r.entries == nil {
+		r.entries = map[string]kv.Entry{}
+	}
+	old, known := r.entries[change.Key()]
+	if known && change.Revision() <= old.Revision() && !change.Deleted() || !known && change.Deleted() {
+		return
+	}
+	if known && change.Deleted() && change.Revision() < old.Revision() {
+		return
+	}
+	if known {
+		r.digest ^= digestOf(old)
+	}
+	if change.Deleted() {
+		delete(r.entries, change.Key())
+	} else {
+		r.entries[change.Key()] = change
+		r.digest ^= digestOf(change)
+		r.newest = max(r.newest, change.Revision())
+	}
+	r.changes = append(r.changes, change)
+	if len(r.changes) > maxChanges {
+		dropped := len(r.changes) / 2
+		for _, c := range r.changes[:dropped] {
+			r.floor = max(r.floor, c.Revision())
+		}
+		r.changes = append([]kv.Entry(nil), r.changes[dropped:]...)
+	}
+}
+
+func (r *Replica) confirm(revision uint64, at time.Time) {
+	r.revision = max(r.revision, revision)
+	if at.After(r.confirmedAt) {
+		r.confirmedAt = at
+	}
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// changesAfter returns the changes after a revision and a channel that is closed at the next confirmation. It fails
+// with kv.CompactedError if the replica no longer has all of them.
+func (r *Replica) changesAfter(after uint64) (Response, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	if after < r.floor {
+		return Response{}, nil, kv.CompactedError{After: after}
+	}
+	response := r.header()
+	size := 0
+	for _, change := range r.changes {
+		if change.Revision() > after {
+			response.Entries = append(response.Entries, change)
+			size += len(change.Value())
+		}
+	}
+	if size > maxPageBytes && len(response.Entries) > 1 {
+		// A follower that is so far behind reads the list in pages.
+		return Response{}, nil, kv.CompactedError{After: after}
+	}
+	return response, r.changed, nil
+}
+
+func (r *Replica) header() Response {
+	response := Response{Revision: r.revision, Age: time.Since(r.confirmedAt)}
+	if r.newest <= r.revision {
+		response.Digest = r.digest
+	}
+	return response
+}
+
+// state returns the number of entries, the revision, the digest as in Response, and whether a list has been applied.
+func (r *Replica) state() (count int, header Response, synced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries), r.header(), r.synced
+}
+
+// all returns all entries in no particular order.
+func (r *Replica) all() ([]kv.Entry, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]kv.Entry, 0, len(r.entries))
+	for _, entry := range r.entries {
+		list = append(list, entry)
+	}
+	return list, r.revision
+}
+
+func digestOf(entry kv.Entry) uint64 {
+	raw := binary.BigEndian.AppendUint64([]byte(entry.Key()+"\x00"), entry.Revision())
+	return xxhash.Sum64(raw)
+}
--- /dev/null
+++ b/core/relay/serve.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"radishhollow/core/kv"
+)
+
+// Serve answers a follower. It waits for changes for at most the requested time, and fails with StaleError as soon as
+// the copy is too old, so that the follower turns to another daemon or to the key-value service.
+func (s *Store) Serve(ctx context.Context, request Request) (Response, error) {
+	f, timing, known := s.state(request.Prefix)
+	if !known {
+		return Response{}, errors.Trace(PrefixError{Prefix: request.Prefix})
+	}
+	f.mu.Lock()
+	f.askedAt = time.Now()
+	f.mu.Unlock()
+	response, err := f.serve(ctx, timing, request)
+	if err != nil {
+		s.count(Refused)
+		return Response{}, err
+	}
+	s.count(Served)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lastFailure.IsZero() {
+		response.FailureAge = max(time.Since(f.lastFailure), time.Nanosecond)
+	}
+	return response, nil
+}
+
+func (f *followed) serve(ctx context.Context, timing Timing, request Request) (Response, error) {
+	if request.Full {
+		return f.page(timing, request)
+	}
+	deadline := time.Now().Add(min(request.Wait, timing.pollWait))
+	for {
+		_, _, synced := f.replica.state()
+		response, changed, err := f.replica.changesAfter(request.After)
+		if err != nil {
+			return Response{}, err
+		}
+		if !synced || response.Age > timing.maxAge() {
+			return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
+		}
+		// A follower may be ahead after a call of its own to the key-value service. It waits for this copy to catch up.
+		ready := response.Revision >= request.After
+		remaining := time.Until(deadline)
+		if ready && (len(response.Entries) > 0 || remaining <= 0) {
+			return response, nil
+		}
+		if remaining <= 0 {
+			return Response{}, errors.Trace(kv.OldRevisionError{Want: request.After, Got: response.Revision})
+		}
+		timer := time.NewTimer(min(remaining, timing.maxAge()-response.Age+time.Millisecond))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Response{}, errors.Trace(ctx.Err())
+		}
+		timer.Stop()
+	}
+}
+
+// page returns the entries after a key, up to maxPageBytes.
+func (f *followed) page(timing Timing, request Request) (Response, error) {
+	_, response, synced := f.replica.state()
+	if !synced || response.Age > timing.maxAge() {
+		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
+	}
+	entries, _ := f.replica.all()
+	slices.SortFunc(entries, func(a, b kv.Entry) int { return cmp.Compare(a.Key(), b.Key()) })
+	size := 0
+	for _, entry := range entries {
+		if entry.Key() <= request.AfterKey {
+			continue
+		}
+		size += len(entry.Key()) + len(entry.Value())
+		if size > maxPageBytes && len(response.Entries) > 0 {
+			response.HasMore = true
+			break
+		}
+		response.Entries = append(response.Entries, entry)
+	}
+	return response, nil
+}
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -28,14 +28,11 @@
 	reregistrationGrace = 1500 * time.Millisecond
 	// peerListThreshold is the time after which a daemon asks its peers for a newer list. It counts from the store's
 	// last response if a call has failed since, or from the time at which a peer got ahead, which also shows a watch
-	// that hangs without an error. It is longer than watchBatchDelay, within which a change reaches the watches of all
+	// that hangs without an error. It is longer than the batch delay of package relay, within which a change reaches the watches of all
 	// daemons.
 	peerListThreshold = 700 * time.Millisecond
 	// peerListInterval is the interval between two such requests.
 	peerListInterval = 300 * time.Millisecond
-	// watchBatchDelay is the pause after a watch that returned changes. It is a quarter of the 2 s within which a
-	// leaving endpoint must stop getting new work.
-	watchBatchDelay = 500 * time.Millisecond
 	// expiryInterval is the interval at which overdue registrations are removed.
 	expiryInterval = 100 * time.Millisecond
 )
@@ -227,6 +224,19 @@
 	l.lastFailure = time.Now()
 }
 
+// recordReaderFailure records a failed call of the reader that the list comes from. Without it, this daemon would take
+// the deletions of registrations that expired in an outage for those of endpoints that left.
+func (l *endpointList) recordReaderFailure(prefix string, at time.Time) {
+	if prefix != l.follower.Prefix {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.After(l.lastFailure) {
+		l.lastFailure = at
+	}
+}
+
 // runPeerFetch asks peers for a newer list while this daemon has none, gets no response from the store after a failed
 // call, or is behind a peer.
 func (l *endpointList) runPeerFetch(ctx context.Context) {
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -15,6 +15,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
+	"radishhollow/core/relay"
 	"radishhollow/core/retry"
 	"radishhollow/core/route"
 	"radishhollow/io/forward"
@@ -28,7 +29,7 @@
 
 // forwardProviders provides the components that forward requests along the routes of the operators' platform.
 var forwardProviders = fx.Provide(
-	newForwardKV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient, newForwardServer,
+	newRelay, (*relay.Store).KV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient, newForwardServer,
 	newForwardSupervisor,
 )
 
@@ -47,12 +48,27 @@
 	heapPercent = 65
 )
 
-func newForwardKV(s settings.Settings, m *telemetry.Metrics) kv.Store {
+// newRelay returns the daemon's access to the platform's store. Lists and watches of the followed prefixes go through
+// readers among the daemons.
+func newRelay(
+	s settings.Settings, id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
+) *relay.Store {
 	store := &platform.Store{Client: &keyvalue.Client{
 		Address: s.Platform, HTTP: keyvalue.NewHTTPClient(), Timeout: s.Timeouts.Platform.Duration, IsNotRun: platform.IsRefusal,
 		OnCall: func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
 	}}
-	return store.KV()
+	return &relay.Store{
+		Direct: store.KV(), Self: id.address, Peers: members.ListedAddresses, Ask: peers.Changes,
+		Timings: map[string]relay.Timing{
+			platform.ListingPrefix: relay.NewTiming(s.Forward.DrainBound.Duration),
+			platform.ConfigPrefix:  relay.NewTiming(s.Forward.ConfigBound.Duration),
+			peer.MembersPrefix:     relay.NewTiming(s.Timeouts.LeaseTTL.Duration),
+		},
+		Count: func(event string) { m.Count(telemetry.Relay, event) },
+		OnRole: func(prefix string, reads bool) {
+			log.WithFields(logrus.Fields{"prefix": prefix, "reads": reads}).Info("reader of the store for other daemons")
+		},
+	}
 }
 
 // newForwardPolicy returns the routing policy for endpoints that do not report their load to this daemon.
@@ -111,8 +127,8 @@
 }
 
 func newEndpointList(
-	s settings.Settings, store kv.Store, peers *peer.Exchanger, table *route.Table, isolation *member.IsolationDetector,
-	log *logrus.Logger,
+	s settings.Settings, store kv.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
+	isolation *member.IsolationDetector, log *logrus.Logger,
 ) *endpointList {
 	l := &endpointList{
 		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, log: log,
@@ -120,9 +136,10 @@
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
-		RelistInterval: s.Timeouts.InstancePoll.Duration, BatchDelay: watchBatchDelay,
-		Apply: l.apply, OnError: l.recordFailure,
+		RelistInterval: s.Timeouts.InstancePoll.Duration,
+		Apply:          l.apply, OnError: l.recordFailure,
 	}
+	relayed.OnFailure = l.recordReaderFailure
 	// Unlike the table's list, which newNode set, this list has a revision and omits endpoints kept after an outage. fx
 	// constructs all components before the first OnStart, so the node does not serve yet.
 	peers.Node.Listings, peers.Node.OnInstanceListRevision = l.Listings, l.recordPeerRevision
@@ -306,8 +323,9 @@
 // first. The other listeners are closed at once, unlike in registerListeners, which shuts them down with a timeout.
 func registerForwardListeners(
 	lifecycle fx.Lifecycle, s settings.Settings, log *logrus.Logger, drain *Drain, server *forward.Server,
-	peers *peer.Server, m *telemetry.Metrics,
+	peers *peer.Server, relayed *relay.Store, m *telemetry.Metrics,
 ) {
+	peers.Serve = relayed.Serve
 	debug.SetMemoryLimit(int64(s.Forward.MemoryMB) << 20 * heapPercent / 100)
 	for _, l := range []*listener{
 		{address: s.PeerListen, log: log, server: newInternalServer(peers.Handler())},
--- a/io/peer/exchange_test.go
+++ b/io/peer/exchange_test.go
@@ -85,6 +85,10 @@
 	return &rpc.View{Address: p.address, Incarnation: "1", Revision: 9, Digest: "d"}, nil
 }
 
+func (*faultyPeer) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangeList, error) {
+	return &rpc.ChangeList{}, nil
+}
+
 func (p *faultyPeer) Config(context.Context, *rpc.ConfigRequest) (*rpc.ConfigDocument, error) {
 	return &rpc.ConfigDocument{Revision: 9, Digest: "d", Fields: []byte(`{"sheet-number":9}`)}, nil
 }
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -16,9 +16,9 @@
 	"radishhollow/core/route"
 )
 
-// membersPrefix is the key prefix of the daemons' registrations in the key-value service. They form the platform's list
+// MembersPrefix is the key prefix of the daemons' registrations in the key-value service. They form the platform's list
 // of daemons, which is separate from its instance list.
-const membersPrefix = "members/"
+const MembersPrefix = "members/"
 
 // Registrar keeps the daemon's registration alive and follows the platform's list of daemons. Its exported fields must
 // be set before Run.
@@ -98,7 +98,7 @@
 
 // register writes the registration. It replaces an earlier one at this address.
 func (r *Registrar) register(ctx context.Context, lease string) error {
-	key := membersPrefix + r.Node.Address
+	key := MembersPrefix + r.Node.Address
 	var revision uint64
 	entry, err := r.KV.Get(ctx, key)
 	if _, missing := errors.AsType[kv.NotFoundError](err); err != nil && !missing {
@@ -132,7 +132,7 @@
 func (r *Registrar) runList(ctx context.Context) {
 	r.shared = &sharedKeys{store: r.KV, keys: &r.Node.Keys}
 	for ctx.Err() == nil {
-		entries, revision, err := r.KV.List(ctx, membersPrefix)
+		entries, revision, err := r.KV.List(ctx, MembersPrefix)
 		if err == nil {
 			r.Node.Isolation.RecordContact()
 			r.follow(ctx, entries, revision)
@@ -152,7 +152,7 @@
 	relistAt := time.Now().Add(r.RelistInterval)
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
 		r.rotateKeys(ctx, len(members))
-		changes, revision, err := r.KV.Watch(ctx, membersPrefix, after, r.WatchWait)
+		changes, revision, err := r.KV.Watch(ctx, MembersPrefix, after, r.WatchWait)
 		if err != nil || revision < after {
 			return
 		}
@@ -183,13 +183,13 @@
 		}
 		var value memberRegistration
 		if entry.Deleted() {
-			delete(members, strings.TrimPrefix(entry.Key(), membersPrefix))
+			delete(members, strings.TrimPrefix(entry.Key(), MembersPrefix))
 			continue
 		}
 		if json.Unmarshal(entry.Value(), &value) != nil || !route.IsAddress(value.Address) {
 			continue
 		}
-		members[strings.TrimPrefix(entry.Key(), membersPrefix)] = member.Member{
+		members[strings.TrimPrefix(entry.Key(), MembersPrefix)] = member.Member{
 			Address: value.Address, Incarnation: value.Incarnation, Place: value.Place,
 		}
 	}
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -197,7 +197,7 @@
 }
 
 func registered(f *fakeKV) []kv.Entry {
-	list, _, _ := f.list(context.Background(), membersPrefix)
+	list, _, _ := f.list(context.Background(), MembersPrefix)
 	return list
 }
 
@@ -232,7 +232,7 @@
 func TestRegistrationReplacesTheEarlierOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeKV()
-		_, err := f.put(t.Context(), membersPrefix+"127.0.0.1:1", []byte("{}"), 0, "gone")
+		_, err := f.put(t.Context(), MembersPrefix+"127.0.0.1:1", []byte("{}"), 0, "gone")
 		require.NoError(t, err)
 		_, stop := startRegistrar(f, "127.0.0.1:1")
 		time.Sleep(time.Second)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"radishhollow/core/relay"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
 )
@@ -19,6 +20,8 @@
 	Node *Node
 	// OnNewerRevision is called with the address of a peer that has a newer configuration.
 	OnNewerRevision func(address string)
+	// Serve answers a follower's request for changes of the key-value service. It may be nil.
+	Serve func(ctx context.Context, request relay.Request) (relay.Response, error)
 }
 
 // Handler returns the HTTP handler for the peer address.
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -13,7 +13,7 @@
 const (
 	// sharedKeysKey is the key of the entry with the peer keys. It has the prefix of the registrations, so that one
 	// watch returns changes of both.
-	sharedKeysKey = membersPrefix + "keys"
+	sharedKeysKey = MembersPrefix + "keys"
 	// keyBytes is the size of a peer key, which is that of the SHA-256 digest.
 	keyBytes = 32
 	// keyRotationInterval is the time after which the next key becomes the signing key. A daemon that has had no
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -17,7 +17,9 @@
 // Idle connections are closed soon, because only a small part of the exchanges goes to any one peer.
 const (
 	maxIdleConnections = 16
-	idleTimeout        = 30 * time.Second
+	// maxIdlePerPeer allows for an exchange beside the waiting calls for three prefixes, which may go to the same reader.
+	maxIdlePerPeer = 4
+	idleTimeout    = 30 * time.Second
 )
 
 // countingConn counts all bytes of a connection, including headers, which the body sizes do not contain.
@@ -89,7 +91,7 @@
 				return countingConn{Conn: conn, metrics: m}, nil
 			},
 			MaxIdleConns:        maxIdleConnections,
-			MaxIdleConnsPerHost: 1,
+			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		}},
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -55,6 +55,10 @@
 	RetrySlack int `toml:"retry-slack"`
 	// RetryWindow is the length of the window in which retries are counted.
 	RetryWindow Duration `toml:"retry-window"`
+	// DrainBound and ConfigBound are the times within which a leaving endpoint must get no more requests, and a
+	// configuration must be in force, after the key-value service has accepted the change.
+	DrainBound  Duration `toml:"drain-bound"`
+	ConfigBound Duration `toml:"config-bound"`
 	// MemoryMB is the memory of the instance in MiB. The Go heap and the buffered request bodies are limited to fixed
 	// shares of it.
 	MemoryMB int `toml:"memory-mb"`
@@ -184,6 +188,9 @@
 			BookingBytes:   1 << 20,
 			HeaderBytes:    64 << 10,
 		},
-		Forward: Forward{RetryRatio: 0.1, RetrySlack: 20, RetryWindow: Duration{10 * time.Second}, MemoryMB: 256},
+		Forward: Forward{
+			RetryRatio: 0.1, RetrySlack: 20, RetryWindow: Duration{10 * time.Second}, MemoryMB: 256,
+			DrainBound: Duration{2 * time.Second}, ConfigBound: Duration{2 * time.Second},
+		},
 	}
 }
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -69,6 +69,11 @@
 	if f.RetryWindow.Duration < time.Second || f.RetryWindow.Duration > time.Hour {
 		c.addFault("forward.retry-window", fmt.Sprintf("%s is not between 1s and 1h", f.RetryWindow))
 	}
+	for key, bound := range map[string]Duration{"drain-bound": f.DrainBound, "config-bound": f.ConfigBound} {
+		if bound.Duration < time.Second || bound.Duration > time.Minute {
+			c.addFault("forward."+key, fmt.Sprintf("%s is not between 1s and 1m", bound))
+		}
+	}
 	if f.MemoryMB < minMemoryMB {
 		c.addFault("forward.memory-mb", fmt.Sprintf("%d is less than %d", f.MemoryMB, minMemoryMB))
 	}
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -24,6 +24,7 @@
 	Revisions         = "revisions"          // class is watch, poll, peer, refused or older
 	Exchanges         = "exchanges"          // class is ok, failed or unsigned
 	KeyValueCalls     = "key_value_calls"    // class is the call
+	Relay             = "relay"              // class is the event, as in package relay
 	ControlBytes      = "control_bytes"      // class is sent or received
 	Copies            = "copies"             // copies of KV caches; class is moved, renewed or failed
 	Orders            = "orders"             // class is the order's kind or refused
