feat(relay): start with fewer calls to the store

Each daemon read its key before it wrote it, nearly all wrote peer keys because none knew the others yet, and each watched the store directly before it had read who the readers are.

Change: a registration is created without a read and replaced at the revision that a conflict reports; keys are written after the first watch only; the first lists wait up to 60 ms for the list of daemons and go to a reader; a reader that starts lets its followers wait for its first list; a reader that fails again is left out for longer, up to 16 s.

Guards against faults that operators of similar systems met, each with a test that failed first: - An engine that repeats an event without end held its stream for 2.9 s, and then ended it, instead of being left at once: a buffered chunk is returned also after the wait has timed out (TestRepeatedEventsAreNoProgress). - A broken stream looked complete over HTTP/1.0, whose body ends with the connection; it is reset now. - Response bodies of up to 8 MB each had no common limit; endless ones from some endpoints could fill a small instance (TestEndlessBodiesShareALimit). Events are bounded at 128 KB and 64 chunks a stream. Control responses at 256 KB. - A panic in a component, an attempt, an exchange or a stream's decoder ended the process; it now ends that component, request or message, with a counter (package guard). - Heads, header lines, interim answers, bodies, events and comments without end ended already; TestForwardEndsEndlessAnswers stays.

--- a/core/booking/idempotent.go
+++ b/core/booking/idempotent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"radishhollow/core/failure"
+	"radishhollow/core/guard"
 )
 
 // idempotentCall is the state of one idempotent call, whose attempts may run concurrently.
@@ -79,7 +80,14 @@
 	c.mu.Lock()
 	exclude := maps.Clone(c.tried)
 	c.mu.Unlock()
-	c.results <- c.sender.attempt(ctx, c.call, exclude, c.markTried)
+	result := attemptResult{outcome: failure.Unknown}
+	if err := guard.Call(func() error {
+		result = c.sender.attempt(ctx, c.call, exclude, c.markTried)
+		return nil
+	}, nil); err != nil {
+		result.err = err
+	}
+	c.results <- result
 }
 
 // markTried excludes an endpoint from later attempts of the call, including hedges.
--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -23,6 +23,8 @@
 	// ReuseConnection allows the request to use an idle connection. It is set for idempotent calls, and for others only
 	// if the endpoint echoes the request id, so that a late response to another request is detected.
 	ReuseConnection bool
+	// MaxResponseBytes is the maximum size of the response body. Zero means the limit of the client.
+	MaxResponseBytes int64
 }
 
 // Response is a complete response, received from an endpoint or replayed from an idempotency record.
--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"radishhollow/core/clock"
+	"radishhollow/core/guard"
 	"radishhollow/core/kv"
 )
 
@@ -62,11 +62,7 @@
 
 // Run watches and polls Key in the key-value service until ctx ends.
 func (s *Syncer) Run(ctx context.Context) error {
-	var group sync.WaitGroup
-	group.Go(func() { s.runWatch(ctx) })
-	group.Go(func() { s.runPoll(ctx) })
-	group.Wait()
-	return ctx.Err()
+	return guard.Run(ctx, s.runWatch, s.runPoll)
 }
 
 func (s *Syncer) runWatch(ctx context.Context) {
--- a/core/generation/events_test.go
+++ b/core/generation/events_test.go
@@ -1,6 +1,7 @@
 package generation_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -136,3 +137,39 @@
 		require.LessOrEqual(t, time.Since(began), 1500*time.Millisecond)
 	})
 }
+
+// Guards against an engine that holds a stream by repeating an event without end: such bytes are no progress. The
+// repeated event is always available, also after the timeout of a wait.
+func TestRepeatedEventsAreNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 9
+		f := &fixture{endpoints: []string{"a", "b"}}
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			if start.Attempt > 1 {
+				return eventSteps(start.Attempt, start.Offset+1, total, total), nil
+			}
+			steps := eventSteps(1, 1, 4, total)
+			for range 2000 {
+				steps = append(steps, step{wait: 5 * time.Millisecond, chunk: generation.NewEventChunk(fakeID, 1, 4, []byte("event 4\n"))})
+			}
+			return steps, nil
+		}
+		d, got := eventDriver(f, 0)
+		d.MaxRuns = 2
+		next := d.Open
+		d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+			stream, err := next(ctx, address, start)
+			read := stream.Next
+			stream.Next = func(ctx context.Context) (generation.Chunk, error) {
+				// A buffered chunk is returned even if ctx has ended.
+				return read(context.WithoutCancel(ctx))
+			}
+			return stream, err
+		}
+		began := time.Now()
+		require.NoError(t, d.Run(t.Context()))
+		require.Equal(t, eventLines(1, total), got())
+		require.Less(t, time.Since(began), 3*time.Second)
+		require.Equal(t, 1, f.count(generation.EventLoss, generation.ClassSilence))
+	})
+}
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -29,6 +29,12 @@
 		}
 		r.observeDropped(ClassDuplicate, len(chunk.Tokens())-len(part.Tokens()))
 		if !fresh {
+			// A repeated chunk is no progress. While such chunks are always available, no wait for one times out.
+			if silence := time.Since(lastAccepted); silence > maxSlowdown*r.chunkTimeout() {
+				err := SilenceError{Endpoint: r.choice.Address(), After: silence}
+				r.endAttempt(ClassSilence, err)
+				return r.checkWaitBound(err)
+			}
 			continue
 		}
 		if !r.awaitingFirst {
@@ -45,6 +51,9 @@
 	}
 }
 
+// maxSlowdown limits the silence of a slow engine that repeats chunks, in chunk timeouts.
+const maxSlowdown = 2
+
 // checkWaitBound returns an error if the caller's wait bound has passed since the last delivery.
 func (r *driverCall) checkWaitBound(cause error) error {
 	if time.Since(r.lastDelivery) < r.waitBeforeError() || r.Log.Finish() != NotFinished || r.reachedMaxTokens() {
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -17,8 +17,15 @@
 const (
 	// maxPageBytes is the size of the values in one answer, unless a single value is larger.
 	maxPageBytes = 512 << 10
-	// suspension is the time for which a reader is not asked after a failed call.
-	suspension = 2 * time.Second
+	// minSuspension is the time for which a reader is not asked after a failed call. It doubles with each further one, up
+	// to maxSuspension, because a lost reader stays listed until its lease expires.
+	minSuspension = 2 * time.Second
+	maxSuspension = 16 * time.Second
+	// startWait limits the wait of the first lists for the list of daemons, from which a daemon that starts learns its
+	// readers. It takes one call to the key-value service.
+	startWait = 60 * time.Millisecond
+	// startCheck is the interval of the checks during startWait.
+	startCheck = 5 * time.Millisecond
 	// askedTTL is the time for which a daemon that was asked for a prefix reads it from the key-value service. A daemon is
 	// asked although it does not count itself among the readers if the daemons have different views of the fleet.
 	askedTTL = 5 * time.Second
@@ -68,6 +75,8 @@
 	Ask func(ctx context.Context, address string, request Request) (Response, error)
 	// Timings holds the prefixes that are followed through readers, with their delays.
 	Timings map[string]Timing
+	// MembersPrefix is the prefix of the daemons' registrations, from which Peers learns the daemons.
+	MembersPrefix string
 	// OnFailure is called with the time of a reader's last failed call to the key-value service. It may be nil.
 	OnFailure func(prefix string, at time.Time)
 	// OnRole is called when the daemon begins or ends to read a prefix from the key-value service. It may be nil.
@@ -77,7 +86,13 @@
 
 	mu        sync.Mutex
 	followed  map[string]*followed
-	suspended map[string]time.Time
+	suspended map[string]suspended
+}
+
+// suspended is a reader that is not asked until a time, after failed calls in a row.
+type suspended struct {
+	until    time.Time
+	duration time.Duration
 }
 
 // followed is the state of one prefix.
@@ -87,7 +102,7 @@
 	mu           sync.Mutex
 	askedAt      time.Time
 	lastFailure  time.Time
-	lastChanges  time.Time
+	pausedUntil  time.Time
 	reads        bool
 	confirmed    bool // the last relayed answer had the digest of the replica
 	verifyDirect bool // the next list must come from the key-value service
@@ -137,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, address := range chosen {
-		if time.Since(s.suspended[address]) >= suspension {
+		if time.Now().After(s.suspended[address].until) {
 			return address
 		}
 	}
@@ -148,14 +163,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.suspended == nil {
-		s.suspended = map[string]time.Time{}
-	}
-	for other, at := range s.suspended {
-		if time.Since(at) >= suspension {
-			delete(s.suspended, other)
-		}
+		s.suspended = map[string]suspended{}
 	}
-	s.suspended[address] = time.Now()
+	duration := max(minSuspension, min(2*s.suspended[address].duration, maxSuspension))
+	s.suspended[address] = suspended{until: time.Now().Add(duration), duration: duration}
+}
+
+// resume ends the suspension of a reader that has answered.
+func (s *Store) resume(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.suspended, address)
 }
 
 func (s *Store) count(event string) {
@@ -171,7 +189,11 @@
 		return s.Direct.Watch(ctx, prefix, after, wait)
 	}
 	wait = min(wait, timing.pollWait)
-	if address := s.source(prefix, f); address != "" {
+	address, err := s.awaitSource(ctx, prefix, f)
+	if err != nil {
+		return nil, 0, err
+	}
+	if address != "" {
 		response, err := s.ask(ctx, address, f, timing, Request{Prefix: prefix, After: after, Wait: wait})
 		if err == nil && response.Revision < after {
 			err = kv.OldRevisionError{Want: after, Got: response.Revision}
@@ -188,10 +210,8 @@
 		s.count(Fallback)
 		// The call only has to show what the reader may have withheld. Then another reader is asked.
 		wait = min(wait, timing.slack/8)
-	} else if err := f.awaitBatch(ctx, timing); err != nil {
-		return nil, 0, err
 	}
-	return s.watchDirect(ctx, prefix, f, after, wait)
+	return s.watchDirect(ctx, prefix, f, timing, after, wait)
 }
 
 // ask calls a reader, and rejects an answer that is too old. The call is given up when a sound reader would have
@@ -207,6 +227,7 @@
 	if response.Age > timing.maxAge() {
 		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
 	}
+	s.resume(address)
 	if response.FailureAge > 0 {
 		at := time.Now().Add(-response.FailureAge)
 		f.recordFailure(at)
@@ -249,7 +270,7 @@
 }
 
 func (s *Store) watchDirect(
-	ctx context.Context, prefix string, f *followed, after uint64, wait time.Duration,
+	ctx context.Context, prefix string, f *followed, timing Timing, after uint64, wait time.Duration,
 ) ([]kv.Entry, uint64, error) {
 	s.count(Direct)
 	changes, revision, err := s.Direct.Watch(ctx, prefix, after, wait)
@@ -261,7 +282,7 @@
 		f.replica.ApplyChanges(changes, revision, time.Now())
 	}
 	if len(changes) > 0 {
-		f.recordChanges()
+		f.pauseUntil(time.Now().Add(timing.batchDelay))
 	}
 	return changes, revision, nil
 }
@@ -272,6 +293,9 @@
 	if !known {
 		return s.Direct.List(ctx, prefix)
 	}
+	if err := s.awaitPeers(ctx, prefix, f); err != nil {
+		return nil, 0, err
+	}
 	address := s.source(prefix, f)
 	if f.takeVerifyDirect() {
 		address = ""
@@ -296,9 +320,40 @@
 		return nil, 0, err
 	}
 	f.replica.ApplyList(entries, revision, time.Now())
+	pause := timing.batchDelay
+	if prefix != s.MembersPrefix {
+		// After a start, the changes of the list of daemons arrive first, so that the next call can go to a reader.
+		pause += timing.slack / 2
+	}
+	f.pauseUntil(time.Now().Add(pause))
 	return entries, revision, nil
 }
 
+// awaitPeers delays the first list of a daemon that starts until it knows the other daemons, for at most startWait.
+func (s *Store) awaitPeers(ctx context.Context, prefix string, f *followed) error {
+	if _, _, synced := f.replica.state(); synced || prefix == s.MembersPrefix {
+		return nil
+	}
+	for start := time.Now(); len(s.Peers()) == 0 && time.Since(start) < startWait; {
+		if err := clock.Sleep(ctx, startCheck); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitSource returns the reader to ask, or an empty string once this daemon may call the key-value service again.
+func (s *Store) awaitSource(ctx context.Context, prefix string, f *followed) (string, error) {
+	if address := s.source(prefix, f); address != "" {
+		return address, nil
+	}
+	if err := f.awaitBatch(ctx); err != nil {
+		return "", err
+	}
+	// The daemon may have learned of readers during the pause.
+	return s.source(prefix, f), nil
+}
+
 // listRelayed reads all pages from a reader. Like those of the key-value service, they are not a snapshot, so it returns
 // the revision of the first one.
 func (s *Store) listRelayed(
@@ -333,20 +388,18 @@
 	return entries, first.Revision, nil
 }
 
-func (f *followed) awaitBatch(ctx context.Context, timing Timing) error {
+func (f *followed) awaitBatch(ctx context.Context) error {
 	f.mu.Lock()
-	pause := timing.batchDelay - time.Since(f.lastChanges)
+	pause := time.Until(f.pausedUntil)
 	f.mu.Unlock()
-	if pause <= 0 {
-		return nil
-	}
 	return clock.Sleep(ctx, pause)
 }
 
-func (f *followed) recordChanges() {
+// pauseUntil delays the next watch at the key-value service.
+func (f *followed) pauseUntil(until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastChanges = time.Now()
+	f.pausedUntil = until
 }
 
 // recordError records a failed call to the key-value service. A CompactedError is a response.
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/clock"
+	"radishhollow/core/guard"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
@@ -74,11 +75,8 @@
 
 // Run follows the store until ctx ends.
 func (l *endpointList) Run(ctx context.Context) error {
-	var group sync.WaitGroup
-	group.Go(func() { l.runPeerFetch(ctx) })
-	group.Go(func() { l.runExpiry(ctx) })
-	defer group.Wait()
-	return l.follower.Run(ctx)
+	// The error of the follower is that of its context, which guard.Run returns, too.
+	return guard.Run(ctx, l.runPeerFetch, l.runExpiry, func(ctx context.Context) { _ = l.follower.Run(ctx) })
 }
 
 // Listings returns the list for peers and its revision, and false if there is no list yet. It omits registrations that
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -44,6 +44,12 @@
 	// bodyMemoryPercent is the share of the instance's memory that request bodies may use. Reading a body takes up to
 	// twice its size.
 	bodyMemoryPercent = 20
+	// responseMemoryPercent is the share of the instance's memory that response bodies may use while they are read,
+	// apart from a small part of each. Growing a body takes up to three times its size.
+	responseMemoryPercent = 10
+	// maxControlBytes is the maximum size of a load report, which lists the engine's runs, and of the other responses
+	// of engines that are not for callers.
+	maxControlBytes = 256 << 10
 	// heapPercent is the share of the instance's memory that the Go heap may use.
 	heapPercent = 65
 )
@@ -59,6 +65,7 @@
 	}}
 	return &relay.Store{
 		Direct: store.KV(), Self: id.address, Peers: members.ListedAddresses, Ask: peers.Changes,
+		MembersPrefix: peer.MembersPrefix,
 		Timings: map[string]relay.Timing{
 			platform.ListingPrefix: relay.NewTiming(s.Forward.DrainBound.Duration),
 			platform.ConfigPrefix:  relay.NewTiming(s.Forward.ConfigBound.Duration),
@@ -157,6 +164,7 @@
 func newForwardClient(lifecycle fx.Lifecycle, s settings.Settings) *service.Client {
 	client := service.New(s.Timeouts.Connect.Duration, s.Timeouts.EndpointIdle.Duration)
 	client.Check = platform.Format().Check
+	client.LimitMemory(int64(s.Forward.MemoryMB) << 20 * responseMemoryPercent / 100)
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
 	return client
 }
@@ -199,7 +207,7 @@
 ) func(ctx context.Context, address string) {
 	return func(ctx context.Context, address string) {
 		response, err := client.Send(ctx, address, booking.Request{
-			Method: http.MethodGet, Path: platform.LoadReportPath, ReuseConnection: true,
+			Method: http.MethodGet, Path: platform.LoadReportPath, ReuseConnection: true, MaxResponseBytes: maxControlBytes,
 		})
 		if errors.Is(err, context.Canceled) {
 			return
@@ -225,6 +233,7 @@
 		if err != nil {
 			return "", errors.Trace(err)
 		}
+		request.MaxResponseBytes = maxControlBytes
 		response, err := client.Send(ctx, address, request)
 		if err != nil {
 			return "", err
@@ -236,7 +245,9 @@
 // kvCopyReleaser returns a function that releases a copy of a KV cache.
 func kvCopyReleaser(client *service.Client, log *logrus.Logger) func(ctx context.Context, address, handle string) {
 	return func(ctx context.Context, address, handle string) {
-		if _, err := client.Send(ctx, address, platform.KVReleaseRequest(handle)); err != nil {
+		request := platform.KVReleaseRequest(handle)
+		request.MaxResponseBytes = maxControlBytes
+		if _, err := client.Send(ctx, address, request); err != nil {
 			log.WithField("address", address).WithError(err).Info("failed to release a KV cache copy; it is kept until it expires")
 		}
 	}
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -92,11 +92,16 @@
 }
 
 func newRegistrar(s settings.Settings, store kv.Store, node *peer.Node) *peer.Registrar {
-	return &peer.Registrar{
+	registrar := &peer.Registrar{
 		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.ConfigPoll.Duration, BatchDelay: memberBatchDelay,
-		ShareKeys: s.Interface == settings.InterfaceForward && len(s.PeerKeys) == 0,
 	}
+	if s.Interface == settings.InterfaceForward {
+		// The relay batches the changes. A further pause would let shared keys reach some daemons later than others, which
+		// would not believe each other until then.
+		registrar.BatchDelay, registrar.ShareKeys = 0, len(s.PeerKeys) == 0
+	}
+	return registrar
 }
 
 // memberBatchDelay limits how often the list of daemons is read while many start at once.
--- a/daemon/supervisor.go
+++ b/daemon/supervisor.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/juju/errors"
 
+	"radishhollow/core/guard"
 	"radishhollow/io/telemetry"
 )
 
 // A component that ends is restarted after a randomized exponential delay, which starts at initialBackoff and grows to
 // maxBackoff. The delay is not reset while the supervisor runs. If a component ends more than maxRestarts times within
-// restartWindow, it ends its supervisor. A panic is not recovered and ends the process.
+// restartWindow, it ends its supervisor. A panic counts as an end.
 const (
 	maxRestarts    = 5
 	restartWindow  = time.Minute
@@ -57,7 +59,10 @@
 	backOff.MaxInterval = maxBackoff
 	var endTimes []time.Time
 	for {
-		err := component.Run(ctx)
+		err := guard.Call(func() error { return component.Run(ctx) }, nil)
+		if _, panicked := errors.AsType[guard.PanicError](err); panicked {
+			s.Metrics.Count(telemetry.Panics, component.Name)
+		}
 		if ctx.Err() != nil {
 			return
 		}
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -18,6 +19,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
+	"radishhollow/core/guard"
 	"radishhollow/core/route"
 	"radishhollow/io/telemetry"
 )
@@ -122,11 +124,35 @@
 	s.backgroundMu.Lock()
 	defer s.backgroundMu.Unlock()
 	if !s.closed {
-		s.background.Go(task)
+		s.background.Go(func() {
+			if err := guard.Call(func() error { task(); return nil }, nil); err != nil {
+				s.recordPanic(err)
+			}
+		})
 	}
 }
 
+func (s *Server) recordPanic(err error) {
+	s.Metrics.Count(telemetry.Panics, "request")
+	s.Log.WithError(err).Error("panic while a request was handled")
+}
+
+// handle serves one request. A panic ends only this request.
 func (s *Server) handle(c *gin.Context) {
+	isAbort := func(value any) bool { return value == http.ErrAbortHandler } //nolint:errorlint // net/http compares the value, too.
+	err := guard.Call(func() error { s.serve(c); return nil }, isAbort)
+	if err == nil {
+		return
+	}
+	s.recordPanic(err)
+	if c.Writer.Written() {
+		abort(c)
+	}
+	// It is unknown whether an endpoint ran the request, so the status must not promise that none did.
+	s.writeError(c, http.StatusBadGateway, err)
+}
+
+func (s *Server) serve(c *gin.Context) {
 	// gin presets status 404 for paths without a handler.
 	c.Status(http.StatusOK)
 	q, err := s.parse(c.Writer, c.Request)
@@ -212,9 +238,24 @@
 	}
 	s.observeRequest(q, status, callerGone, err)
 	if err != nil && started {
-		// Abort the connection, so that the caller does not take a partial response for a complete one.
-		panic(http.ErrAbortHandler)
+		abort(c)
+	}
+}
+
+// abort ends the handler and the connection, so that the caller does not take a partial response for a complete one. A
+// response over HTTP/1.0 ends with its connection, which is therefore reset instead of closed.
+func abort(c *gin.Context) {
+	writer, wrapped := c.Writer.(interface{ Unwrap() http.ResponseWriter })
+	if wrapped && !c.Request.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(writer.Unwrap()).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				// Without lingering, the kernel resets the connection. If that fails, it is closed, which is no worse.
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
 	}
+	panic(http.ErrAbortHandler)
 }
 
 func (s *Server) writeError(c *gin.Context, status int, err error) {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -15,6 +15,7 @@
 	"radishhollow/core/booking"
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
+	"radishhollow/core/guard"
 	"radishhollow/core/route"
 	"radishhollow/io/service"
 	"radishhollow/io/sse"
@@ -158,7 +159,12 @@
 	addresses := h.server.LoadQueryCandidates(criteria, loadQueryEngines)
 	var group sync.WaitGroup
 	for _, address := range addresses {
-		group.Go(func() { h.server.RefreshLoad(ctx, address) })
+		group.Go(func() {
+			err := guard.Call(func() error { h.server.RefreshLoad(ctx, address); return nil }, nil)
+			if err != nil {
+				h.server.recordPanic(err)
+			}
+		})
 	}
 	group.Wait()
 	return addresses
--- a/io/peer/exchanger.go
+++ b/io/peer/exchanger.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"radishhollow/core/config"
+	"radishhollow/core/guard"
 	"radishhollow/core/ring"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
@@ -72,11 +73,7 @@
 // Run exchanges views and fetches configurations until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) error {
 	x.initQueues()
-	var group sync.WaitGroup
-	group.Go(func() { x.runFetch(ctx) })
-	group.Go(func() { x.runExchange(ctx) })
-	group.Wait()
-	return ctx.Err()
+	return guard.Run(ctx, x.runFetch, x.runExchange)
 }
 
 func (x *Exchanger) runExchange(ctx context.Context) {
@@ -116,7 +113,11 @@
 func (x *Exchanger) round(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, address := range x.randomAddresses() {
-		group.Go(func() { x.exchange(ctx, address) })
+		group.Go(func() {
+			if err := guard.Call(func() error { x.exchange(ctx, address); return nil }, nil); err != nil {
+				x.Node.Metrics.Count(telemetry.Panics, "exchange")
+			}
+		})
 	}
 	group.Wait()
 }
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"radishhollow/core/clock"
+	"radishhollow/core/guard"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
@@ -51,11 +51,7 @@
 
 // Run keeps the registration and the list up to date until ctx ends, and then removes the registration.
 func (r *Registrar) Run(ctx context.Context) error {
-	var group sync.WaitGroup
-	group.Go(func() { r.runRegister(ctx) })
-	group.Go(func() { r.runList(ctx) })
-	group.Wait()
-	return ctx.Err()
+	return guard.Run(ctx, r.runRegister, r.runList)
 }
 
 func (r *Registrar) runRegister(ctx context.Context) {
@@ -96,23 +92,20 @@
 	return lease
 }
 
-// register writes the registration. It replaces an earlier one at this address.
+// register writes the registration. It replaces an earlier one at this address, whose revision the store reports with
+// the conflict.
 func (r *Registrar) register(ctx context.Context, lease string) error {
 	key := MembersPrefix + r.Node.Address
-	var revision uint64
-	entry, err := r.KV.Get(ctx, key)
-	if _, missing := errors.AsType[kv.NotFoundError](err); err != nil && !missing {
-		return errors.Trace(err)
-	} else if !missing {
-		revision = entry.Revision()
-	}
 	value, err := json.Marshal(memberRegistration{
 		Address: r.Node.Address, Incarnation: r.Node.Incarnation, Place: r.Node.Place,
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = r.KV.Put(ctx, key, value, revision, lease)
+	_, err = r.KV.Put(ctx, key, value, 0, lease)
+	if conflict, taken := errors.AsType[kv.ConflictError](err); taken {
+		_, err = r.KV.Put(ctx, key, value, conflict.Current, lease)
+	}
 	return errors.Trace(err)
 }
 
@@ -151,7 +144,6 @@
 	r.Node.Table.SetListed(memberList(members))
 	relistAt := time.Now().Add(r.RelistInterval)
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
-		r.rotateKeys(ctx, len(members))
 		changes, revision, err := r.KV.Watch(ctx, MembersPrefix, after, r.WatchWait)
 		if err != nil || revision < after {
 			return
@@ -165,6 +157,8 @@
 				return
 			}
 		}
+		// Not before the first watch: daemons that start together would not know each other yet, and all write.
+		r.rotateKeys(ctx, len(members))
 	}
 }
 
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -85,7 +85,7 @@
 	}
 	defer unlock()
 	if f.items[key].Revision() != ifRevision {
-		return 0, kv.ConflictError{Key: key}
+		return 0, kv.ConflictError{Key: key, Want: ifRevision, Current: f.items[key].Revision()}
 	}
 	f.revision++
 	f.items[key] = kv.NewEntry(key, value, f.revision, false)
--- /dev/null
+++ b/io/service/buffer_test.go
@@ -0,0 +1,87 @@
+package service
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// endlessReader returns bytes without end. held counts those that were read by all readers which share it, and peak is
+// its highest value.
+type endlessReader struct{ held, peak *atomic.Int64 }
+
+func newEndlessReader() endlessReader { return endlessReader{new(atomic.Int64), new(atomic.Int64)} }
+
+func (r endlessReader) Read(p []byte) (int, error) {
+	held := r.held.Add(int64(len(p)))
+	for peak := r.peak.Load(); held > peak && !r.peak.CompareAndSwap(peak, held); {
+		peak = r.peak.Load()
+	}
+	return len(p), nil
+}
+
+// own returns a reader with the same peak whose bytes the returned function subtracts.
+func (r endlessReader) own() (reader io.Reader, release func()) {
+	var count atomic.Int64
+	counting := readerFunc(func(p []byte) (int, error) {
+		count.Add(int64(len(p)))
+		return r.Read(p)
+	})
+	return counting, func() { r.held.Add(-count.Load()) }
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against endless bodies from many endpoints at once that fill the memory of the instance. Each of them is below
+// the limit of one response for a long time.
+func TestEndlessBodiesShareALimit(t *testing.T) {
+	for _, endpoints := range []int{1, 20, 200} {
+		endless := newEndlessReader()
+		var open, reading sync.WaitGroup
+		b := &bodyBuffer{limit: 4 << 20}
+		open.Add(endpoints)
+		for range endpoints {
+			reading.Go(func() {
+				open.Done()
+				open.Wait()
+				body, release := endless.own()
+				defer release()
+				_, err := b.readAll("10.0.0.1:1", body, -1, DefaultMaxResponseBytes)
+				_, tooLarge := errors.AsType[TooLargeError](err)
+				require.True(t, tooLarge)
+			})
+		}
+		reading.Wait()
+		require.LessOrEqual(t, endless.peak.Load(), b.limit+int64(endpoints)*(freeBodyBytes+2*readBytes), "%d endpoints", endpoints)
+		require.Zero(t, b.reserved.Load(), "memory that is no longer in use must be available again")
+	}
+}
+
+// Guards against small responses that fail while large ones use the shared memory, and against a large one that fails
+// without need.
+func TestSmallBodiesNeedNoShare(t *testing.T) {
+	b := &bodyBuffer{limit: 1 << 20}
+	b.reserved.Store(b.limit)
+	body, err := b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), freeBodyBytes), -1, DefaultMaxResponseBytes)
+	require.NoError(t, err)
+	require.Len(t, body, freeBodyBytes)
+	b.reserved.Store(0)
+	body, err = b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), 1<<20), 1<<20, DefaultMaxResponseBytes)
+	require.NoError(t, err)
+	require.Len(t, body, 1<<20)
+}
+
+// Guards against reading a body whose stated length is above the limit.
+func TestStatedLengthAboveTheLimit(t *testing.T) {
+	body := newEndlessReader()
+	_, err := (&bodyBuffer{limit: 1 << 30}).readAll("10.0.0.1:1", body, 100, 99)
+	_, tooLarge := errors.AsType[TooLargeError](err)
+	require.True(t, tooLarge)
+	require.Zero(t, body.held.Load())
+}
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -39,6 +39,7 @@
 	singleUse        *http.Transport
 	pooled           *http.Transport
 	maxResponseBytes int64
+	bodies           bodyBuffer
 	// Check rejects a response by its header, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
 	Check func(r booking.Request, header http.Header) error
@@ -75,6 +76,10 @@
 	}
 }
 
+// LimitMemory limits the memory that all response bodies together may take while they are read. It must be called
+// before the first request.
+func (c *Client) LimitMemory(limit int64) { c.bodies.limit = limit }
+
 // Close closes the idle connections.
 func (c *Client) Close() error {
 	c.pooled.CloseIdleConnections()
@@ -97,7 +102,11 @@
 	if c.Observe != nil {
 		c.Observe(address, resp.Header.Get("Endpoint-Incarnation"), resp.Header.Get("Endpoint-State"))
 	}
-	body, err := readAll(address, resp.Body, c.maxResponseBytes)
+	maxBytes := c.maxResponseBytes
+	if r.MaxResponseBytes > 0 {
+		maxBytes = min(maxBytes, r.MaxResponseBytes)
+	}
+	body, err := c.bodies.readAll(address, resp.Body, resp.ContentLength, maxBytes)
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
@@ -199,17 +208,6 @@
 	return url.URL{Scheme: "http", Host: address, Path: path, RawPath: r.Path, RawQuery: r.Query}, err
 }
 
-func readAll(address string, from io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, limit+1))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	if int64(len(body)) > limit {
-		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: limit})
-	}
-	return body, nil
-}
-
 // Load fetches the endpoint's load report within loadTimeout. It returns a LoadError if the report is unusable, and
 // otherwise the errors of Send.
 func (c *Client) Load(ctx context.Context, address string) (route.Report, error) {
--- a/io/sse/event.go
+++ b/io/sse/event.go
@@ -12,8 +12,9 @@
 	"radishhollow/core/failure"
 )
 
-// maxEventBytes bounds one event. Events of model output take a few hundred bytes.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event. Events of model output take a few hundred bytes; an engine in trouble may send bytes
+// without end.
+const maxEventBytes = 128 << 10
 
 // TruncatedError reports a body that ended within an event or could not be read further, or an event above
 // maxEventBytes. Cause is the underlying error.
--- a/io/sse/stream.go
+++ b/io/sse/stream.go
@@ -10,13 +10,14 @@
 	"github.com/juju/errors"
 
 	"radishhollow/core/generation"
+	"radishhollow/core/guard"
 	"radishhollow/core/ring"
 )
 
 const (
 	// maxBufferedChunks bounds the chunks buffered for a caller that reads slowly. Beyond that, TCP flow control stops
 	// the sender.
-	maxBufferedChunks = 256
+	maxBufferedChunks = 64
 	// endTimeout bounds the wait in Close for the end of the body after the last chunk. Without the wait,
 	// canceling the request would close the connection, which can otherwise be reused.
 	endTimeout = 50 * time.Millisecond
@@ -55,7 +56,11 @@
 	defer s.chunks.Close()
 	defer func() { _ = s.body.Close() }()
 	for {
-		chunk, err := s.next()
+		var chunk generation.Chunk
+		err := guard.Call(func() (err error) {
+			chunk, err = s.next()
+			return err
+		}, nil)
 		if err == nil {
 			err = s.chunks.Push(ctx, chunk)
 		}
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -24,6 +24,7 @@
 	Revisions         = "revisions"          // class is watch, poll, peer, refused or older
 	Exchanges         = "exchanges"          // class is ok, failed or unsigned
 	KeyValueCalls     = "key_value_calls"    // class is the call
+	Panics            = "panics"             // class is the component, "request" or "exchange"
 	Relay             = "relay"              // class is the event, as in package relay
 	ControlBytes      = "control_bytes"      // class is sent or received
 	Copies            = "copies"             // copies of KV caches; class is moved, renewed or failed
