--- /dev/null
+++ b/core/relay/message.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"time"
+
+	"radishhollow/core/kv"
+)
+
+// Request asks a reader for the changes under a prefix after a revision, or for a page of all entries.
+type Request struct {
+	Prefix string
+	After  uint64
+	// Full asks for the entries whose keys follow AfterKey instead of changes.
+	Full     bool
+	AfterKey string
+	// Wait is the longest time that the reader waits for changes.
+	Wait time.Duration
+}
+
+// Response is a reader's answer: the changes after a revision, or a page of all entries.
+type Response struct {
+	Entries  []kv.Entry
+	Revision uint64
+	// Digest is the digest of all entries at Revision, or 0 if it does not apply to exactly that revision.
+	Digest uint64
+	// Age is the time since the key-value service confirmed Revision.
+	Age time.Duration
+	// FailureAge is the time since the reader's last failed call to the key-value service, or 0 if none is known.
+	FailureAge time.Duration
+	// HasMore is set if a page of a list is not the last one.
+	HasMore bool
+}
--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -33,20 +33,6 @@
 	changed     chan struct{}
 }
 
-// Response is a reader's answer: the changes after a revision, or a page of all entries.
-type Response struct {
-	Entries  []kv.Entry
-	Revision uint64
-	// Digest is the digest of all entries at Revision, or 0 if it does not apply to exactly that revision.
-	Digest uint64
-	// Age is the time since the key-value service confirmed Revision.
-	Age time.Duration
-	// FailureAge is the time since the reader's last failed call to the key-value service, or 0 if none is known.
-	FailureAge time.Duration
-	// HasMore is set if a page of a list is not the last one.
-	HasMore bool
-}
-
 // ApplyChanges applies the changes of a watch that the key-value service confirmed at the given time.
 func (r *Replica) ApplyChanges(changes []kv.Entry, revision uint64, confirmedAt time.Time) {
 	r.mu.Lock()
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -4,28 +4,17 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
-	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
 const (
 	// maxPageBytes is the size of the values in one answer, unless a single value is larger.
 	maxPageBytes = 512 << 10
-	// minSuspension is the time for which a reader is not asked after a failed call. It doubles with each further one, up
-	// to maxSuspension, because a lost reader stays listed until its lease expires.
-	minSuspension = 2 * time.Second
-	maxSuspension = 16 * time.Second
-	// startWait limits the wait of the first lists for the list of daemons, from which a daemon that starts learns its
-	// readers. It takes one call to the key-value service.
-	startWait = 60 * time.Millisecond
-	// startCheck is the interval of the checks during startWait.
-	startCheck = 5 * time.Millisecond
 	// askedTTL is the time for which a daemon that was asked for a prefix reads it from the key-value service. A daemon is
 	// asked although it does not count itself among the readers if the daemons have different views of the fleet.
 	askedTTL = 5 * time.Second
@@ -50,17 +39,6 @@
 	Implausible = "implausible"
 )
 
-// Request asks a reader for the changes under a prefix after a revision, or for a page of all entries.
-type Request struct {
-	Prefix string
-	After  uint64
-	// Full asks for the entries whose keys follow AfterKey instead of changes.
-	Full     bool
-	AfterKey string
-	// Wait is the longest time that the reader waits for changes.
-	Wait time.Duration
-}
-
 // Store answers lists and watches of the followed prefixes through readers or, where no reader answers in time, from the
 // key-value service. There is no agreement on who reads: a daemon that ranks itself among the readers, or that is asked
 // by another one, reads the service itself. Its exported fields must be set before use. It is safe for concurrent use.
@@ -89,25 +67,6 @@
 	suspended map[string]suspended
 }
 
-// suspended is a reader that is not asked until a time, after failed calls in a row.
-type suspended struct {
-	until    time.Time
-	duration time.Duration
-}
-
-// followed is the state of one prefix.
-type followed struct {
-	replica Replica
-	// mu guards the fields below.
-	mu           sync.Mutex
-	askedAt      time.Time
-	lastFailure  time.Time
-	pausedUntil  time.Time
-	reads        bool
-	confirmed    bool // the last relayed answer had the digest of the replica
-	verifyDirect bool // the next list must come from the key-value service
-}
-
 // KV returns a kv.Store whose lists and watches of the followed prefixes are relayed. All other calls are direct.
 func (s *Store) KV() kv.Store {
 	store := s.Direct
@@ -131,51 +90,6 @@
 	return s.followed[prefix], timing, true
 }
 
-// source returns the reader to ask, or an empty string if this daemon must call the key-value service.
-func (s *Store) source(prefix string, f *followed) string {
-	peers := s.Peers()
-	chosen := readers(prefix, append(slices.Clone(peers), s.Self))
-	f.mu.Lock()
-	asked := !f.askedAt.IsZero() && time.Since(f.askedAt) < askedTTL
-	reads := asked || slices.Contains(chosen, s.Self)
-	changed := reads != f.reads
-	f.reads = reads
-	f.mu.Unlock()
-	if changed && s.OnRole != nil {
-		s.OnRole(prefix, reads)
-	}
-	if reads {
-		return ""
-	}
-	// Each follower has its own order, so that the readers share the load.
-	sortByHash(s.Self+prefix, chosen)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, address := range chosen {
-		if time.Now().After(s.suspended[address].until) {
-			return address
-		}
-	}
-	return ""
-}
-
-func (s *Store) suspend(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.suspended == nil {
-		s.suspended = map[string]suspended{}
-	}
-	duration := max(minSuspension, min(2*s.suspended[address].duration, maxSuspension))
-	s.suspended[address] = suspended{until: time.Now().Add(duration), duration: duration}
-}
-
-// resume ends the suspension of a reader that has answered.
-func (s *Store) resume(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.suspended, address)
-}
-
 func (s *Store) count(event string) {
 	if s.Count != nil {
 		s.Count(event)
@@ -329,31 +243,6 @@
 	return entries, revision, nil
 }
 
-// awaitPeers delays the first list of a daemon that starts until it knows the other daemons, for at most startWait.
-func (s *Store) awaitPeers(ctx context.Context, prefix string, f *followed) error {
-	if _, _, synced := f.replica.state(); synced || prefix == s.MembersPrefix {
-		return nil
-	}
-	for start := time.Now(); len(s.Peers()) == 0 && time.Since(start) < startWait; {
-		if err := clock.Sleep(ctx, startCheck); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// awaitSource returns the reader to ask, or an empty string once this daemon may call the key-value service again.
-func (s *Store) awaitSource(ctx context.Context, prefix string, f *followed) (string, error) {
-	if address := s.source(prefix, f); address != "" {
-		return address, nil
-	}
-	if err := f.awaitBatch(ctx); err != nil {
-		return "", err
-	}
-	// The daemon may have learned of readers during the pause.
-	return s.source(prefix, f), nil
-}
-
 // listRelayed reads all pages from a reader. Like those of the key-value service, they are not a snapshot, so it returns
 // the revision of the first one.
 func (s *Store) listRelayed(
@@ -387,59 +276,3 @@
 	f.replica.ApplyList(entries, first.Revision, time.Now().Add(-first.Age))
 	return entries, first.Revision, nil
 }
-
-func (f *followed) awaitBatch(ctx context.Context) error {
-	f.mu.Lock()
-	pause := time.Until(f.pausedUntil)
-	f.mu.Unlock()
-	return clock.Sleep(ctx, pause)
-}
-
-// pauseUntil delays the next watch at the key-value service.
-func (f *followed) pauseUntil(until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.pausedUntil = until
-}
-
-// recordError records a failed call to the key-value service. A CompactedError is a response.
-func (f *followed) recordError(err error) {
-	f.setConfirmed(false)
-	if _, compacted := errors.AsType[kv.CompactedError](err); !compacted {
-		f.recordFailure(time.Now())
-	}
-}
-
-func (f *followed) recordFailure(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.lastFailure) {
-		f.lastFailure = at
-	}
-}
-
-func (f *followed) setConfirmed(confirmed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.confirmed = confirmed
-}
-
-func (f *followed) isConfirmed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.confirmed
-}
-
-func (f *followed) setVerifyDirect(verify bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.verifyDirect = verify
-}
-
-func (f *followed) takeVerifyDirect() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	verify := f.verifyDirect
-	f.verifyDirect = false
-	return verify
-}
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -164,7 +164,7 @@
 func newForwardClient(lifecycle fx.Lifecycle, s settings.Settings) *service.Client {
 	client := service.New(s.Timeouts.Connect.Duration, s.Timeouts.EndpointIdle.Duration)
 	client.Check = platform.Format().Check
-	client.LimitMemory(int64(s.Forward.MemoryMB) << 20 * responseMemoryPercent / 100)
+	client.MemoryLimit = int64(s.Forward.MemoryMB) << 20 * responseMemoryPercent / 100
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
 	return client
 }
--- a/io/service/buffer.go
+++ b/io/service/buffer.go
@@ -19,13 +19,12 @@
 // bodyBuffer reads response bodies into memory, of which all bodies that are being read share a limit. An endpoint in
 // trouble may send bytes without end. It is safe for concurrent use.
 type bodyBuffer struct {
-	// limit is the memory in bytes, apart from the first freeBodyBytes of each body. Zero means no limit.
-	limit    int64
 	reserved atomic.Int64
 }
 
-// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1.
-func (b *bodyBuffer) readAll(address string, from io.Reader, length, maxBytes int64) ([]byte, error) {
+// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1. memoryLimit applies to all
+// bodies together, apart from the first freeBodyBytes of each; zero means no limit.
+func (b *bodyBuffer) readAll(address string, from io.Reader, length, maxBytes, memoryLimit int64) ([]byte, error) {
 	if length > maxBytes {
 		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
 	}
@@ -47,7 +46,7 @@
 			continue
 		}
 		held += n
-		if total := b.reserved.Add(n); b.limit > 0 && total > b.limit {
+		if total := b.reserved.Add(n); memoryLimit > 0 && total > memoryLimit {
 			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: int64(body.Len())})
 		}
 	}
--- a/io/service/buffer_test.go
+++ b/io/service/buffer_test.go
@@ -44,7 +44,8 @@
 	for _, endpoints := range []int{1, 20, 200} {
 		endless := newEndlessReader()
 		var open, reading sync.WaitGroup
-		b := &bodyBuffer{limit: 4 << 20}
+		const limit = 4 << 20
+		b := &bodyBuffer{}
 		open.Add(endpoints)
 		for range endpoints {
 			reading.Go(func() {
@@ -52,13 +53,13 @@
 				open.Wait()
 				body, release := endless.own()
 				defer release()
-				_, err := b.readAll("10.0.0.1:1", body, -1, DefaultMaxResponseBytes)
+				_, err := b.readAll("10.0.0.1:1", body, -1, DefaultMaxResponseBytes, limit)
 				_, tooLarge := errors.AsType[TooLargeError](err)
 				require.True(t, tooLarge)
 			})
 		}
 		reading.Wait()
-		require.LessOrEqual(t, endless.peak.Load(), b.limit+int64(endpoints)*(freeBodyBytes+2*readBytes), "%d endpoints", endpoints)
+		require.LessOrEqual(t, endless.peak.Load(), int64(limit)+int64(endpoints)*(freeBodyBytes+2*readBytes), "%d endpoints", endpoints)
 		require.Zero(t, b.reserved.Load(), "memory that is no longer in use must be available again")
 	}
 }
@@ -66,13 +67,14 @@
 // Guards against small responses that fail while large ones use the shared memory, and against a large one that fails
 // without need.
 func TestSmallBodiesNeedNoShare(t *testing.T) {
-	b := &bodyBuffer{limit: 1 << 20}
-	b.reserved.Store(b.limit)
-	body, err := b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), freeBodyBytes), -1, DefaultMaxResponseBytes)
+	const limit = 1 << 20
+	b := &bodyBuffer{}
+	b.reserved.Store(limit)
+	body, err := b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), freeBodyBytes), -1, DefaultMaxResponseBytes, limit)
 	require.NoError(t, err)
 	require.Len(t, body, freeBodyBytes)
 	b.reserved.Store(0)
-	body, err = b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), 1<<20), 1<<20, DefaultMaxResponseBytes)
+	body, err = b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), 1<<20), 1<<20, DefaultMaxResponseBytes, limit)
 	require.NoError(t, err)
 	require.Len(t, body, 1<<20)
 }
@@ -80,7 +82,7 @@
 // Guards against reading a body whose stated length is above the limit.
 func TestStatedLengthAboveTheLimit(t *testing.T) {
 	body := newEndlessReader()
-	_, err := (&bodyBuffer{limit: 1 << 30}).readAll("10.0.0.1:1", body, 100, 99)
+	_, err := new(bodyBuffer).readAll("10.0.0.1:1", body, 100, 99, 1<<30)
 	_, tooLarge := errors.AsType[TooLargeError](err)
 	require.True(t, tooLarge)
 	require.Zero(t, body.held.Load())
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -43,6 +43,9 @@
 	// Check rejects a response by its header, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
 	Check func(r booking.Request, header http.Header) error
+	// MemoryLimit is the memory in bytes that all response bodies together may take while they are read, apart from a
+	// small part of each. Zero means no limit. It must be set before the first request.
+	MemoryLimit int64
 	// Observe receives the incarnation and state in the header of each response to Send. It may be nil and must be set
 	// before the first request.
 	Observe func(address, incarnation, state string)
@@ -76,10 +79,6 @@
 	}
 }
 
-// LimitMemory limits the memory that all response bodies together may take while they are read. It must be called
-// before the first request.
-func (c *Client) LimitMemory(limit int64) { c.bodies.limit = limit }
-
 // Close closes the idle connections.
 func (c *Client) Close() error {
 	c.pooled.CloseIdleConnections()
@@ -106,7 +105,7 @@
 	if r.MaxResponseBytes > 0 {
 		maxBytes = min(maxBytes, r.MaxResponseBytes)
 	}
-	body, err := c.bodies.readAll(address, resp.Body, resp.ContentLength, maxBytes)
+	body, err := c.bodies.readAll(address, resp.Body, resp.ContentLength, maxBytes, c.MemoryLimit)
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
