fix(relay): read the first list of a daemon that starts from the store

Cause: since the first lists went to a reader. After a loss of power of all daemons the readers are back no sooner than the others, so a first list waited up to 0.5 s for one, and the daemon refused or held its first requests.

Change: a daemon without a copy lists the store itself. The waits for readers and for the list of daemons go.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -313,13 +313,13 @@
 	reader.mu.Lock()
 	alive, relay := reader.alive, reader.relay
 	reader.mu.Unlock()
-	if !alive {
-		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix})
-	}
 	if d.anySilent(reader) {
 		<-ctx.Done()
 		return Response{}, errors.Trace(ctx.Err())
 	}
+	if !alive {
+		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix})
+	}
 	response, err := relay.Serve(ctx, request)
 	if err != nil {
 		return Response{}, err
--- a/core/relay/serve.go
+++ b/core/relay/serve.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -38,9 +37,6 @@
 
 func (f *followed) serve(ctx context.Context, timing Timing, request Request) (Response, error) {
 	if request.Full {
-		if err := f.awaitFirstList(ctx, timing.slack/2); err != nil {
-			return Response{}, err
-		}
 		return f.page(timing, request)
 	}
 	deadline := time.Now().Add(min(request.Wait, timing.pollWait))
@@ -74,20 +70,6 @@
 	}
 }
 
-// awaitFirstList waits until a daemon that starts has its own copy, so that daemons that start together need not all
-// read the key-value service.
-func (f *followed) awaitFirstList(ctx context.Context, wait time.Duration) error {
-	for start := time.Now(); time.Since(start) < wait; {
-		if _, _, synced := f.replica.state(); synced {
-			return nil
-		}
-		if err := clock.Sleep(ctx, startCheck); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // page returns the entries after a key, up to maxPageBytes.
 func (f *followed) page(timing Timing, request Request) (Response, error) {
 	_, response, synced := f.replica.state()
--- a/core/relay/source.go
+++ b/core/relay/source.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 	"time"
-
-	"radishhollow/core/clock"
 )
 
 const (
@@ -13,11 +11,6 @@
 	// to maxSuspension, because a lost reader stays listed until its lease expires.
 	minSuspension = 2 * time.Second
 	maxSuspension = 16 * time.Second
-	// startWait limits the wait of the first lists for the list of daemons, from which a daemon that starts learns its
-	// readers. It takes one call to the key-value service.
-	startWait = 60 * time.Millisecond
-	// startCheck is the interval of the checks during startWait.
-	startCheck = 5 * time.Millisecond
 )
 
 // suspended is a reader that is not asked until a time, after failed calls in a row.
@@ -71,19 +64,6 @@
 	delete(s.suspended, address)
 }
 
-// awaitPeers delays the first list of a daemon that starts until it knows the other daemons, for at most startWait.
-func (s *Store) awaitPeers(ctx context.Context, prefix string, f *followed) error {
-	if _, _, synced := f.replica.state(); synced || prefix == s.MembersPrefix {
-		return nil
-	}
-	for start := time.Now(); len(s.Peers()) == 0 && time.Since(start) < startWait; {
-		if err := clock.Sleep(ctx, startCheck); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // awaitSource returns the reader to ask, or an empty string once this daemon may call the key-value service again.
 func (s *Store) awaitSource(ctx context.Context, prefix string, f *followed) (string, error) {
 	if address := s.source(prefix, f); address != "" {
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -207,11 +207,9 @@
 	if !known {
 		return s.Direct.List(ctx, prefix)
 	}
-	if err := s.awaitPeers(ctx, prefix, f); err != nil {
-		return nil, 0, err
-	}
 	address := s.source(prefix, f)
-	if f.takeVerifyDirect() {
+	// A daemon that starts does not wait for a reader, which may have been lost or be starting, too.
+	if _, _, synced := f.replica.state(); f.takeVerifyDirect() || !synced {
 		address = ""
 	}
 	if address != "" && f.isConfirmed() {
--- a/core/relay/store_test.go
+++ b/core/relay/store_test.go
@@ -281,3 +281,27 @@
 	}
 	return left
 }
+
+// Guards against a daemon that, after a loss of power of all, waits for a reader that is not back yet, and refuses its
+// first requests in the meantime: the first list must come from the key-value service at once.
+func TestStartWaitsForNoReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(118, 4*time.Second)
+		fl.store.put(testPrefix+"engine-1", "ready")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			fl.group.Wait()
+		}()
+		for _, d := range fl.daemons {
+			d.setFault(false, true)
+		}
+		// The daemons come back one after the other, and those that are not back answer nothing.
+		for _, d := range fl.daemons {
+			d.setFault(false, false)
+			d.start(ctx)
+			time.Sleep(20 * time.Millisecond)
+			require.Equal(t, 1, d.entryCount(), d.address)
+		}
+	})
+}
