fix(daemon): follow configuration, endpoints and peers until the drain is over

What callers saw: a daemon that was stopping accepted an API key that had been withdrawn, and sent requests to an endpoint that had registered as leaving, for the whole drain (up to the platform's grace time of 8 s; without limit where the drain has none).

Cause: fx stops in reverse order, and the supervisor was registered last, so all components ended before the listener for callers began to drain. Requests and resumed streams were then decided on a frozen configuration and instance list.

Ruled out: the readiness (not ready at once) and the store (other daemons have the new version).

Change: two supervisors. Registration, leases and orders end before the drain, so that other daemons take over at once; the rest ends after the drain and after the internal listeners. Registrar.Run is split accordingly. Views sent during the drain now say so.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -9,9 +9,8 @@
 	Address     string
 	Incarnation string
 	Place       string
-	// Draining is set once the drain of a planned stop has begun. The daemon's own exchanges have ended by then, so only
-	// its responses set it. The daemon still accepts requests for a while. Peers only show the field in the status for
-	// operators.
+	// Draining is set once the drain of a planned stop has begun. The daemon still accepts requests for a while, but peers
+	// no longer follow the key-value service through it.
 	Draining bool
 	// Revision and Digest identify the configuration in force on the daemon.
 	Revision uint64
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,11 +58,11 @@
 }
 
 // New returns the fx application of one daemon. The constructors of all components run before the first start hook.
-// Start opens the internal listeners, then the listener for callers, and starts the supervisor last. Stop runs in
-// reverse order: the components end first, then the listener for callers drains until every request in flight is
-// complete or the drain timeout expires, and then the internal listeners and the clients close. A stop hook that a
-// constructor registers runs after the drain if a listener depends on the constructor, and before it if only the
-// supervisor does. The options are applied after the daemon's own and may decorate its components.
+// Start opens the internal listeners, then the listener for callers, and starts the supervisors last. Stop ends the
+// duties first, so that other daemons take over. The listener for callers then drains until every request in flight is
+// complete or the drain timeout expires, while the daemon still follows the configuration and the endpoints. The
+// internal listeners close next, then the remaining components end and the clients close. The options are applied after
+// the daemon's own and may decorate its components.
 func New(s settings.Settings, log *logrus.Logger, options ...fx.Option) *fx.App {
 	stopTimeout := s.Timeouts.Drain.Duration
 	if stopTimeout == 0 {
@@ -76,9 +76,11 @@
 		fx.Supply(s, log),
 		fx.Provide(newIdentity, telemetry.New, newConfigStore, newRevisionLogger, newDrain, newTable, newLimiter),
 		peerProviders,
+		fx.Provide(newSupervisorRunners),
+		fx.Invoke(stopKnowledge),
 		interfaceOptions(s),
 		fx.Options(options...),
-		fx.Invoke(runSupervisor),
+		fx.Invoke(runSupervisors),
 	)
 }
 
@@ -89,7 +91,7 @@
 	}
 	return fx.Options(
 		platformProviders, configProviders, policyProviders, endpointProviders, callerProviders, controlProviders,
-		fx.Provide(newSupervisor), fx.Invoke(registerListeners),
+		fx.Provide(newSupervisors), fx.Invoke(registerListeners),
 	)
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -13,7 +13,7 @@
 
 // Drain holds the readiness state of the daemon and the progress of a planned stop. It is safe for concurrent use.
 type Drain struct {
-	// draining is set when the listener for callers begins to drain, after the components have ended. closing is set when
+	// draining is set when the listener for callers begins to drain, after the duties have ended. closing is set when
 	// the drain timeout has expired; it is read only with settings.InterfaceOwn.
 	draining    atomic.Bool
 	closing     atomic.Bool
@@ -36,7 +36,7 @@
 }
 
 // Draining reports whether the listener for callers has begun to drain. Requests are still accepted until drainDelay
-// has passed. The components have ended before, so the daemon reports it only in responses to exchanges of its peers.
+// has passed.
 func (d *Drain) Draining() bool { return d.draining.Load() }
 
 // Closing reports whether the daemon closes connections that are still in use.
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -30,7 +30,7 @@
 // forwardProviders provides the components that forward requests along the routes of the operators' platform.
 var forwardProviders = fx.Provide(
 	newRelay, (*relay.Store).KV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient, newForwardServer,
-	newForwardSupervisor,
+	newForwardSupervisors,
 )
 
 const (
@@ -313,21 +313,24 @@
 // initCheckInterval is short compared with the start of a daemon, which should be ready as soon as it can serve.
 const initCheckInterval = 20 * time.Millisecond
 
-// newForwardSupervisor returns the Supervisor of the components. There is no refresher among them, so this daemon
+// newForwardSupervisors returns the supervisors of the components. There is no refresher among them, so this daemon
 // announces no marks on endpoints to its peers.
-func newForwardSupervisor(
+func newForwardSupervisors(
 	configuration *configFollower, revisions *revisionLogger, reload *peerKeyReloader, endpoints *endpointList,
 	registrar *peer.Registrar, exchanger *peer.Exchanger, drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
-) *Supervisor {
-	return newLoggingSupervisor(m, log,
-		Component{Name: "configuration", Run: configuration.follower.Run},
-		Component{Name: "revisions", Run: revisions.Run},
-		Component{Name: "reload", Run: reload.Run},
-		Component{Name: "listing", Run: endpoints.Run},
-		Component{Name: "registration", Run: registrar.Run},
-		Component{Name: "exchange", Run: exchanger.Run},
-		Component{Name: "survey", Run: (&initMonitor{drain: drain}).Run},
-	)
+) supervisors {
+	return supervisors{
+		duties: newLoggingSupervisor(m, log, Component{Name: "registration", Run: registrar.Run}),
+		knowledge: newLoggingSupervisor(m, log,
+			Component{Name: "configuration", Run: configuration.follower.Run},
+			Component{Name: "revisions", Run: revisions.Run},
+			Component{Name: "reload", Run: reload.Run},
+			Component{Name: "listing", Run: endpoints.Run},
+			Component{Name: "daemons", Run: registrar.RunList},
+			Component{Name: "exchange", Run: exchanger.Run},
+			Component{Name: "survey", Run: (&initMonitor{drain: drain}).Run},
+		),
+	}
 }
 
 // registerForwardListeners registers the listeners. fx stops them in reverse order, so the listener for callers drains
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -33,7 +33,7 @@
 	Incarnation string
 	Place       string
 	// Draining reports whether the drain of a planned stop has begun. The daemon still accepts requests for
-	// settings.Timeouts.DrainDelay after that. It starts no exchanges any more, so only its responses report the drain.
+	// settings.Timeouts.DrainDelay after that.
 	Draining func() bool
 	// PublishDemand returns the daemon's own demand for each workspace. It is called for each view that is sent, and
 	// limit.Limiter counts each call as a publication of all this demand, although a view carries at most maxSentDemand
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -21,7 +21,7 @@
 const MembersPrefix = "members/"
 
 // Registrar keeps the daemon's registration alive and follows the platform's list of daemons. Its exported fields must
-// be set before Run.
+// be set before Run and RunList.
 type Registrar struct {
 	KV   kv.Store
 	Node *Node
@@ -49,10 +49,11 @@
 	Place       string `json:"place"`
 }
 
-// Run keeps the registration and the list up to date until ctx ends, and then removes the registration.
-func (r *Registrar) Run(ctx context.Context) error {
-	return guard.Run(ctx, r.runRegister, r.runList)
-}
+// Run keeps the registration alive until ctx ends, and then removes it.
+func (r *Registrar) Run(ctx context.Context) error { return guard.Run(ctx, r.runRegister) }
+
+// RunList keeps the list of daemons up to date until ctx ends. It may run longer than Run.
+func (r *Registrar) RunList(ctx context.Context) error { return guard.Run(ctx, r.runList) }
 
 func (r *Registrar) runRegister(ctx context.Context) {
 	lease := ""
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -190,6 +190,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = r.Run(ctx) })
+	group.Go(func() { _ = r.RunList(ctx) })
 	return node, func() {
 		cancel()
 		group.Wait()
