fix(daemon): no endpoint at an address of this daemon

What callers saw: 502, and a daemon that was busy with its own requests, after another writer had registered the daemon's address as an endpoint.

Cause: a registration may name any address. A daemon forwarded the request to itself, and again, until the bound on connections of the service was reached.

Ruled out: a loop without an end, which the bound and the deadline prevent.

Change: registrations at this daemon's own listeners name no endpoint, also in lists from peers. The listeners of other daemons for callers are in no list, so a registration with one of those still costs a request of the first daemon one hop.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -48,6 +48,8 @@
 	table     *route.Table
 	isolation *member.IsolationDetector
 	log       *logrus.Logger
+	// own holds the addresses of this daemon, which are never those of endpoints.
+	own ownAddresses
 
 	// mu guards the fields below. Callers of newestByAddress, add, handleDeletion and drop must hold it.
 	mu sync.Mutex
@@ -147,6 +149,9 @@
 
 func (l *endpointList) add(entry kv.Entry) {
 	registration, err := l.parse(entry)
+	if err == nil {
+		err = l.own.check(registration)
+	}
 	if err != nil {
 		// The key has no valid registration any more, so its endpoint is removed.
 		l.log.WithField("key", entry.Key()).WithError(err).Warn("registration is malformed")
@@ -277,6 +282,9 @@
 	}
 	l.registrations = make(map[string]route.Listing, len(registrations))
 	for _, registration := range registrations {
+		if l.own.check(registration) != nil {
+			continue
+		}
 		// The parser takes the incarnation from the key, of which it is the part after the prefix.
 		l.registrations[l.follower.Prefix+registration.Incarnation] = registration
 	}
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -139,7 +139,7 @@
 ) *endpointList {
 	l := &endpointList{
 		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, log: log,
-		registrations: map[string]route.Listing{}, missingSince: map[string]time.Time{},
+		registrations: map[string]route.Listing{}, missingSince: map[string]time.Time{}, own: newOwnAddresses(s),
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
