fix(relay): bound the bytes of the changes that readers keep

What callers saw: operators of a similar system report machines that read the list and ended again and again. Here, a reader would have exceeded its memory while another writer rewrites one large entry.

Cause: a replica keeps up to 16,384 changes with their values for followers; with values of 1 MB that is 16 GB.

Evidence: TestReplicaBoundsTheMemoryOfChanges held 209,717,400 bytes after 200 changes of 1 MB, and 16,777,216 were allowed.

Change: the changes take up to 8 MB; older ones are dropped by halves, after which a follower that is behind lists again.

Result: go test ./core/relay passes, with the random histories.

--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -14,12 +14,18 @@
 // seconds of changes of the planned 12,000 endpoints while each of them changes.
 const maxChanges = 16384
 
+// maxChangeBytes is the size of the kept changes. It covers the planned endpoints, whose registrations have about 300
+// bytes, and bounds the memory that another writer's large entries take.
+const maxChangeBytes = 8 << 20
+
 // Replica is a copy of the entries under a prefix, with the recent changes in the order in which they were received. It
 // is safe for concurrent use.
 type Replica struct {
 	mu      sync.Mutex
 	entries map[string]kv.Entry
 	changes []kv.Entry
+	// changeBytes is the size of the keys and values in changes.
+	changeBytes int
 	// floor is the revision after which changes is complete.
 	floor    uint64
 	revision uint64
@@ -87,15 +93,25 @@
 		r.newest = max(r.newest, change.Revision())
 	}
 	r.changes = append(r.changes, change)
-	if len(r.changes) > maxChanges {
-		dropped := len(r.changes) / 2
-		for _, c := range r.changes[:dropped] {
-			r.floor = max(r.floor, c.Revision())
-		}
-		r.changes = append([]kv.Entry(nil), r.changes[dropped:]...)
+	r.changeBytes += sizeOf(change)
+	if len(r.changes) > maxChanges || r.changeBytes > maxChangeBytes {
+		r.dropOldChanges()
 	}
 }
 
+// dropOldChanges drops changes until half of both limits is free, so that it is rarely called.
+func (r *Replica) dropOldChanges() {
+	dropped := 0
+	for len(r.changes)-dropped > maxChanges/2 || r.changeBytes > maxChangeBytes/2 {
+		r.floor = max(r.floor, r.changes[dropped].Revision())
+		r.changeBytes -= sizeOf(r.changes[dropped])
+		dropped++
+	}
+	r.changes = append([]kv.Entry(nil), r.changes[dropped:]...)
+}
+
+func sizeOf(entry kv.Entry) int { return len(entry.Key()) + len(entry.Value()) }
+
 func (r *Replica) confirm(revision uint64, at time.Time) {
 	r.revision = max(r.revision, revision)
 	if at.After(r.confirmedAt) {
--- a/core/relay/serve.go
+++ b/core/relay/serve.go
@@ -83,7 +83,7 @@
 		if entry.Key() <= request.AfterKey {
 			continue
 		}
-		size += len(entry.Key()) + len(entry.Value())
+		size += sizeOf(entry)
 		if size > maxPageBytes && len(response.Entries) > 0 {
 			response.HasMore = true
 			break
