fix(relay): count keys in the size of an answer

What callers saw: nothing known. Followers of a reader would have called the store by themselves after thousands of odd entries with long keys had been removed.

Cause: only values counted toward the size of an answer with changes. An answer of more than 2 MB is cut, so that it cannot be decoded, and its reader is left out for a while.

Evidence: TestChangesWithLongKeysFitIntoAnAnswer got 2,316,890 bytes of keys before, with a page of 524,288 bytes as the limit.

Change: keys count, as they do in the pages of a list.

Result: go test -run 'TestReplica|TestChangesWith' ./core/relay passes.

--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -139,7 +139,7 @@
 	for _, change := range r.changes {
 		if change.Revision() > after {
 			response.Entries = append(response.Entries, change)
-			size += len(change.Value())
+			size += sizeOf(change)
 		}
 	}
 	if size > maxPageBytes && len(response.Entries) > 1 {
--- a/core/relay/replica_test.go
+++ b/core/relay/replica_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,3 +33,20 @@
 	require.NoError(t, err)
 	require.Len(t, response.Entries, 1)
 }
+
+// Guards against an answer that is larger than a follower accepts, after thousands of entries with long keys were removed.
+func TestChangesWithLongKeysFitIntoAnAnswer(t *testing.T) {
+	var r Replica
+	var entries []kv.Entry
+	for i := range 12_000 {
+		entries = append(entries, kv.NewEntry(fmt.Sprintf("servers/%s-%d", strings.Repeat("x", 180), i), []byte("x"), uint64(i+1), false))
+	}
+	r.ApplyList(entries, 12_000, time.Now())
+	r.ApplyList(nil, 12_001, time.Now())
+	response, _, err := r.changesAfter(12_000)
+	size := 0
+	for _, change := range response.Entries {
+		size += len(change.Key())
+	}
+	require.True(t, err != nil || size <= maxPageBytes, "%d bytes", size)
+}
