fix(peer): ignore registrations of daemons that no view may carry

What callers saw: nothing known. Daemons that had read one such registration would have lost the exchange with all peers, and with it the configuration and the endpoints while the store is away.

Cause: the place of a registered daemon is sent in views, and peers refuse a whole view with a text of more than 256 bytes.

Evidence: TestOddMemberLeavesViewsValid failed before for a long place ("Should be true", "Should NOT be empty, but was []").

Change: a registration with such a text is ignored.

Result: go test -run 'TestOddMember|TestRegis' ./io/peer passes.

--- /dev/null
+++ b/io/peer/odd_members_test.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/kv"
+	"radishhollow/core/member"
+)
+
+func memberEntry(t *testing.T, address, incarnation, place string) kv.Entry {
+	t.Helper()
+	value, err := json.Marshal(memberRegistration{Address: address, Incarnation: incarnation, Place: place})
+	require.NoError(t, err)
+	return kv.NewEntry(MembersPrefix+address, value, 2, false)
+}
+
+// Guards against a registration of another writer among those of the daemons that makes peers refuse the views of every
+// daemon that has read it.
+func TestOddMemberLeavesViewsValid(t *testing.T) {
+	long := strings.Repeat("x", maxStringBytes+1)
+	for name, odd := range map[string]kv.Entry{
+		"long place":        memberEntry(t, "10.0.0.9:1", "7", long),
+		"long incarnation":  memberEntry(t, "10.0.0.9:1", long, "a"),
+		"no address":        memberEntry(t, "", "7", "a"),
+		"unspecified":       memberEntry(t, "0.0.0.0:1", "7", "a"),
+		"port out of range": kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":"10.0.0.9:99999","incarnation":"7"}`), 2, false),
+		"number too large":  kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":1e400}`), 2, false),
+		"nested deeply":     kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(strings.Repeat("[", 100_000)), 2, false),
+		"not UTF-8":         kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte("{\"address\":\"10.0.0.9:1\",\"place\":\"\xff\"}"), 2, false),
+	} {
+		n := newNetwork()
+		node, _ := n.addNode(1)
+		_, exchanger := n.addNode(2)
+		members := map[string]member.Member{}
+		registrar := &Registrar{Node: node}
+		registrar.apply(members, []kv.Entry{odd, memberEntry(t, "10.0.0.8:1", "1", "a")})
+		node.Table.SetListed(memberList(members))
+		// Another daemon has heard the daemon at the odd registration's address.
+		node.Table.MergeRequest(member.View{Address: "10.0.0.7:1", Incarnation: "1", Members: []member.Member{
+			{Address: "10.0.0.9:1", Incarnation: "7", Age: time.Second},
+		}})
+		assert.Contains(t, node.Table.ListedAddresses(), "10.0.0.8:1", name)
+		assert.True(t, isValidView(toWire(node.view())), name)
+		exchanger.exchange(t.Context(), node.Address)
+		assert.NotEmpty(t, exchanger.Node.Table.Peers(), name)
+	}
+}
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -180,7 +180,9 @@
 			delete(members, strings.TrimPrefix(entry.Key(), MembersPrefix))
 			continue
 		}
-		if json.Unmarshal(entry.Value(), &value) != nil || !route.IsAddress(value.Address) {
+		// Peers refuse a whole view that contains a text above the limit.
+		if json.Unmarshal(entry.Value(), &value) != nil || !route.IsAddress(value.Address) ||
+			!withinStringLimit(value.Incarnation, value.Place) {
 			continue
 		}
 		members[strings.TrimPrefix(entry.Key(), MembersPrefix)] = member.Member{
