fix(peer): replace an odd value among the peer keys

What callers saw: nothing known. Daemons without keys refuse each other's calls for changes, so each would have called the store by itself and believed every process that sends views.

Cause: a value at members/keys that could not be read was ignored, with its revision. Each write of new keys then failed, because it expected no value; nobody replaced it. Empty keys were taken as keys.

Change: the revision of such a value is known, and a daemon writes its known keys again, or new ones if it has none.

--- a/io/peer/odd_members_test.go
+++ b/io/peer/odd_members_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -51,3 +52,35 @@
 		assert.NotEmpty(t, exchanger.Node.Table.Peers(), name)
 	}
 }
+
+// Guards against an odd value in place of the peer keys that daemons never replace. Without keys they refuse each
+// other's calls for changes, and daemons with keys could not be reached by those that start later.
+func TestOddPeerKeysAreReplaced(t *testing.T) {
+	for name, value := range map[string]string{
+		"not JSON": "\xff", "nested deeply": strings.Repeat("[", 100_000), "no keys": `{"keys":[]}`, "an empty key": `{"keys":["",""]}`,
+		"keys of another type": `{"keys":7}`, "not base64": `{"keys":["?"]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeKV()
+				_, err := f.put(t.Context(), sharedKeysKey, []byte(value), 0, "")
+				require.NoError(t, err)
+				share := func(r *Registrar) { r.ShareKeys = true }
+				first, stop := startRegistrar(f, "127.0.0.1:1", share)
+				defer stop()
+				time.Sleep(2 * time.Minute)
+				keys := first.Keys.all()
+				require.Len(t, keys, 2, "keys replace the odd value of the start")
+				require.Len(t, keys[0], keyBytes)
+				_, err = f.put(t.Context(), sharedKeysKey, []byte(value), f.items[sharedKeysKey].Revision(), "")
+				require.NoError(t, err)
+				time.Sleep(2 * time.Minute)
+				require.Equal(t, keys, first.Keys.all(), "known keys stay in use")
+				second, stopSecond := startRegistrar(f, "127.0.0.1:2", share)
+				defer stopSecond()
+				time.Sleep(2 * time.Minute)
+				require.Equal(t, keys, second.Keys.all(), "known keys are written again")
+			})
+		})
+	}
+}
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -37,6 +37,8 @@
 	revision  uint64
 	changedAt time.Time
 	current   [][]byte
+	// malformed is set while the entry holds no usable keys.
+	malformed bool
 }
 
 // applyEntry applies the entry at sharedKeysKey. It ignores all other entries and older revisions.
@@ -44,20 +46,36 @@
 	if entry.Key() != sharedKeysKey || entry.Revision() < s.revision {
 		return
 	}
-	var value keysValue
-	if !entry.Deleted() && (json.Unmarshal(entry.Value(), &value) != nil || len(value.Keys) == 0) {
+	keys, usable := decodeKeys(entry.Value())
+	if !entry.Deleted() && !usable {
+		// The last keys stay in use and are written again.
+		s.revision, s.malformed = entry.Revision(), true
 		return
 	}
 	if entry.Revision() > s.revision {
 		s.changedAt = time.Now()
 	}
-	s.revision, s.current = entry.Revision(), value.Keys
+	s.revision, s.current, s.malformed = entry.Revision(), keys, false
 	if entry.Deleted() {
 		// The last keys stay in use until there are new ones.
 		s.revision = 0
 		return
 	}
-	s.keys.Set(value.Keys)
+	s.keys.Set(keys)
+}
+
+// decodeKeys returns false for a value that another writer must have left.
+func decodeKeys(raw []byte) (keys [][]byte, usable bool) {
+	var value keysValue
+	if json.Unmarshal(raw, &value) != nil || len(value.Keys) == 0 {
+		return nil, false
+	}
+	for _, key := range value.Keys {
+		if len(key) != keyBytes {
+			return nil, false
+		}
+	}
+	return value.Keys, true
 }
 
 // rotateIfDue creates the keys if there are none, and rotates them if they are old enough. It acts with a probability
@@ -68,7 +86,9 @@
 		return
 	}
 	switch {
-	case s.revision == 0:
+	case s.malformed && len(s.current) > 0:
+		value.Keys = s.current
+	case s.revision == 0 || s.malformed:
 		value.Keys = [][]byte{newKey(), newKey()}
 	case time.Since(s.changedAt) >= keyRotationInterval && len(s.current) > 1:
 		value.Keys = [][]byte{s.current[1], newKey(), s.current[0]}
