fix(keyvalue): one odd row no longer hides the instance list

What callers saw: nothing known; requests would have gone on to endpoints that had left.

Cause: the rows of the own interface's instance list were decoded as a whole, and their addresses were not checked.

Change: rows are decoded one by one; those without an address of the form IP:PORT are left out.

--- a/io/keyvalue/instances.go
+++ b/io/keyvalue/instances.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 
+	"github.com/juju/errors"
+
 	"radishhollow/core/route"
 )
 
@@ -32,14 +35,34 @@
 // instancesResponse is the response body of GET /instances. History changes when the platform restarts, after which its
 // sequence numbers start again; it is empty if the platform does not send changes.
 type instancesResponse struct {
-	Sequence  uint64     `json:"sequence"`
-	History   string     `json:"history"`
-	Instances []instance `json:"instances"`
+	Sequence  uint64       `json:"sequence"`
+	History   string       `json:"history"`
+	Instances instanceRows `json:"instances"`
 	// ChangesOnly states that the body contains only the changes after the sequence number in the query.
 	ChangesOnly bool     `json:"changes-only"`
 	Removed     []string `json:"removed"`
 }
 
+// instanceRows holds the rows that name an endpoint or daemon. Rows with a field of another type or a malformed address
+// are left out, so that they do not hide the others.
+type instanceRows []instance
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *instanceRows) UnmarshalJSON(data []byte) error {
+	var rows []json.RawMessage
+	if err := json.Unmarshal(data, &rows); err != nil {
+		return errors.Trace(err)
+	}
+	*r = make(instanceRows, 0, len(rows))
+	for _, raw := range rows {
+		var row instance
+		if json.Unmarshal(raw, &row) == nil && route.IsAddress(row.Address) {
+			*r = append(*r, row)
+		}
+	}
+	return nil
+}
+
 func (c *Client) readInstances(ctx context.Context, query url.Values) (instancesResponse, error) {
 	var body instancesResponse
 	call := Call{Kind: CallInstances, Method: http.MethodGet, Path: "/instances", Query: query}
