feat(forward): log and count responses that are cut after their header

What was missing: a response that ended incomplete after its header was sent left one line, "request ended" with status 200 and an outcome that many causes share (engine-lost, wait-exceeded). Nothing said how far it had come, which engine was last, or how long that had been silent, and no counter told cut responses from refused ones. A response to a caller that had gone was logged as ok if the body of a complete response could not be written. A panic after the header had no request id.

Change: each of these ends writes one line "response cut" with the id of the request, the code of the innermost error, the endpoint, runs, events, bytes and the time since the last event, and counts it in radishhollow_cut_responses_total by that code. A connection that this daemon closes because the time to drain has passed is told from a caller that left. The places that end a started response are finish (errors of streams and of writes) and handle (panics); there is no other call of abort.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -345,6 +345,7 @@
 	} {
 		lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(context.Context) error { return l.server.Close() }})
 	}
+	server.Closing = drain.Closing
 	httpServer := server.NewHTTPServer()
 	httpServer.Handler = drain.closeWhenDraining(httpServer.Handler)
 	l := &listener{address: s.Listen, log: log, server: httpServer}
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -36,6 +36,8 @@
 	maxOutputTokens int
 	// logFields are additional fields for the log entry of the request.
 	logFields logrus.Fields
+	// cutFields are added to the log entry of a response that was cut.
+	cutFields logrus.Fields
 }
 
 // parse determines the route, the workspace and the service of a request and reads its body. With an error it returns
--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -12,6 +12,7 @@
 	"radishhollow/core/booking"
 	"radishhollow/core/config"
 	"radishhollow/core/failure"
+	"radishhollow/core/generation"
 	"radishhollow/core/route"
 	"radishhollow/io/service"
 )
@@ -75,13 +76,15 @@
 	}
 }
 
-// writeResponse passes an endpoint's response on to the caller.
-func writeResponse(w http.ResponseWriter, status int, header http.Header, body []byte) {
+// writeResponse passes an endpoint's response on to the caller. An error means that the caller has disconnected.
+func writeResponse(w http.ResponseWriter, status int, header http.Header, body []byte) error {
 	copyHeader(w.Header(), header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	// A write error means that the caller has disconnected.
-	_, _ = w.Write(body)
+	if _, err := w.Write(body); err != nil {
+		return generation.CallerGoneError{Cause: err}
+	}
+	return nil
 }
 
 // copyHeader copies all headers but Content-Length and those that concern only the endpoint's connection.
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -45,8 +45,8 @@
 	meanRetryAfter = 500 * time.Millisecond
 )
 
-// Server is the HTTP server for callers. All fields must be set before the first request; only ObserveAttempt may be
-// nil.
+// Server is the HTTP server for callers. All fields must be set before the first request; only ObserveAttempt
+// and Closing may be nil.
 type Server struct {
 	Format Format
 	// Document returns the current configuration.
@@ -83,6 +83,8 @@
 	InstanceListRevision func() (revision uint64, age time.Duration)
 	// DaemonCount returns the number of daemons that share the endpoints' connections.
 	DaemonCount func() int
+	// Closing reports whether the server closes the connections in use because the time to drain has passed. It may be nil.
+	Closing func() bool
 	// MaxBufferedBytes bounds the total size of the request bodies held in memory.
 	MaxBufferedBytes int64
 
@@ -140,12 +142,15 @@
 // handle serves one request. A panic ends only this request.
 func (s *Server) handle(c *gin.Context) {
 	isAbort := func(value any) bool { return value == http.ErrAbortHandler } //nolint:errorlint // net/http compares the value, too.
+	started := time.Now()
 	err := guard.Call(func() error { s.serve(c); return nil }, isAbort)
 	if err == nil {
 		return
 	}
+	q := &request{id: c.Request.Header.Get(s.Format.RequestID), arrivedAt: started}
 	s.recordPanic(err)
 	if c.Writer.Written() {
+		s.recordCut(q, c.Writer.Size(), false, err)
 		abort(c)
 	}
 	// It is unknown whether an endpoint ran the request, so the status must not promise that none did.
@@ -214,8 +219,7 @@
 	if err != nil {
 		return err
 	}
-	writeResponse(c.Writer, response.Status, response.Header, response.Body)
-	return nil
+	return writeResponse(c.Writer, response.Status, response.Header, response.Body)
 }
 
 const (
@@ -238,6 +242,7 @@
 	}
 	s.observeRequest(q, status, callerGone, err)
 	if err != nil && started {
+		s.recordCut(q, c.Writer.Size(), callerGone, err)
 		abort(c)
 	}
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -83,6 +83,9 @@
 	errorResponse *booking.Response
 	// firstEventWait is the wait for the first event, and longestPause the longest wait for a later one.
 	firstEventWait, longestPause time.Duration
+	// deliveredEvents counts the events that were written to the caller, the last one at deliveredAt.
+	deliveredEvents int
+	deliveredAt     time.Time
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
 	// retryTaken reports whether the current attempt took a retry from the retry budget.
@@ -121,13 +124,13 @@
 	q.logFields = logrus.Fields{
 		"first-ms": h.firstEventWait.Milliseconds(), "pause-ms": h.longestPause.Milliseconds(), "runs": h.openedStreams,
 	}
+	q.cutFields = h.cutFields()
 	if err == nil {
 		// A stream without events has not sent its header yet.
 		return h.sendHeader()
 	}
 	if h.errorResponse != nil && !h.headerSent {
-		writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
-		return nil
+		return writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
 	}
 	return err
 }
@@ -284,9 +287,22 @@
 	if _, err := h.c.Writer.Write(part.Event()); err != nil {
 		return errors.Trace(err)
 	}
+	h.deliveredEvents++
+	h.deliveredAt = time.Now()
 	return errors.Trace(h.controller.Flush())
 }
 
+// cutFields returns the log fields that only the line of a cut response has.
+func (h *streamHandler) cutFields() logrus.Fields {
+	fields := logrus.Fields{
+		"endpoint": h.choice.Incarnation(), "events": h.deliveredEvents, "offset": h.request.lastEventID + h.deliveredEvents,
+	}
+	if h.deliveredEvents > 0 {
+		fields["idle-ms"] = time.Since(h.deliveredAt).Milliseconds()
+	}
+	return fields
+}
+
 // observe passes the progress of the attempts to the routing table, the metrics and the log.
 func (h *streamHandler) observe(event generation.Event) {
 	m, name := h.server.Metrics, h.request.workspace.Name
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -14,6 +14,7 @@
 // attempt, or contradicts what was delivered.
 const (
 	Requests          = "requests"           // class is ok, the outcome or the error code
+	CutResponses      = "cut_responses"      // class is the code of the cause
 	Attempts          = "attempts"           // class is first, resume or attach
 	DroppedTokens     = "dropped_tokens"     // class is duplicate or crossed
 	EngineLosses      = "engine_losses"      // class is connection, silence or crossed
