fix(generation): end a wait at the wait bound also where stalls are checked

What callers saw: nothing at once, but a resumed stream whose second engine stayed silent past the wait bound kept a CPU busy up to the timeout of the first chunk, 12 s in the forwarding server, and got its error only then.

Cause: waitForChunk waits no longer than the wait bound while a stream recovers. Once that had passed, each of its calls returned at once, and waitUnlessStalled called it again without a pause until its own deadline.

Change: the wait ends when the wait bound has passed.

Measured: TestStallChecksEndAtTheWaitBound before: `"1000" is not less than "1000"` (checks at the same instant); after: passes.

--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -121,7 +121,7 @@
 	nextCheck := lastAccepted.Add(r.stallGrace())
 	for r.Stalled != nil && nextCheck.Before(deadline) {
 		chunk, timedOut, err = r.waitForChunk(ctx, nextCheck)
-		if !timedOut || ctx.Err() != nil || r.stalled(r.choice.Address()) {
+		if !timedOut || ctx.Err() != nil || r.waitBoundPassed() || r.stalled(r.choice.Address()) {
 			return chunk, timedOut, err
 		}
 		nextCheck = time.Now().Add(stallCheckInterval)
@@ -129,6 +129,11 @@
 	return r.waitForChunk(ctx, deadline)
 }
 
+// waitBoundPassed reports whether a recovery has used up the caller's wait bound. waitForChunk then waits no longer.
+func (r *driverCall) waitBoundPassed() bool {
+	return r.recovering && time.Since(r.lastDelivery) >= r.waitBeforeError()
+}
+
 // stallGrace returns the silence after which the stream of a stalled engine is given up.
 func (r *driverCall) stallGrace() time.Duration {
 	if r.awaitingFirst {
--- a/core/generation/stalled_test.go
+++ b/core/generation/stalled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +134,28 @@
 		require.LessOrEqual(t, time.Since(began), generation.DefaultQueueWaitBound+time.Second)
 	})
 }
+
+// Guards against a wait for the first chunk after a loss that goes on without a pause, and so takes a whole CPU, from the
+// wait bound up to the timeout of the first chunk.
+func TestStallChecksEndAtTheWaitBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"a", "b"}}
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			if start.Attempt == 1 {
+				return append(tokenSteps(1, 0, 3, 9), step{err: io.ErrUnexpectedEOF}), nil
+			}
+			return []step{{hang: true}}, nil
+		}
+		d := f.driver(9)
+		d.Timeouts.First = 12 * time.Second
+		checks := 0
+		d.Stalled = func(string) bool {
+			checks++
+			require.Less(t, checks, 1000)
+			return false
+		}
+		began := time.Now()
+		require.ErrorAs(t, d.Run(t.Context()), &generation.WaitExceededError{})
+		require.LessOrEqual(t, time.Since(began), generation.DefaultWaitBound+100*time.Millisecond)
+	})
+}
