fix(daemon): answer every request that is read during a planned stop

Callers on open connections lost whole requests in a planned stop: the connection ended without a status.

Cause: http.Server.Shutdown. After the call, conn.serve returns right after readRequest, so a request whose header arrives then is read and dropped, and a connection is closed as soon as its response is complete, even if that response was sent without "Connection: close" (a stream that began before the stop). Idle connections are closed whatever the kernel has received on them. None of these leaves a log line. Ruled out: the handler (it is not called), the drain timeout (minutes away).

Change: a callerListener tracks the connections for callers of both interfaces. After drain-delay it accepts the connections that the kernel has established, closes the socket, and serves on until no connection is left; each response whose header is written during the stop says "Connection: close". A connection without a request is closed 0.5 s after its last response, 1 s after it was opened, through its read deadline and one more read, so that a request that was received is served. Only then Shutdown is called. drain-delay, drain and the forced close keep their meaning.

--- /dev/null
+++ b/daemon/caller_listener.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// newConnTimeout and idleConnTimeout limit the wait for a request on an open connection in a planned stop. Callers
+	// send the first request about a round trip after a connection is accepted, and a caller that sends requests without
+	// pause sends the next one about a round trip after a response.
+	newConnTimeout  = time.Second
+	idleConnTimeout = 500 * time.Millisecond
+	// drainPollInterval is the interval at which a planned stop looks for idle connections.
+	drainPollInterval = 20 * time.Millisecond
+	// acceptQueueTimeout bounds the time in which a planned stop accepts the connections that the kernel has established
+	// before.
+	acceptQueueTimeout = 100 * time.Millisecond
+)
+
+// callerListener is the HTTP server for callers with its connections.
+//
+// http.Server.Shutdown does not fit a planned stop: net/http closes each connection whose request it has read after the
+// call without a response, and closes a connection as soon as a response is complete, even if the caller was not told.
+// Therefore drain waits until there is no connection, before it calls Shutdown.
+type callerListener struct {
+	address string
+	server  *http.Server
+	log     *logrus.Logger
+
+	socket *net.TCPListener
+	// ended is closed when the server accepts no more connections.
+	ended chan struct{}
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
+	// acceptUntil is the time until which established connections are accepted. It is zero before the planned stop.
+	acceptUntil time.Time
+}
+
+func newCallerListener(address string, server *http.Server, log *logrus.Logger) *callerListener {
+	l := &callerListener{
+		address: address, server: server, log: log, ended: make(chan struct{}), conns: map[*callerConn]struct{}{},
+	}
+	server.ConnState = l.recordState
+	return l
+}
+
+// Start opens the socket and serves in the background.
+func (l *callerListener) Start(ctx context.Context) error {
+	socket, err := listen(ctx, l.address)
+	if err != nil {
+		return err
+	}
+	l.socket = socket.(*net.TCPListener) // listen opens only TCP sockets.
+	go l.run()
+	return nil
+}
+
+func (l *callerListener) run() {
+	defer close(l.ended)
+	if err := l.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		l.log.WithField("address", l.address).WithError(err).Error("listener ended")
+	}
+}
+
+// Accept returns the next connection. In a planned stop, it returns the connections that are already established, whose
+// callers may have sent a request, and then net.ErrClosed.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.socket.AcceptTCP()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Only stopAccepting sets a deadline. An expired deadline fails Accept although a connection is established.
+		_ = l.socket.SetDeadline(time.Now().Add(finalReadTimeout))
+		if conn, err = l.socket.AcceptTCP(); errors.Is(err, os.ErrDeadlineExceeded) || l.acceptTimedOut() {
+			if conn != nil {
+				_ = conn.Close()
+			}
+			return nil, net.ErrClosed
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{TCPConn: conn}, nil
+}
+
+// Addr returns the address of the socket.
+func (l *callerListener) Addr() net.Addr { return l.socket.Addr() }
+
+// Close closes the socket.
+func (l *callerListener) Close() error { return l.socket.Close() }
+
+func (l *callerListener) acceptTimedOut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().After(l.acceptUntil)
+}
+
+// recordState is the server's ConnState. net/http calls it before it reads the next request of a connection, and before
+// it calls the handler.
+func (l *callerListener) recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		c.setIdle(false)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns[c] = struct{}{}
+	case http.StateActive:
+		c.setBusy()
+	case http.StateIdle:
+		c.setIdle(true)
+	case http.StateHijacked, http.StateClosed:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.conns, c)
+	}
+}
+
+// drain stops to accept connections and waits until all connections are closed. Idle ones are closed after a short
+// time. It returns the error of ctx if that ends before.
+func (l *callerListener) drain(ctx context.Context) error {
+	l.stopAccepting()
+	select {
+	case <-l.ended:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for l.closeIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+	return l.server.Shutdown(ctx)
+}
+
+func (l *callerListener) stopAccepting() {
+	l.mu.Lock()
+	l.acceptUntil = time.Now().Add(acceptQueueTimeout)
+	l.mu.Unlock()
+	if err := l.socket.SetDeadline(time.Unix(1, 0)); err != nil {
+		_ = l.socket.Close()
+	}
+}
+
+// closeIdle closes the idle connections and returns the number of open ones.
+func (l *callerListener) closeIdle() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.closeIfIdle(newConnTimeout, idleConnTimeout)
+	}
+	return len(l.conns)
+}
--- /dev/null
+++ b/daemon/caller_listener_test.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func newTestListener(t *testing.T) *callerListener {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	l := newCallerListener("127.0.0.1:0", &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}, log)
+	t.Cleanup(func() { _ = l.server.Close() })
+	return l
+}
+
+func dialListener(t *testing.T, l *callerListener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+func readDone(reader *bufio.Reader) error {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
+// onlyConn returns the connection of a listener that has one.
+func onlyConn(t *testing.T, l *callerListener) *callerConn {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.Len(t, l.conns, 1)
+	for c := range l.conns {
+		return c
+	}
+	return nil
+}
+
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
+// Guards against an idle connection that is closed although a request on it has been received or read. The requests
+// arrive just before, while or after the connection is closed.
+func TestCloseIfIdleServesARequestThatWasRead(t *testing.T) {
+	l := newTestListener(t)
+	require.NoError(t, l.Start(t.Context()))
+	answered, closed := 0, 0
+	for i := range 400 {
+		conn, reader := dialListener(t, l)
+		_, err := io.WriteString(conn, testRequest)
+		require.NoError(t, err)
+		require.NoError(t, readDone(reader))
+		c := onlyConn(t, l)
+		require.Eventually(t, c.isIdle, 10*time.Second, time.Millisecond)
+		first, last := i%4 == 0, i%4 == 1
+		switch {
+		case first:
+			_, err = io.WriteString(conn, testRequest)
+			require.NoError(t, err)
+			c.closeIfIdle(0, 0)
+		case last:
+			c.closeIfIdle(0, 0)
+			require.Eventually(t, func() bool { return l.closeIdle() == 0 }, 10*time.Second, time.Millisecond)
+		default:
+			go func() {
+				time.Sleep(rand.N(50 * time.Microsecond))
+				c.closeIfIdle(0, 0)
+			}()
+			time.Sleep(rand.N(50 * time.Microsecond))
+			_, _ = io.WriteString(conn, testRequest)
+		}
+		if err := readDone(reader); err != nil {
+			require.False(t, first, "the request was received before the connection was closed: %v", err)
+			require.True(t, c.isIdle(), "a request was read and not answered: %v", err)
+			closed++
+		} else {
+			answered++
+		}
+		_ = conn.Close()
+		require.Eventually(t, func() bool { return l.closeIdle() == 0 }, 10*time.Second, time.Millisecond)
+	}
+	t.Logf("%d requests answered, %d connections closed before the request", answered, closed)
+	require.Positive(t, closed)
+}
+
+// Guards against a planned stop that resets the connections in the kernel's accept queue, whose callers have sent a
+// request.
+func TestStopAcceptingServesEstablishedConnections(t *testing.T) {
+	l := newTestListener(t)
+	socket, err := listen(t.Context(), l.address)
+	require.NoError(t, err)
+	l.socket = socket.(*net.TCPListener)
+	var readers []*bufio.Reader
+	for range 8 {
+		conn, reader := dialListener(t, l)
+		_, err = io.WriteString(conn, testRequest)
+		require.NoError(t, err)
+		readers = append(readers, reader)
+	}
+	l.stopAccepting()
+	go l.run()
+	for _, reader := range readers {
+		require.NoError(t, readDone(reader))
+	}
+	<-l.ended
+}
+
+// Guards against a planned stop that waits for connections on which no request comes, whether they were used before or
+// not.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	l := newTestListener(t)
+	require.NoError(t, l.Start(t.Context()))
+	_, unused := dialListener(t, l)
+	conn, used := dialListener(t, l)
+	_, err := io.WriteString(conn, testRequest)
+	require.NoError(t, err)
+	require.NoError(t, readDone(used))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, l.drain(ctx))
+	for _, reader := range []*bufio.Reader{unused, used} {
+		_, err = reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -65,12 +65,45 @@
 }
 
 // closeWhenDraining wraps a handler to ask clients to close their connections during a planned stop, so that no client
-// sends a request on a connection that is about to be closed.
+// sends a request on a connection that is about to be closed. It also asks in responses to requests that arrived before
+// the stop, unless their header has been sent.
 func (d *Drain) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.Draining() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&drainWriter{ResponseWriter: w, drain: d}, r)
 	})
 }
+
+// drainWriter is the ResponseWriter of a request that may be in flight during a planned stop.
+type drainWriter struct {
+	http.ResponseWriter
+	drain *Drain
+}
+
+// Unwrap is for http.ResponseController.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader writes the header.
+func (w *drainWriter) WriteHeader(status int) {
+	w.askToClose()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the header if that has not been written.
+func (w *drainWriter) Write(data []byte) (int, error) {
+	w.askToClose()
+	return w.ResponseWriter.Write(data)
+}
+
+// Flush sends what has been written, and the header if that has not been written.
+func (w *drainWriter) Flush() {
+	w.askToClose()
+	// An error means that the caller has disconnected, which the next write reports.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// askToClose has no effect after the header has been written.
+func (w *drainWriter) askToClose() {
+	if w.drain.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -347,10 +347,10 @@
 	}
 	httpServer := server.NewHTTPServer()
 	httpServer.Handler = drain.closeWhenDraining(httpServer.Handler)
-	l := &listener{address: s.Listen, log: log, server: httpServer}
+	l := newCallerListener(s.Listen, httpServer, log)
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
 		defer server.Close()
-		return drain.stop(ctx, httpServer, s.Timeouts.Drain.Duration, log)
+		return drain.stop(ctx, l, s.Timeouts.Drain.Duration, log)
 	}})
 }
 
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -76,17 +76,17 @@
 	}
 	server := callers.NewHTTPServer()
 	server.Handler = drain.closeWhenDraining(server.Handler)
-	l := &listener{address: s.Listen, log: log, server: server}
+	l := newCallerListener(s.Listen, server, log)
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
-		return drain.stop(ctx, server, s.Timeouts.Drain.Duration, log)
+		return drain.stop(ctx, l, s.Timeouts.Drain.Duration, log)
 	}})
 }
 
-// stop makes the daemon not ready, keeps serving for drainDelay, and then waits for the requests in flight. A timeout
-// of 0 waits without limit. When the timeout expires, stop closes the remaining connections and does not wait for
+// stop makes the daemon not ready, keeps serving for drainDelay, and then waits for the requests in flight and until no
+// connection can bring another one. A timeout of 0 waits without limit. When the timeout expires, stop closes the remaining connections and does not wait for
 // handlers that still run. Callers can resume their generations at another daemon; the idempotency record of a booking
 // in flight may stay without an outcome.
-func (d *Drain) stop(ctx context.Context, server *http.Server, timeout time.Duration, log *logrus.Logger) error {
+func (d *Drain) stop(ctx context.Context, l *callerListener, timeout time.Duration, log *logrus.Logger) error {
 	d.draining.Store(true)
 	log.Info("draining")
 	select {
@@ -98,10 +98,10 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	if err := l.drain(ctx); err != nil {
 		d.closing.Store(true)
 		log.WithError(err).Warn("drain timeout expired; closing connections in use")
-		return server.Close()
+		return l.server.Close()
 	}
 	log.Info("drained")
 	return nil
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -248,7 +247,7 @@
 	writer, wrapped := c.Writer.(interface{ Unwrap() http.ResponseWriter })
 	if wrapped && !c.Request.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(writer.Unwrap()).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				// Without lingering, the kernel resets the connection. If that fails, it is closed, which is no worse.
 				_ = tcp.SetLinger(0)
 			}
