fix(forward): refuse requests that a planned stop would cut

What callers saw: since a stopping daemon answers each request that it reads, streams that came on kept connections seconds after SIGTERM were taken, and cut by the platform's SIGKILL. Streams that came in the drain delay were cut as well, if they last longer than the grace time.

Cause: the daemon did not know when the platform kills it. The drain timeout was the platform's grace time, counted from the end of the drain delay, so it never applied.

Change: forward.stop-grace is the time from SIGTERM to SIGKILL. In a planned stop a stream is refused (503, Retry-After about 0.1 s, code draining) unless streams of its service are usually complete in the time left; other requests are refused in the last second. Requests that are taken have a deadline just before the end, so that a silent endpoint leads to a status. The stop begins, and the daemon is not ready, before the duties end, which may wait for the platform's store.

Tests: TestForwardStopRefusesStreamsThatWouldBeCut, TestForwardStopServesWhatCanBeComplete, TestForwardStopEndsRequestsBeforeTheKill (failed with EOF while the deadline was the end of the daemon itself), TestStreamDurations.

--- a/daemon/components.go
+++ b/daemon/components.go
@@ -97,10 +97,15 @@
 	lifecycle.Append(fx.Hook{OnStop: runners.knowledge.stop})
 }
 
-// runSupervisors must be called after the listeners are registered. The duties then end before the drain.
-func runSupervisors(lifecycle fx.Lifecycle, runners supervisorRunners) {
+// runSupervisors must be called after the listeners are registered. The duties then end before the drain, and the daemon
+// is not ready before that, because a duty may wait for an answer of the platform.
+func runSupervisors(lifecycle fx.Lifecycle, runners supervisorRunners, drain *Drain) {
 	lifecycle.Append(fx.Hook{OnStart: runners.knowledge.start})
 	lifecycle.Append(fx.Hook{OnStart: runners.duties.start, OnStop: runners.duties.stop})
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
+		drain.begin()
+		return nil
+	}})
 }
 
 func (s *supervisorRunner) start(context.Context) error {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -13,11 +13,14 @@
 
 // Drain holds the readiness state of the daemon and the progress of a planned stop. It is safe for concurrent use.
 type Drain struct {
-	// draining is set when the listener for callers begins to drain, after the duties have ended. closing is set when
+	// draining is set when a planned stop begins. closing is set when
 	// the drain timeout has expired; it is read only with settings.InterfaceOwn.
 	draining    atomic.Bool
 	closing     atomic.Bool
 	initialized atomic.Bool
+	// beganAt is set before draining. stopGrace is the time after which the platform kills a stopping daemon, or zero.
+	beganAt   time.Time
+	stopGrace time.Duration
 	// drainDelay is the time for which a stopping daemon still accepts requests, so that the load balancer can notice
 	// that it is not ready.
 	drainDelay time.Duration
@@ -30,12 +33,30 @@
 
 func newDrain(s settings.Settings, documents *config.Store, table *route.Table, isolation *member.IsolationDetector) *Drain {
 	return &Drain{
-		drainDelay: s.Timeouts.DrainDelay.Duration, documents: documents, table: table, isolation: isolation,
+		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration, documents: documents, table: table, isolation: isolation,
 		needsReports: s.Interface == settings.InterfaceOwn,
 	}
 }
 
-// Draining reports whether the listener for callers has begun to drain. Requests are still accepted until drainDelay
+// killMargin is the part of the stop grace that is left for the end of the process after its last request.
+const killMargin = 300 * time.Millisecond
+
+// begin marks the daemon as stopping. It must be called once, before stop.
+func (d *Drain) begin() {
+	d.beganAt = time.Now()
+	d.draining.Store(true)
+}
+
+// TimeLeft returns the time in which a request must be complete, and false if that is not limited because no planned
+// stop has begun or the platform's time limit for it is not known.
+func (d *Drain) TimeLeft() (left time.Duration, limited bool) {
+	if !d.draining.Load() || d.stopGrace <= 0 {
+		return 0, false
+	}
+	return time.Until(d.beganAt.Add(d.stopGrace - killMargin)), true
+}
+
+// Draining reports whether a planned stop has begun. Requests are still accepted until drainDelay
 // has passed.
 func (d *Drain) Draining() bool { return d.draining.Load() }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -171,7 +171,7 @@
 
 func newForwardServer(
 	s settings.Settings, documents *config.Store, table *route.Table, client *service.Client, window *retry.Window,
-	endpoints *endpointList, m *telemetry.Metrics, log *logrus.Logger,
+	endpoints *endpointList, drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
 	server := &forward.Server{
@@ -186,7 +186,7 @@
 		Usable: table.Usable, CopyKVCache: kvCacheCopier(client), ReleaseKVCopy: kvCopyReleaser(client, log),
 		ObserveAttempt: streamObserver(table),
 		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
-		DaemonCount:      window.Daemons,
+		DaemonCount: window.Daemons, TimeLeft: drain.TimeLeft,
 		MaxBufferedBytes: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100,
 		Place:            s.Place, Metrics: m, Log: log,
 	}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -82,15 +82,19 @@
 	}})
 }
 
-// stop makes the daemon not ready, keeps serving for drainDelay, and then waits for the requests in flight and until no
-// connection can bring another one. A timeout of 0 waits without limit. When the timeout expires, stop closes the remaining connections and does not wait for
-// handlers that still run. Callers can resume their generations at another daemon; the idempotency record of a booking
-// in flight may stay without an outcome.
+// stop keeps serving until drainDelay has passed since begin, and then waits for the requests in flight and until no
+// connection can bring another one. A timeout of 0 waits without limit, except that of TimeLeft. When the time is over,
+// stop closes the remaining connections and does not wait for handlers that still run. Callers can resume their
+// generations at another daemon; the idempotency record of a booking in flight may stay without an outcome.
 func (d *Drain) stop(ctx context.Context, l *callerListener, timeout time.Duration, log *logrus.Logger) error {
-	d.draining.Store(true)
 	log.Info("draining")
+	if left, limited := d.TimeLeft(); limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
 	select {
-	case <-time.After(d.drainDelay):
+	case <-time.After(time.Until(d.beganAt.Add(d.drainDelay))):
 	case <-ctx.Done():
 	}
 	if timeout > 0 {
--- a/io/forward/error.go
+++ b/io/forward/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"radishhollow/core/failure"
@@ -16,6 +17,28 @@
 
 func (e NotReadyError) Outcome() failure.Outcome { return failure.NotRun }
 
+// DrainingError reports a request that would not be complete before the daemon stops.
+type DrainingError struct {
+	// Left is the time until the daemon stops.
+	Left time.Duration
+}
+
+func (e DrainingError) Error() string {
+	return fmt.Sprintf("the daemon stops in %s, before the request can be complete", e.Left)
+}
+
+func (e DrainingError) Code() string { return "draining" }
+
+func (e DrainingError) Outcome() failure.Outcome { return failure.NotRun }
+
+// RetryAfter returns a short random time, as another daemon can serve the request at once.
+func (e DrainingError) RetryAfter() time.Duration {
+	return drainingRetryAfter/2 + rand.N(drainingRetryAfter)
+}
+
+// drainingRetryAfter is the mean of DrainingError.RetryAfter.
+const drainingRetryAfter = 100 * time.Millisecond
+
 // NoRouteError reports a request that matches no route of the configuration.
 type NoRouteError struct{ Host, Path string }
 
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -64,6 +64,9 @@
 	// RefreshLoad queries the load of one of them.
 	LoadQueryCandidates func(criteria route.Criteria, n int) []string
 	RefreshLoad         func(ctx context.Context, address string)
+	// TimeLeft returns the time until the daemon stops, and false if no planned stop with a time limit has begun. It may
+	// be nil.
+	TimeLeft func() (left time.Duration, limited bool)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
 	// CopyKVCache copies the KV cache of a run from its engine to another one and returns the handle of the copy, which
@@ -94,6 +97,7 @@
 
 	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
+	durations     streamDurations
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
 	backgroundMu sync.Mutex
@@ -164,6 +168,9 @@
 	if err == nil {
 		err = s.reserveBody(q)
 	}
+	if err == nil {
+		err = s.checkTimeLeft(q)
+	}
 	if err == nil {
 		s.RecordRequest(q.service.Name)
 		if q.route.Kind == config.KindStream {
@@ -265,8 +272,7 @@
 func (s *Server) writeError(c *gin.Context, status int, err error) {
 	header := c.Writer.Header()
 	if status == http.StatusServiceUnavailable {
-		wait := meanRetryAfter/2 + rand.N(meanRetryAfter)
-		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter(err).Seconds(), 'f', 3, 64))
 	}
 	if code := failure.Of(err).Code(); code == "body-too-large" || code == "body-incomplete" {
 		// A connection cannot be reused while part of the request body on it is unread.
@@ -278,6 +284,19 @@
 	_, _ = io.WriteString(c.Writer, failure.Of(err).Code()+"\n")
 }
 
+// retryAfter returns the time after which the error tells the caller to retry. Without such a time it is that of an
+// endpoint's restart.
+func retryAfter(err error) time.Duration {
+	timed, ok := errors.AsType[interface {
+		error
+		RetryAfter() time.Duration
+	}](err)
+	if ok {
+		return timed.RetryAfter()
+	}
+	return meanRetryAfter/2 + rand.N(meanRetryAfter)
+}
+
 // observeRequest logs a request and updates its metrics.
 func (s *Server) observeRequest(q *request, status int, callerGone bool, err error) {
 	code := "ok"
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -126,6 +126,7 @@
 	}
 	q.cutFields = h.cutFields()
 	if err == nil {
+		s.durations.record(q.service.Name, time.Since(q.arrivedAt))
 		// A stream without events has not sent its header yet.
 		return h.sendHeader()
 	}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -59,6 +59,9 @@
 	// configuration must be in force, after the key-value service has accepted the change.
 	DrainBound  Duration `toml:"drain-bound"`
 	ConfigBound Duration `toml:"config-bound"`
+	// StopGrace is the time between SIGTERM and SIGKILL in a planned stop. A stopping daemon refuses requests that would
+	// not be complete by then. Zero means that there is no such limit.
+	StopGrace Duration `toml:"stop-grace"`
 	// MemoryMB is the memory of the instance in MiB. The Go heap and the buffered request bodies are limited to fixed
 	// shares of it.
 	MemoryMB int `toml:"memory-mb"`
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -74,6 +74,9 @@
 			c.addFault("forward."+key, fmt.Sprintf("%s is not between 1s and 1m", bound))
 		}
 	}
+	if f.StopGrace.Duration < 0 || f.StopGrace.Duration > time.Hour {
+		c.addFault("forward.stop-grace", fmt.Sprintf("%s is not between 0s and 1h", f.StopGrace))
+	}
 	if f.MemoryMB < minMemoryMB {
 		c.addFault("forward.memory-mb", fmt.Sprintf("%d is less than %d", f.MemoryMB, minMemoryMB))
 	}
