fix(daemon): accept connections while a stopping daemon runs anyway

What callers saw: refused connections at daemons that were stopping, when so many stop at once that the load balancer uses all daemons of a place whether they are ready or not.

Cause: the listener closed after the drain delay, although the daemon ran for seconds more for its requests in flight.

Change: with a known stop grace, connections are accepted until no request is in flight, or until shortly before the end.

--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -62,6 +62,12 @@
 	return c.closing
 }
 
+func (c *callerConn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince.IsZero()
+}
+
 // setIdle marks the connection as waiting for a request.
 func (c *callerConn) setIdle(used bool) {
 	c.mu.Lock()
--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -10,6 +10,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/clock"
 )
 
 const (
@@ -147,6 +149,26 @@
 	return l.server.Shutdown(ctx)
 }
 
+// serveWhileBusy keeps accepting connections until none has a request in flight or the timeout has passed.
+func (l *callerListener) serveWhileBusy(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for l.busy() && clock.Sleep(ctx, drainPollInterval) == nil {
+	}
+}
+
+// busy reports whether a connection has a request in flight.
+func (l *callerListener) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.busy() {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *callerListener) stopAccepting() {
 	l.mu.Lock()
 	l.acceptUntil = time.Now().Add(acceptQueueTimeout)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -82,7 +82,12 @@
 	}})
 }
 
-// stop keeps serving until drainDelay has passed since begin, and then waits for the requests in flight and until no
+// minAcceptTime is the time before the end of a planned stop at which new connections are no longer accepted. Their
+// requests would come too late to be served.
+const minAcceptTime = 1500 * time.Millisecond
+
+// stop keeps serving until drainDelay has passed since begin. With a time limit it also accepts connections for as long as
+// requests in flight keep the daemon running anyway, because the load balancer may have no other daemon. It then waits for the requests in flight and until no
 // connection can bring another one. A timeout of 0 waits without limit, except that of TimeLeft. When the time is over,
 // stop closes the remaining connections and does not wait for handlers that still run. Callers can resume their
 // generations at another daemon; the idempotency record of a booking in flight may stay without an outcome.
@@ -97,6 +102,9 @@
 	case <-time.After(time.Until(d.beganAt.Add(d.drainDelay))):
 	case <-ctx.Done():
 	}
+	if left, limited := d.TimeLeft(); limited {
+		l.serveWhileBusy(ctx, left-minAcceptTime)
+	}
 	if timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout)
