fix(generation): keep the stream of a silent engine until it can be moved

What callers saw: a started answer was cut, or ended with an error, though its engine was sound, had been silent for a second or so and would have gone on. It needed no configuration; a change of one is only when it was noticed.

Cause: the Driver closed the connection of an engine that was silent for 300 ms (400 ms to 800 ms between events, 600 ms before the first one if a probe failed), and looked for the next attempt only after that. Where none could follow - a route that is not resumable or has one attempt, attempts used up, an empty retry budget, no other endpoint - the answer was aborted. A stream that recovered from a loss ended at the wait bound in the same way.

Ruled out: the change of the configuration itself. A silence before the first event on an open, reachable connection was not affected (12 s timeout).

Change: silence is a reason to move a stream only if the move can be made. The retry is taken and the other endpoint is picked first (Driver.reserveMove); then the old stream is closed, and then the new one is opened, so that a stream never runs at two engines. Otherwise the stream is kept, and a move is tried again every 200 ms, until the connection ends, a move is possible or the request's deadline passes. A request without a deadline (interface "own") ends at its wait bound as before. A retry or an endpoint that was reserved and is not used is given back (ReturnRetry, now also in retry.Budgets). Pick no longer sets the choice of io/forward's stream, because it may be called for a move; the choice comes with generation.Start. While a stream is kept, one line "engine silent; stream kept" has the reason, and the circuit breaker counts one failure until the next event, so that an engine that has stopped with open connections still loses new requests.

The fake stream of the tests now returns a chunk that has arrived even if its context has ended, as package sse does.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -54,6 +54,9 @@
 	acceptedAttempt int           // attempt number that the engine of choice accepted, or may have; 0 if none
 	noEndpoint      bool          // the last pick found no endpoint although none was excluded
 	firstTimeout    time.Duration // timeout for the current stream's first chunk
+	charged         bool          // the current attempt took a retry from the retry budget
+	reserved        *move         // next attempt, reserved before the current one is given up
+	keptReported    bool          // EventKept has been reported for the current silence
 }
 
 // attachFromCursor attaches to the stream that the caller's cursor describes, and reads it. A failed attach counts as a
@@ -119,26 +122,26 @@
 
 // open picks endpoints until one accepts an attempt, or until a bound or the retry budget ends the search.
 func (r *driverCall) open(ctx context.Context) error {
-	ctx, cancel := r.withWaitBound(ctx)
+	boundCtx, cancel := r.withWaitBound(ctx)
 	defer cancel()
 	delay := minPickDelay
 	for {
 		if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
 			return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
 		}
-		choice, err := r.Pick(ctx, r.pickCriteria())
+		choice, err := r.pick(boundCtx)
 		r.noEndpoint = err != nil && len(r.exclude) == 0
 		if err == nil {
 			// route.Table.Pick returns no excluded endpoint. If another Pick does, the endpoint is tried only after the delay.
-			if r.exclude[choice.Address()] && clock.Sleep(ctx, delay) != nil {
+			if r.exclude[choice.Address()] && clock.Sleep(boundCtx, delay) != nil {
 				choice.Release()
-				return r.lastErrorOr(ctx.Err())
+				return r.lastErrorOr(boundCtx.Err())
 			}
 			r.hold(choice)
 			if !r.takeRetry() {
 				return r.newEngineLostError(RetryBudgetError{Attempt: r.Log.Attempt() + 1})
 			}
-			if err = r.startAttempt(ctx); err == nil {
+			if err = r.startAttempt(boundCtx); err == nil {
 				return nil
 			}
 			delay = min(2*delay, maxPickDelay)
@@ -146,17 +149,25 @@
 			if r.recordPickError(err) {
 				return r.newEngineLostError(r.lastErr)
 			}
-			if sleepErr := clock.Sleep(ctx, delay); sleepErr != nil {
+			if sleepErr := clock.Sleep(boundCtx, delay); sleepErr != nil {
 				return err
 			}
 			delay = min(2*delay, maxPickDelay)
 		}
-		if ctx.Err() != nil {
+		if boundCtx.Err() != nil {
 			return err
 		}
 	}
 }
 
+// pick returns the endpoint of the reserved move, or picks one if none is reserved.
+func (r *driverCall) pick(ctx context.Context) (route.Choice, error) {
+	if r.reserved != nil {
+		return r.reserved.choice, nil
+	}
+	return r.Pick(ctx, r.pickCriteria())
+}
+
 // recordPickError records that no endpoint was found and makes excluded endpoints eligible again. It reports whether
 // FirstPickBound has passed without an attempt that may have run.
 func (r *driverCall) recordPickError(err error) (boundPassed bool) {
@@ -167,15 +178,20 @@
 	return r.runs == 0 && r.FirstPickBound > 0 && time.Since(r.started) >= r.FirstPickBound
 }
 
-// takeRetry takes one retry from the retry budget. The first attempt and exempt resumes are not charged: a resume
-// after new output repeats no work but the prefill.
+// takeRetry takes one retry from the retry budget for the next attempt, unless the reserved move has one. The first
+// attempt and exempt resumes are not charged: a resume after new output repeats no work but the prefill.
 func (r *driverCall) takeRetry() bool {
-	if r.openCalls == 0 || r.TakeRetry == nil || r.isExempt() {
+	if r.reserved != nil {
+		r.charged, r.reserved = r.reserved.charged, nil
 		return true
 	}
-	return r.TakeRetry()
+	r.charged = r.isCharged() && r.TakeRetry()
+	return r.charged || !r.isCharged()
 }
 
+// isCharged reports whether the next attempt is charged to the retry budget.
+func (r *driverCall) isCharged() bool { return r.openCalls > 0 && r.TakeRetry != nil && !r.isExempt() }
+
 // isExempt reports whether the next resume is not charged to the retry budget.
 func (r *driverCall) isExempt() bool { return r.exemptNext && r.exemptUsed < r.exemptResumes() }
 
@@ -203,7 +219,7 @@
 	began := time.Now()
 	stream, err := r.Open(openCtx, r.choice.Address(), Start{
 		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
-		Sampling: sampling, Priority: priority,
+		Sampling: sampling, Priority: priority, Choice: r.choice,
 	})
 	if err != nil && failure.Of(err).Outcome() == failure.NotRun {
 		r.skipEndpoint(err)
@@ -270,7 +286,7 @@
 // useStream makes the stream of a new attempt the current one. Class is ClassFirst, ClassResume or ClassAttach.
 func (r *driverCall) useStream(stream Stream, class string) {
 	r.stream, r.mayHaveRun, r.awaitingFirst, r.acceptedAttempt = &stream, true, true, r.Log.Attempt()
-	r.firstTimeout = r.timeouts.FirstChunkTimeout()
+	r.firstTimeout, r.keptReported = r.timeouts.FirstChunkTimeout(), false
 	if class == ClassAttach {
 		// The engine of an attached stream has already done the prefill.
 		r.firstTimeout = r.timeouts.ChunkTimeout()
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -22,9 +22,16 @@
 )
 
 // Driver runs one generation to its end, over several attempts if engines fail. All functions but Attach, Cancel,
-// Health, Stalled, Queued, TakeRetry and Observe are required. It is not safe for concurrent use.
+// Health, Stalled, Queued, TakeRetry, ReturnRetry and Observe are required. It is not safe for concurrent use.
+//
+// A silent engine may be sound and go on, so its stream is given up only after the next attempt has been reserved: its
+// retry and another endpoint. If there is none, the stream is kept until its connection ends, a move becomes possible,
+// or the deadline of Run's context passes. Without such a deadline, the stream is kept up to WaitBound. The old stream
+// is closed before the new one is opened.
+//
+// While Open waits, Stalled is called from another goroutine.
 type Driver struct {
-	// Pick chooses the endpoint of the next attempt.
+	// Pick chooses the endpoint of the next attempt. Its choice may be released without an attempt.
 	Pick func(ctx context.Context, criteria route.Criteria) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream stays open until its Close.
 	Open func(ctx context.Context, address string, start Start) (Stream, error)
@@ -35,7 +42,7 @@
 	Cancel func(address, generation string, attempt int, after time.Duration)
 	// Deliver sends the next part of the output to the caller. An error means that the caller has disconnected.
 	Deliver func(part Chunk) error
-	// Observe is called from the goroutine of Run, before the Deliver of the same chunk.
+	// Observe is called before the Deliver of the same chunk.
 	Observe func(event Event)
 	// Health returns whether the endpoint runs, for example according to its load reports, and the factor by which it is
 	// slower than usual. If it is nil, no endpoint counts as running, and a lost stream is not attached to again.
@@ -43,14 +50,17 @@
 	// Stalled reports whether an endpoint has stopped responding, for example according to its load reports, other
 	// streams or a connection attempt, for which it may block. While a chunk is awaited, it is called every
 	// stallCheckInterval, after a silence of firstStallGrace before an attempt's first chunk, and of Timeouts.Floor later.
-	// A stream of a stalled endpoint is then given up, before its own timeout. While Open waits, Stalled is called from
-	// another goroutine. It is also called when Open has timed out, and while the request waits in the engine's queue.
+	// A stream of a stalled endpoint then counts as silent, before its own timeout. Stalled is also called while Open
+	// waits, and while the request waits in the engine's queue.
 	Stalled func(address string) bool
 	// Queued reports whether an endpoint has requests or prompts waiting, according to recent load reports.
 	Queued func(address string) bool
 	// TakeRetry takes one retry from the retry budget and reports false if none is left. If it is nil, retries are not
 	// limited.
 	TakeRetry func() bool
+	// ReturnRetry returns a retry to the retry budget that TakeRetry took for an attempt which is not made. It must be set
+	// if TakeRetry is, because a move from a silent engine may be reserved and returned many times.
+	ReturnRetry func()
 	// ExemptResumes is the number of resumes of a generation that are not charged to the retry budget. Zero means
 	// DefaultExemptResumes, a negative number none.
 	ExemptResumes int
@@ -68,8 +78,9 @@
 	// ResumePriority replaces Priority after a loss. It should be the lower number, which engines serve sooner.
 	ResumePriority int
 	Timeouts       Timeouts
-	// WaitBound bounds the caller's wait until the first stream is open, and its wait for the next token after a loss.
-	// Zero means DefaultWaitBound.
+	// WaitBound bounds the caller's wait until the first stream is open, and its wait for the next token after a loss. In
+	// a request with a deadline, only the deadline bounds the wait for a silent engine whose stream is open. Zero means
+	// DefaultWaitBound.
 	WaitBound time.Duration
 	// QueueWaitBound bounds the wait for the first token of a request in an engine's queue while no attempt has failed.
 	// Zero means DefaultQueueWaitBound.
@@ -90,6 +101,7 @@
 	now := time.Now()
 	r := &driverCall{Driver: d, started: now, lastDelivery: now, exclude: map[string]bool{}, timeouts: d.Timeouts}
 	defer r.release()
+	defer r.returnMove()
 	if d.AttachTo.Address() != "" {
 		if err := r.attachFromCursor(ctx); err != nil {
 			return err
--- a/core/generation/event.go
+++ b/core/generation/event.go
@@ -20,6 +20,10 @@
 	// EventRefused reports an attempt whose Open failed with outcome not-run: the endpoint refused it without running it,
 	// or could not be reached.
 	EventRefused EventKind = "refused"
+	// EventKept reports a silent engine whose stream is kept because the generation cannot continue elsewhere. It is
+	// reported once for each silence. Class is the reason, one of the Reason constants. Wait is the time since the last
+	// delivery or the start of Run. Cause is a SilenceError.
+	EventKept EventKind = "kept"
 	// EventDropped reports received output that was not delivered. Class is duplicate or crossed.
 	EventDropped EventKind = "dropped"
 )
@@ -48,5 +52,7 @@
 	// Tokens is the number of prompt ids sent for EventAttempt, of dropped ids for EventDropped, and of delivered ids for
 	// other kinds with a chunk.
 	Tokens int
-	Cause  error
+	// Charged reports for EventRefused whether the attempt took a retry from the retry budget.
+	Charged bool
+	Cause   error
 }
--- a/core/generation/fake_test.go
+++ b/core/generation/fake_test.go
@@ -72,6 +72,11 @@
 			if due.IsZero() {
 				due = time.Now().Add(s.wait)
 			}
+			if !s.hang && !time.Now().Before(due) {
+				// As in package sse, a chunk that has arrived is returned even if ctx has ended.
+				due, steps = time.Time{}, steps[1:]
+				return s.chunk, s.err
+			}
 			timer := time.NewTimer(time.Until(due))
 			defer timer.Stop()
 			ready := timer.C
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -56,7 +56,7 @@
 
 // checkWaitBound returns an error if the caller's wait bound has passed since the last delivery.
 func (r *driverCall) checkWaitBound(cause error) error {
-	if time.Since(r.lastDelivery) < r.waitBeforeError() || r.Log.Finish() != NotFinished || r.reachedMaxTokens() {
+	if !r.callerWaitExceeded() || r.Log.Finish() != NotFinished || r.reachedMaxTokens() {
 		return nil
 	}
 	return WaitExceededError{Bound: r.waitBeforeError(), Offset: r.Log.Len(), Result: r.outcome(), Cause: cause}
@@ -69,9 +69,20 @@
 	return ClassConnection
 }
 
-// nextChunk waits for a chunk until the stream's timeout, counted from the last accepted chunk so that duplicates do
-// not extend it. It waits longer for an engine whose load reports explain the delay.
+// nextChunk waits for a chunk. It returns a SilenceError only if the engine is silent and the generation can continue
+// elsewhere or may not wait longer.
 func (r *driverCall) nextChunk(ctx context.Context, lastAccepted time.Time) (Chunk, error) {
+	chunk, err := r.awaitChunk(ctx, lastAccepted)
+	silence, silent := errors.AsType[SilenceError](err)
+	if !silent || ctx.Err() != nil {
+		return chunk, err
+	}
+	return r.moveOrWait(ctx, silence)
+}
+
+// awaitChunk waits for a chunk until the stream's timeout, counted from the last accepted chunk so that duplicates do
+// not extend it. It waits longer for an engine whose load reports explain the delay.
+func (r *driverCall) awaitChunk(ctx context.Context, lastAccepted time.Time) (Chunk, error) {
 	timeout := r.chunkTimeout()
 	chunk, timedOut, err := r.waitUnlessStalled(ctx, lastAccepted, timeout)
 	if !timedOut {
@@ -130,8 +141,11 @@
 }
 
 // waitBoundPassed reports whether a recovery has used up the caller's wait bound. waitForChunk then waits no longer.
-func (r *driverCall) waitBoundPassed() bool {
-	return r.recovering && time.Since(r.lastDelivery) >= r.waitBeforeError()
+func (r *driverCall) waitBoundPassed() bool { return r.recovering && r.callerWaitExceeded() }
+
+// callerWaitExceeded reports whether the caller has waited for the wait bound.
+func (r *driverCall) callerWaitExceeded() bool {
+	return time.Since(r.lastDelivery) >= r.waitBeforeError()
 }
 
 // stallGrace returns the silence after which the stream of a stalled engine is given up.
@@ -212,7 +226,7 @@
 	if !r.recovering || event.Kind == EventFirst {
 		r.observe(event)
 	}
-	r.recovering, r.awaitingFirst, r.exemptNext, r.lastErr = false, false, true, nil
+	r.recovering, r.awaitingFirst, r.exemptNext, r.lastErr, r.keptReported = false, false, true, nil, false
 	clear(r.exclude)
 	err := r.Deliver(part)
 	r.lastDelivery = time.Now()
@@ -270,6 +284,7 @@
 	r.exclude[r.choice.Address()] = true
 	r.observe(Event{
 		Kind: EventRefused, Address: r.choice.Address(), Incarnation: r.choice.Incarnation(), Attempt: r.Log.Attempt(), Cause: err,
+		Charged: r.charged,
 	})
 	r.release()
 }
--- /dev/null
+++ b/core/generation/silence_test.go
@@ -0,0 +1,133 @@
+package generation_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/generation"
+)
+
+const (
+	silenceEvents = 9
+	// requestTime is the time limit of the requests of these tests, well above the silences and the wait bound.
+	requestTime = 20 * time.Second
+)
+
+// silentSteps returns the steps of an attempt that is silent for the given time before the event with this id and then
+// goes on to the end.
+func silentSteps(attempt, first, silentBefore int, silence time.Duration) []step {
+	steps := eventSteps(attempt, first, silenceEvents, silenceEvents)
+	steps[silentBefore-first].wait = silence
+	return steps
+}
+
+// noMove is a reason for which a stream cannot be moved to another engine. Its function changes a Driver and the
+// fixture so that the reason applies from the attempt with the given number on.
+type noMove struct {
+	name  string
+	apply func(d *generation.Driver, f *fixture, attempt int)
+}
+
+func noMoves() []noMove {
+	return []noMove{
+		{name: "attempts used up", apply: func(d *generation.Driver, _ *fixture, attempt int) { d.MaxRuns = attempt }},
+		{name: "retry budget empty", apply: func(d *generation.Driver, _ *fixture, attempt int) {
+			left := attempt - 1
+			d.TakeRetry = func() bool { left--; return left >= 0 }
+		}},
+		{name: "no other endpoint", apply: func(_ *generation.Driver, f *fixture, attempt int) {
+			if attempt == 1 {
+				f.endpoints = f.endpoints[:1]
+				return
+			}
+			open := f.open
+			f.open = func(address string, start generation.Start) ([]step, error) {
+				if start.Attempt == attempt {
+					f.endpoints = []string{address}
+				}
+				return open(address, start)
+			}
+		}},
+	}
+}
+
+// forwardDriver returns an eventDriver whose timeouts and wait bound are as short as those of the forwarding server.
+func forwardDriver(f *fixture) (d *generation.Driver, got func() string) {
+	d, got = eventDriver(f, 0)
+	d.Timeouts = generation.Timeouts{Floor: 300 * time.Millisecond, Ceiling: 400 * time.Millisecond, First: 12 * time.Second}
+	d.WaitBound = 2 * time.Second
+	return d, got
+}
+
+// runUntil runs the Driver with a time limit for the request.
+func runUntil(t *testing.T, d *generation.Driver, limit time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	return d.Run(ctx)
+}
+
+// Guards against a response that is cut because a sound engine was silent for a while, although no other engine could
+// continue the stream.
+func TestSilentEngineIsKept(t *testing.T) {
+	for _, reason := range noMoves() {
+		for _, tt := range []struct {
+			name    string
+			before  int // the event before which the engine is silent
+			silence time.Duration
+			stalled bool
+		}{
+			{name: "between events", before: 5, silence: 1500 * time.Millisecond},
+			{name: "between events, beyond the wait bound", before: 5, silence: 3 * time.Second},
+			{name: "between events, stalled", before: 5, silence: 1500 * time.Millisecond, stalled: true},
+			{name: "before the first event, stalled", before: 1, silence: 1500 * time.Millisecond, stalled: true},
+			{name: "before the first event, beyond its timeout", before: 1, silence: 13 * time.Second},
+		} {
+			t.Run(reason.name+"/"+tt.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := &fixture{endpoints: []string{"a", "b"}}
+					f.open = func(_ string, start generation.Start) ([]step, error) {
+						return silentSteps(start.Attempt, start.Offset+1, max(tt.before, start.Offset+1), tt.silence), nil
+					}
+					d, got := forwardDriver(f)
+					d.Stalled = func(string) bool { return tt.stalled }
+					reason.apply(d, f, 1)
+					require.NoError(t, runUntil(t, d, requestTime))
+					require.Equal(t, eventLines(1, silenceEvents), got())
+					require.Len(t, f.starts, 1)
+					require.Zero(t, f.count(generation.EventLoss, ""))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a resumed stream that is cut because its second engine is silent, before or after its first event.
+func TestSilentEngineIsKeptAfterResume(t *testing.T) {
+	for _, reason := range noMoves() {
+		for name, before := range map[string]int{"while recovering": 5, "after new output": 7} {
+			t.Run(reason.name+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := &fixture{endpoints: []string{"a", "b", "c"}}
+					f.open = func(_ string, start generation.Start) ([]step, error) {
+						if start.Attempt == 1 {
+							return append(eventSteps(1, 1, 4, silenceEvents), step{err: io.ErrUnexpectedEOF}), nil
+						}
+						return silentSteps(start.Attempt, start.Offset+1, before, 2500*time.Millisecond), nil
+					}
+					d, got := forwardDriver(f)
+					reason.apply(d, f, 2)
+					require.NoError(t, runUntil(t, d, requestTime))
+					require.Equal(t, eventLines(1, silenceEvents), got())
+					require.Len(t, f.starts, 2)
+					require.Zero(t, f.count(generation.EventLoss, generation.ClassSilence))
+				})
+			})
+		}
+	}
+}
--- a/core/generation/start.go
+++ b/core/generation/start.go
@@ -1,6 +1,10 @@
 package generation
 
-import "context"
+import (
+	"context"
+
+	"radishhollow/core/route"
+)
 
 // Sampling holds the sampling parameters and limits of a request. MaxTokens 0 means no limit.
 type Sampling struct {
@@ -24,12 +28,14 @@
 	Sampling Sampling
 	// Priority orders the engine's queue. A lower number is served sooner.
 	Priority int
+	// Choice is the endpoint that Pick returned for the attempt.
+	Choice route.Choice
 }
 
 // Stream is one attempt's open connection to an engine. Its functions must not be called concurrently.
 type Stream struct {
-	// Next returns the next chunk, or io.EOF at the regular end of the response. It may be called again after its context
-	// has ended; no chunk is lost then.
+	// Next returns the next chunk, or io.EOF at the regular end of the response. A chunk that has already arrived is
+	// returned even if the context has ended. Next may be called again after that; no chunk is lost.
 	Next func(ctx context.Context) (Chunk, error)
 	// Close ends the connection and waits for its goroutine. The engine keeps the stream running for its detach hold, the
 	// time that it waits for another connection to attach.
--- a/core/retry/budgets.go
+++ b/core/retry/budgets.go
@@ -51,6 +51,14 @@
 	return true
 }
 
+// ReturnRetry gives back a retry that TakeRetry took for an attempt which was not made.
+func (b *Budgets) ReturnRetry(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bkt := b.bucket(key, time.Now())
+	bkt.tokens = min(bkt.tokens+1, b.Burst)
+}
+
 // RecordRequest adds Ratio retries for one request to the key's budget.
 func (b *Budgets) RecordRequest(key string) {
 	b.mu.Lock()
--- a/core/retry/budgets_test.go
+++ b/core/retry/budgets_test.go
@@ -27,6 +27,8 @@
 		}
 		require.Equal(t, 2, take("a"))
 		require.Equal(t, 2, take("b"))
+		b.ReturnRetry("b")
+		require.Equal(t, 1, take("b"), "a retry that was not used is given back")
 		time.Sleep(time.Minute)
 		require.Equal(t, 3, take("a"), "the bucket is bounded by Burst")
 	})
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -175,6 +175,7 @@
 		ObserveAttempt: d.observeResult,
 		ObserveSilence: d.SpuriousFailovers.Add,
 		TakeRetry:      d.Budgets.TakeRetry,
+		ReturnRetry:    d.Budgets.ReturnRetry,
 		Ready:          d.Drain.Ready,
 		Closing:        d.Drain.Closing,
 		Services:       services.Handle,
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -175,6 +175,7 @@
 	return &generation.Driver{
 		Pick: s.Pick, Open: s.Open, Attach: s.Attach, Cancel: s.Cancel, Health: s.Health, Stalled: s.Stalled,
 		TakeRetry:      func() bool { return s.TakeRetry == nil || s.TakeRetry(workspace.Name) },
+		ReturnRetry:    func() { s.returnRetry(workspace.Name) },
 		Log:            log,
 		Model:          r.modelName(),
 		Criteria:       s.criteria(r, workspace),
@@ -190,6 +191,12 @@
 	}
 }
 
+func (s *Server) returnRetry(workspace string) {
+	if s.ReturnRetry != nil {
+		s.ReturnRetry(workspace)
+	}
+}
+
 // timeouts returns Server.Timeouts or, if it is zero, the timeouts for the current resume-preference of the sheet.
 func (s *Server) timeouts() generation.Timeouts {
 	if !s.Timeouts.IsZero() {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -74,6 +74,8 @@
 	ObserveSilence func(address, incarnation string)
 	// TakeRetry takes one retry from the workspace's retry budget. If it is nil, retries are not limited.
 	TakeRetry func(workspace string) bool
+	// ReturnRetry returns a retry that was taken for an attempt which is not made. It must be set if TakeRetry is.
+	ReturnRetry func(workspace string)
 	// Queued, QueueWaitBound and ExemptResumes are those of generation.Driver; Queued may be nil.
 	Queued         func(address string) bool
 	QueueWaitBound time.Duration
--- a/io/forward/kv_copy.go
+++ b/io/forward/kv_copy.go
@@ -81,6 +81,8 @@
 		},
 	}
 	r.ctx, r.cancel = context.WithCancel(h.ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.replicator = r
 }
 
--- /dev/null
+++ b/io/forward/observe.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/generation"
+	"radishhollow/io/service"
+	"radishhollow/io/telemetry"
+)
+
+// observe passes the progress of the attempts to the routing table, the metrics and the log.
+func (h *streamHandler) observe(event generation.Event) {
+	m, name := h.server.Metrics, h.request.workspace.Name
+	switch event.Kind {
+	case generation.EventAttempt:
+		h.openedStreams++
+		m.Count(telemetry.Attempts, event.Class)
+	case generation.EventFirst:
+		h.firstEventWait = event.Wait
+		m.Observe(telemetry.TimeToFirstToken, name, event.Wait)
+		h.choice.PrefillDone()
+	case generation.EventGap:
+		h.longestPause = max(h.longestPause, event.Wait)
+		m.Observe(telemetry.TokenGap, name, event.Wait)
+	case generation.EventResumed:
+		if h.headerSent {
+			h.longestPause = max(h.longestPause, event.Wait)
+		}
+		m.Observe(telemetry.ResumeLatency, name, event.Wait)
+		h.log("stream resumed", logrus.Fields{
+			"endpoint": h.choice.Incarnation(), "wait-ms": event.Wait.Milliseconds(),
+		}, nil)
+		h.choice.PrefillDone()
+	case generation.EventRefused:
+		h.running = false
+		h.returnRetry(event)
+		h.log("stream refused", logrus.Fields{"endpoint": h.choice.Incarnation()}, event.Cause)
+	case generation.EventKept:
+		h.recordKept(event)
+	case generation.EventLoss:
+		m.Count(telemetry.EngineLosses, event.Class)
+		h.running, h.lostPlace = false, h.choice.Place()
+		if event.Class == generation.ClassSilence {
+			h.server.silenceTimes.record(h.lostPlace)
+		}
+		// The copy of the lost run is kept for the next one.
+		h.stopReplicator()
+		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
+	}
+	h.reportResult(event)
+}
+
+// recordKept logs that the stream of a silent engine is kept. A slow first event is no sign that the engines of its place
+// have failed.
+func (h *streamHandler) recordKept(event generation.Event) {
+	if event.Class != generation.ReasonWaitBound {
+		h.server.silenceTimes.record(h.currentChoice().Place())
+	}
+	h.log("engine silent; stream kept", logrus.Fields{
+		"endpoint": event.Incarnation, "reason": event.Class, "idle-ms": event.Wait.Milliseconds(),
+	}, nil)
+}
+
+// returnRetry returns the retry of a refused attempt to the budget if no byte of the request was written.
+func (h *streamHandler) returnRetry(refusal generation.Event) {
+	sent, failed := errors.AsType[service.SendError](refusal.Cause)
+	if refusal.Charged && failed && !sent.Written {
+		h.server.ReturnRetry(h.request.service.Name)
+	}
+}
+
+// reportResult reports the result of each attempt, also that of a silent engine whose stream is kept, so that other
+// requests avoid an engine that has failed without closing its connections. If it goes on, that is a new result.
+func (h *streamHandler) reportResult(event generation.Event) {
+	if h.server.ObserveAttempt == nil {
+		return
+	}
+	reported := h.silenceReported
+	switch event.Kind {
+	case generation.EventFirst, generation.EventResumed:
+		h.server.ObserveAttempt(h.choice, nil)
+	case generation.EventGap:
+		if reported {
+			h.server.ObserveAttempt(h.choice, nil)
+		}
+	case generation.EventKept:
+		h.server.ObserveAttempt(h.currentChoice(), event.Cause)
+	case generation.EventLoss:
+		if !reported {
+			h.server.ObserveAttempt(h.choice, event.Cause)
+		}
+	case generation.EventRefused:
+		h.server.ObserveAttempt(h.choice, event.Cause)
+	case generation.EventAttempt, generation.EventDropped:
+		return
+	}
+	h.silenceReported = event.Kind == generation.EventKept
+}
+
+func (h *streamHandler) log(message string, fields logrus.Fields, err error) {
+	entry := h.server.Log.WithField("request", h.request.id).WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info(message)
+}
--- a/io/forward/replicator.go
+++ b/io/forward/replicator.go
@@ -163,6 +163,16 @@
 	return r.resumeCopy
 }
 
+// resumable returns the copy that stop would return now.
+func (r *replicator) resumable() kvCopy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.reference == "" {
+		return kvCopy{}
+	}
+	return r.current
+}
+
 // releaseUnused frees a moved copy that stop has not offered to the next run. A copy that was offered is not freed
 // here; if the next run does not use it, it expires.
 func (r *replicator) releaseUnused() {
--- /dev/null
+++ b/io/forward/run_state_test.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/generation"
+	"radishhollow/core/route"
+	"radishhollow/io/telemetry"
+)
+
+// Guards against a move from a silent engine that is reserved without the copy of its run, or at the same place.
+func TestResumeTargetOfARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		copyAt := func(address string) kvCopy {
+			return kvCopy{holder: route.NewChoice(address, "1", "q", nil), reference: address + "/r"}
+		}
+		h := &streamHandler{lostPlace: "lost", resumeCopy: copyAt("b")}
+		place, from := h.resumeTarget()
+		require.Equal(t, []string{"lost", "b/r"}, []string{place, from.reference}, "no run")
+
+		h.setChoice(route.NewChoice("a", "1", "p", nil))
+		h.startRun(copyAt("c"))
+		place, from = h.resumeTarget()
+		require.Equal(t, []string{"p", "b/r"}, []string{place, from.reference}, "the first copy holds nothing yet")
+
+		time.Sleep(minCopyAge)
+		_, from = h.resumeTarget()
+		require.Equal(t, "c/r", from.reference)
+
+		h.replicator = &replicator{current: copyAt("d")}
+		_, from = h.resumeTarget()
+		require.Equal(t, "d/r", from.reference, "the replicator may have moved the copy")
+	})
+}
+
+// Guards against an engine that has stopped without closing its connections and gets new requests, because its silent
+// streams are kept, and against one that counts as failed twice or although it goes on.
+func TestKeptSilenceIsReported(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var results []string
+	h := &streamHandler{
+		server: &Server{Log: log, Metrics: telemetry.New(), ObserveAttempt: func(_ route.Choice, err error) {
+			result := "ok"
+			if err != nil {
+				result = err.Error()
+			}
+			results = append(results, result)
+		}},
+		request: &request{id: "r"},
+	}
+	kept := generation.Event{Kind: generation.EventKept, Cause: generation.RetryBudgetError{}}
+	lost := generation.Event{Kind: generation.EventLoss, Cause: io.ErrUnexpectedEOF}
+	gap := generation.Event{Kind: generation.EventGap}
+	h.setChoice(route.NewChoice("a", "1", "p", nil))
+	for _, event := range []generation.Event{gap, kept, gap, gap, kept, lost, lost} {
+		h.observe(event)
+	}
+	failed := kept.Cause.Error()
+	require.Equal(t, []string{failed, "ok", failed, io.ErrUnexpectedEOF.Error()}, results)
+	require.True(t, h.server.silenceTimes.occurredAfter("p", time.Time{}))
+}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -17,9 +17,7 @@
 	"radishhollow/core/generation"
 	"radishhollow/core/guard"
 	"radishhollow/core/route"
-	"radishhollow/io/service"
 	"radishhollow/io/sse"
-	"radishhollow/io/telemetry"
 )
 
 const (
@@ -44,7 +42,7 @@
 )
 
 // silenceTimeouts declare a silent engine lost early enough for the stream to resume within 700 ms, the usual
-// objective for the gap between two events. Before the first event, First is long because the prefill may take
+// objective for the gap between two events, if it can. Before the first event, First is long because the prefill may take
 // seconds; until then only a broken connection or an unresponsive host indicates a loss. A reachable engine has up to
 // reachableSlowdown times as long, as far as Driver.WaitBound allows.
 var silenceTimeouts = generation.Timeouts{
@@ -53,8 +51,8 @@
 
 // streamHandler serves one streaming request with the events of one or more engines, and resumes the stream at another
 // engine after a loss. A run is the execution of one attempt at an engine. All methods are called from the goroutine
-// that serves the request, except stalled, which the Driver also calls from another goroutine while open waits, and
-// pickCopyHolder, which the replicator calls from its own.
+// that serves the request, except pickCopyHolder, which the replicator calls from its own, and those that the Driver
+// also calls from another goroutine while open waits: pick, stalled and observe for EventKept.
 type streamHandler struct {
 	server     *Server
 	c          *gin.Context
@@ -62,17 +60,25 @@
 	request    *request
 	// ctx ends with the request.
 	ctx context.Context
-	// choice is the endpoint of the current attempt.
+	// lostPlace is the place of the engine that was lost last. While it is empty, no engine has been lost, and the next
+	// attempt is not a resume.
+	lostPlace string
+
+	// mu protects the fields below where pick or stalled may read them at the same time, in a call from another goroutine
+	// while open waits.
+	mu sync.Mutex
+	// choice is the endpoint of the current attempt. Pick may already have reserved that of the next one.
 	choice route.Choice
+	// running reports whether the current attempt has been sent and neither lost nor refused.
+	running bool
+	// sentAt is the time at which the current attempt was sent, and firstCopy the copy that its engine sends by itself.
+	sentAt    time.Time
+	firstCopy kvCopy
 	// replicator maintains the copy of the current run's KV cache. It is nil where the run has no copy.
 	replicator *replicator
 	// resumeCopy is the copy that the last run left, from which the next one can resume.
 	resumeCopy kvCopy
-	// lostPlace is the place of the engine that was lost last. While it is empty, no engine has been lost, and the next
-	// attempt is not a resume.
-	lostPlace string
-	// sentAt is the time at which the current attempt was sent.
-	sentAt time.Time
+
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
@@ -88,8 +94,8 @@
 	deliveredAt     time.Time
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
-	// retryTaken reports whether the current attempt took a retry from the retry budget.
-	retryTaken bool
+	// silenceReported reports whether the current silence of the engine has been passed to ObserveAttempt.
+	silenceReported bool
 }
 
 // serveStream forwards a request whose response is a stream of events, which are passed on as they arrive.
@@ -109,7 +115,8 @@
 	}
 	d := &generation.Driver{
 		Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
-		TakeRetry: h.takeRetry,
+		TakeRetry:   func() bool { return s.TakeRetry(q.service.Name) },
+		ReturnRetry: func() { s.ReturnRetry(q.service.Name) },
 		// No resume is exempt, so each takes a retry from the service's budget.
 		ExemptResumes: -1, MaxRuns: maxRuns, FirstPickBound: q.route.Target() * firstPickPercent / 100,
 		Log: generation.NewEventLog(q.id, q.lastEventID), Criteria: s.criteria(q), Timeouts: silenceTimeouts,
@@ -135,20 +142,17 @@
 	return err
 }
 
-// pick prefers the engine that holds a copy of the run's KV cache, and avoids the place of the last lost engine,
-// because engines of one place fail together.
+// pick prefers the engine that holds a copy of the run's KV cache, and avoids the place of the last lost engine, or of
+// the one that the stream is to leave, because engines of one place fail together.
 func (h *streamHandler) pick(ctx context.Context, criteria route.Criteria) (route.Choice, error) {
-	criteria.AvoidPlace, criteria.PreferredAddress = h.lostPlace, h.resumeCopy.holder.Address()
+	avoidPlace, resumeCopy := h.resumeTarget()
+	criteria.AvoidPlace, criteria.PreferredAddress = avoidPlace, resumeCopy.holder.Address()
 	criteria.Spec, criteria.Prompt = "", nil
-	criteria.Reconnected = h.lostPlace == "" && h.request.lastEventID > 0
+	criteria.Reconnected = avoidPlace == "" && h.request.lastEventID > 0
 	if criteria.PreferredAddress == "" {
 		criteria.QueriedAddresses = h.refreshLoads(ctx, criteria)
 	}
-	choice, err := h.server.Pick(ctx, criteria)
-	if err == nil {
-		h.choice = choice
-	}
-	return choice, err
+	return h.server.Pick(ctx, criteria)
 }
 
 // refreshLoads queries a few engines for their load, because a daemon does not see the prompts that other daemons send.
@@ -177,12 +181,13 @@
 	f := h.server.Format
 	r := h.request.endpointRequest()
 	r.Header = r.Header.Clone()
+	h.setChoice(start.Choice)
 	f.setAttemptHeaders(r.Header, h.choice, h.request.deadline)
 	if start.Offset > 0 {
 		r.Header.Set(f.LastEventID, strconv.Itoa(start.Offset))
 	}
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
-	h.sentAt = time.Now()
+	h.startRun(nextCopy)
 	h.probeLimiter.reset()
 	response, cancel, err := h.server.Open(ctx, address, r)
 	fields := h.server.choiceFields(h.choice)
@@ -192,12 +197,12 @@
 	h.log("stream sent", fields, err)
 	if r.Header.Get(f.ResumeFrom) != "" {
 		// A copy can be resumed from only once. It is dropped after each attempt that carried it, even if that failed.
-		h.resumeCopy = kvCopy{}
+		h.setResumeCopy(kvCopy{})
 	}
 	if err != nil {
 		// If the engine ran the request, it may already have sent a part of the copy.
 		if failure.Of(err).Outcome() != failure.NotRun && time.Since(h.sentAt) >= minCopyAge {
-			h.resumeCopy = nextCopy
+			h.setResumeCopy(nextCopy)
 		}
 		return generation.Stream{}, err
 	}
@@ -241,7 +246,7 @@
 // for the floor of silenceTimeouts. The engine is probed soon after an engine of its place has gone silent, and
 // otherwise once per probeInterval.
 func (h *streamHandler) stalled(address string) bool {
-	if !h.probeLimiter.due(&h.server.silenceTimes, h.choice.Place()) {
+	if !h.probeLimiter.due(&h.server.silenceTimes, h.currentChoice().Place()) {
 		return false
 	}
 	for range connectAttemptsPerProbe {
@@ -302,76 +307,3 @@
 	}
 	return fields
 }
-
-// observe passes the progress of the attempts to the routing table, the metrics and the log.
-func (h *streamHandler) observe(event generation.Event) {
-	m, name := h.server.Metrics, h.request.workspace.Name
-	switch event.Kind {
-	case generation.EventAttempt:
-		h.openedStreams++
-		m.Count(telemetry.Attempts, event.Class)
-	case generation.EventFirst:
-		h.firstEventWait = event.Wait
-		m.Observe(telemetry.TimeToFirstToken, name, event.Wait)
-		h.choice.PrefillDone()
-	case generation.EventGap:
-		h.longestPause = max(h.longestPause, event.Wait)
-		m.Observe(telemetry.TokenGap, name, event.Wait)
-	case generation.EventResumed:
-		if h.headerSent {
-			h.longestPause = max(h.longestPause, event.Wait)
-		}
-		m.Observe(telemetry.ResumeLatency, name, event.Wait)
-		h.log("stream resumed", logrus.Fields{
-			"endpoint": h.choice.Incarnation(), "wait-ms": event.Wait.Milliseconds(),
-		}, nil)
-		h.choice.PrefillDone()
-	case generation.EventRefused:
-		h.returnRetry(event.Cause)
-		h.log("stream refused", logrus.Fields{"endpoint": h.choice.Incarnation()}, event.Cause)
-	case generation.EventLoss:
-		m.Count(telemetry.EngineLosses, event.Class)
-		h.lostPlace = h.choice.Place()
-		if event.Class == generation.ClassSilence {
-			h.server.silenceTimes.record(h.lostPlace)
-		}
-		// The copy of the lost run is kept for the next one.
-		h.stopReplicator()
-		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
-	}
-	h.reportResult(event)
-}
-
-func (h *streamHandler) takeRetry() bool {
-	h.retryTaken = h.server.TakeRetry(h.request.service.Name)
-	return h.retryTaken
-}
-
-// returnRetry returns the current attempt's retry to the budget if no byte of the request was written.
-func (h *streamHandler) returnRetry(err error) {
-	sent, failed := errors.AsType[service.SendError](err)
-	if h.retryTaken && failed && !sent.Written {
-		h.server.ReturnRetry(h.request.service.Name)
-	}
-	h.retryTaken = false
-}
-
-func (h *streamHandler) reportResult(event generation.Event) {
-	if h.server.ObserveAttempt == nil {
-		return
-	}
-	switch event.Kind {
-	case generation.EventFirst, generation.EventResumed:
-		h.server.ObserveAttempt(h.choice, nil)
-	case generation.EventLoss, generation.EventRefused:
-		h.server.ObserveAttempt(h.choice, event.Cause)
-	}
-}
-
-func (h *streamHandler) log(message string, fields logrus.Fields, err error) {
-	entry := h.server.Log.WithField("request", h.request.id).WithFields(fields)
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info(message)
-}
