fix(generation): wait for the header of a silent engine until a move is reserved

What callers saw: a 502 before the first event, sooner than necessary, though the engine was sound and would have sent its header. On a route that is not resumable, or with no retry or no other engine left, nothing was won by that.

Cause: the Open of an attempt was canceled when a probe failed, at the timeout of the first event and at the wait bound (2 s, or more with the route's objectives), whether or not another attempt could follow.

Change: the goroutine that watches Open cancels it only after it has reserved a move. The wait bound counts as a silence, and no longer ends the Open of a request with a deadline; without one (interface "own") it does, as before. A host that is dead still ends the connection by TCP's keep-alive. A panic in that goroutine ends only the attempt; it ended the process before. Whether an attempt that was refused took a retry comes with the event (Event.Charged), because a move may be reserved meanwhile.

New: TestSilentEngineIsLeftOnceAMoveIsPossible/not_opened, TestRefusedAttemptReportsItsRetry, TestPanicWhileOpeningEndsTheAttempt.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -54,6 +54,7 @@
 	acceptedAttempt int           // attempt number that the engine of choice accepted, or may have; 0 if none
 	noEndpoint      bool          // the last pick found no endpoint although none was excluded
 	firstTimeout    time.Duration // timeout for the current stream's first chunk
+	opening         bool          // Open waits for the current attempt
 	charged         bool          // the current attempt took a retry from the retry budget
 	reserved        *move         // next attempt, reserved before the current one is given up
 	keptReported    bool          // EventKept has been reported for the current silence
@@ -141,7 +142,7 @@
 			if !r.takeRetry() {
 				return r.newEngineLostError(RetryBudgetError{Attempt: r.Log.Attempt() + 1})
 			}
-			if err = r.startAttempt(boundCtx); err == nil {
+			if err = r.startAttempt(ctx); err == nil {
 				return nil
 			}
 			delay = min(2*delay, maxPickDelay)
@@ -192,8 +193,11 @@
 // isCharged reports whether the next attempt is charged to the retry budget.
 func (r *driverCall) isCharged() bool { return r.openCalls > 0 && r.TakeRetry != nil && !r.isExempt() }
 
-// isExempt reports whether the next resume is not charged to the retry budget.
-func (r *driverCall) isExempt() bool { return r.exemptNext && r.exemptUsed < r.exemptResumes() }
+// isExempt reports whether the next resume is not charged to the retry budget. No resume is exempt that replaces an
+// attempt without output.
+func (r *driverCall) isExempt() bool {
+	return !r.opening && r.exemptNext && r.exemptUsed < r.exemptResumes()
+}
 
 // withWaitBound limits the context to what is left of the caller's wait bound.
 func (r *driverCall) withWaitBound(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -202,87 +206,6 @@
 	)
 }
 
-// startAttempt opens an attempt on the picked endpoint.
-func (r *driverCall) startAttempt(ctx context.Context) error {
-	l := r.Log
-	priority, class := r.Priority, ClassFirst
-	if r.resumed {
-		priority, class = r.ResumePriority, ClassResume
-	}
-	sampling := r.Sampling
-	sampling.MaxTokens = r.remainingTokens()
-	r.openCalls++
-	attempt, exempt := l.NextAttempt(), r.isExempt()
-	openCtx, cancel := context.WithTimeout(ctx, r.timeouts.FirstChunkTimeout())
-	defer cancel()
-	defer r.watchForStall(openCtx, cancel)()
-	began := time.Now()
-	stream, err := r.Open(openCtx, r.choice.Address(), Start{
-		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
-		Sampling: sampling, Priority: priority, Choice: r.choice,
-	})
-	if err != nil && failure.Of(err).Outcome() == failure.NotRun {
-		r.skipEndpoint(err)
-		return err
-	}
-	r.runs++
-	if r.exemptNext = false; exempt {
-		r.exemptUsed++
-	}
-	if err == nil {
-		r.useStream(stream, class)
-		return nil
-	}
-	r.mayHaveRun, r.acceptedAttempt, r.awaitingFirst = true, attempt, true
-	return r.handleOpenError(ctx, openCtx.Err() != nil, time.Since(began), err)
-}
-
-// handleOpenError ends an attempt whose opening failed although the engine may run it. ctx ends with the wait bound or
-// the request, and the context of Open also at the first-chunk timeout or when the engine has stalled; openCtxEnded
-// reports whether the latter has ended. If only that has, the loss is of ClassSilence, and otherwise of
-// ClassConnection, also at the wait bound or the request's deadline. A canceled request reports no loss.
-func (r *driverCall) handleOpenError(ctx context.Context, openCtxEnded bool, elapsed time.Duration, err error) error {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return err
-	}
-	if !openCtxEnded || ctx.Err() != nil {
-		r.endAttempt(ClassConnection, err)
-		return err
-	}
-	if r.stalled(r.choice.Address()) {
-		err = SilenceError{Endpoint: r.choice.Address(), After: elapsed}
-	}
-	r.endAttempt(ClassSilence, err)
-	return err
-}
-
-// watchForStall starts a goroutine that cancels the opening of an attempt when its engine has stalled. The returned
-// function stops the goroutine and waits for its end.
-func (r *driverCall) watchForStall(ctx context.Context, cancel context.CancelFunc) (stop func()) {
-	if r.Stalled == nil {
-		return func() {}
-	}
-	ctx, stopWatch := context.WithCancel(ctx)
-	address, done := r.choice.Address(), make(chan struct{})
-	go func() {
-		defer close(done)
-		r.pollForStall(ctx, address, cancel)
-	}()
-	return func() {
-		stopWatch()
-		<-done
-	}
-}
-
-func (r *driverCall) pollForStall(ctx context.Context, address string, cancel context.CancelFunc) {
-	for interval := firstStallGrace; clock.Sleep(ctx, interval) == nil; interval = stallCheckInterval {
-		if r.stalled(address) {
-			cancel()
-			return
-		}
-	}
-}
-
 // useStream makes the stream of a new attempt the current one. Class is ClassFirst, ClassResume or ClassAttach.
 func (r *driverCall) useStream(stream Stream, class string) {
 	r.stream, r.mayHaveRun, r.awaitingFirst, r.acceptedAttempt = &stream, true, true, r.Log.Attempt()
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -29,7 +29,7 @@
 // or the deadline of Run's context passes. Without such a deadline, the stream is kept up to WaitBound. The old stream
 // is closed before the new one is opened.
 //
-// While Open waits, Stalled is called from another goroutine.
+// While Open waits, Pick, Stalled, TakeRetry, ReturnRetry and, for EventKept, Observe are called from another goroutine.
 type Driver struct {
 	// Pick chooses the endpoint of the next attempt. Its choice may be released without an attempt.
 	Pick func(ctx context.Context, criteria route.Criteria) (route.Choice, error)
@@ -79,7 +79,7 @@
 	ResumePriority int
 	Timeouts       Timeouts
 	// WaitBound bounds the caller's wait until the first stream is open, and its wait for the next token after a loss. In
-	// a request with a deadline, only the deadline bounds the wait for a silent engine whose stream is open. Zero means
+	// a request with a deadline, only the deadline bounds the wait for an engine that the request was sent to. Zero means
 	// DefaultWaitBound.
 	WaitBound time.Duration
 	// QueueWaitBound bounds the wait for the first token of a request in an engine's queue while no attempt has failed.
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -30,13 +30,17 @@
 // reserveMove reserves the next attempt at another endpoint and returns an empty string, or the reason for which the
 // generation cannot continue elsewhere. A silent engine is given up only after that, because it may be sound and go on.
 func (r *driverCall) reserveMove(ctx context.Context) (reason string) {
+	runs := r.runs
+	if r.opening {
+		runs++
+	}
 	switch {
 	case r.reachedMaxTokens():
 		// Only the end of the stream is missing, for which no other engine is needed.
 		return ""
 	case r.callerWaitExceeded():
 		return ReasonWaitBound
-	case r.MaxRuns > 0 && r.runs >= r.MaxRuns:
+	case r.MaxRuns > 0 && runs >= r.MaxRuns:
 		return ReasonAttemptsUsed
 	case !r.Log.CanResumeElsewhere():
 		return ReasonNotResumable
--- a/core/generation/move_test.go
+++ b/core/generation/move_test.go
@@ -14,6 +14,7 @@
 
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
+	"radishhollow/core/guard"
 	"radishhollow/core/route"
 )
 
@@ -43,7 +44,7 @@
 // Guards against a stream that stays at a silent engine although it could continue at another one, and against a stream
 // that runs at two engines at the same time.
 func TestSilentEngineIsLeftOnceAMoveIsPossible(t *testing.T) {
-	for name, opened := range map[string]bool{"between events": true} {
+	for name, opened := range map[string]bool{"between events": true, "not opened": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fixture{endpoints: []string{"a", "b"}}
@@ -190,3 +191,53 @@
 		require.Equal(t, 1, f.count(generation.EventKept, generation.ReasonAttemptsUsed))
 	})
 }
+
+// Guards against a retry of a refused attempt that is attributed to the wrong attempt: the first one is not charged, even
+// if a move was reserved while it was opened.
+func TestRefusedAttemptReportsItsRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"a", "b", "c"}}
+		f.open = func(address string, start generation.Start) ([]step, error) {
+			if address == "b" {
+				return nil, refused{}
+			}
+			return eventSteps(start.Attempt, start.Offset+1, silenceEvents, silenceEvents), nil
+		}
+		d, got := forwardDriver(f)
+		b := &budget{}
+		d.TakeRetry, d.ReturnRetry = b.take, b.put
+		d.Stalled = func(string) bool { return true }
+		open := d.Open
+		d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+			if address == "a" {
+				<-ctx.Done()
+				return generation.Stream{}, refused{}
+			}
+			return open(ctx, address, start)
+		}
+		require.NoError(t, runUntil(t, d, requestTime))
+		require.Equal(t, eventLines(1, silenceEvents), got())
+		charged := map[string]bool{}
+		for _, e := range f.events {
+			if e.Kind == generation.EventRefused {
+				charged[e.Address] = e.Charged
+			}
+		}
+		require.Equal(t, map[string]bool{"a": false, "b": true}, charged)
+		require.Equal(t, 2, b.taken)
+	})
+}
+
+// Guards against a panic in the goroutine that watches an attempt, which would end the process.
+func TestPanicWhileOpeningEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"a"}}
+		f.open = func(string, generation.Start) ([]step, error) { return nil, nil }
+		d, _ := forwardDriver(f)
+		d.MaxRuns = 1
+		d.Stalled = func(string) bool { panic("stalled") }
+		openAfter(d, time.Hour)
+		_, panicked := errors.AsType[guard.PanicError](runUntil(t, d, requestTime))
+		require.True(t, panicked)
+	})
+}
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -131,3 +131,52 @@
 		}
 	}
 }
+
+// openAfter makes the Open of the Driver wait for the response header for the given time.
+func openAfter(d *generation.Driver, delay time.Duration) {
+	open := d.Open
+	d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+		stream, err := open(ctx, address, start)
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return stream, err
+		case <-ctx.Done():
+			return generation.Stream{}, ctx.Err()
+		}
+	}
+}
+
+// Guards against an error before the first event that is sent sooner than necessary, because the engine has not sent its
+// header yet and no other engine could run the request.
+func TestSilentEngineIsKeptWhileItOpens(t *testing.T) {
+	for _, reason := range noMoves() {
+		for _, tt := range []struct {
+			name    string
+			silence time.Duration
+			stalled bool
+		}{
+			{name: "stalled", silence: 1500 * time.Millisecond, stalled: true},
+			{name: "beyond the wait bound", silence: 3 * time.Second},
+			{name: "beyond the timeout of the first event", silence: 13 * time.Second},
+		} {
+			t.Run(reason.name+"/"+tt.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := &fixture{endpoints: []string{"a", "b"}}
+					f.open = func(_ string, start generation.Start) ([]step, error) {
+						return eventSteps(start.Attempt, start.Offset+1, silenceEvents, silenceEvents), nil
+					}
+					d, got := forwardDriver(f)
+					d.Stalled = func(string) bool { return tt.stalled }
+					openAfter(d, tt.silence)
+					reason.apply(d, f, 1)
+					require.NoError(t, runUntil(t, d, requestTime))
+					require.Equal(t, eventLines(1, silenceEvents), got())
+					require.Len(t, f.starts, 1)
+					require.Zero(t, f.count(generation.EventLoss, ""))
+				})
+			})
+		}
+	}
+}
