fix(generation): give up no silent stream for a move that comes after the wait bound

What callers saw: an answer that was cut at the wait bound though its engine was sound.

Cause: the pick of the other endpoint may query loads and so take a while. If the wait bound passed meanwhile, the silent stream was given up, and the next attempt ended at once.

Change: the bound is checked once more after the pick, and the move is returned if it has passed. A move that is reserved in time is made.

Measured: TestMoveReservedAfterTheWaitBound before: "no token within 1.9s at offset 4: engine a sent no chunk for 300ms"; after: passes.

--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -51,17 +51,23 @@
 	}
 	// The retry is taken first, so that a caller without one does not pick an endpoint at each check.
 	choice, err := r.pickOther(ctx)
-	if err == nil && choice.Address() != r.choice.Address() {
-		r.reserved = &move{choice: choice, charged: charged}
-		return ""
-	}
-	if err == nil {
-		choice.Release()
+	if err != nil {
+		if charged {
+			r.returnRetry()
+		}
+		return ReasonNoEndpoint
 	}
-	if charged {
-		r.returnRetry()
+	r.reserved = &move{choice: choice, charged: charged}
+	switch {
+	case choice.Address() == r.choice.Address():
+		r.returnMove()
+		return ReasonNoEndpoint
+	case r.callerWaitExceeded():
+		// Pick has taken too long. An attempt that starts now would end at once.
+		r.returnMove()
+		return ReasonWaitBound
 	}
-	return ReasonNoEndpoint
+	return ""
 }
 
 // pickOther picks an endpoint other than that of the current attempt. As in open, endpoints that were excluded before
--- a/core/generation/move_test.go
+++ b/core/generation/move_test.go
@@ -241,3 +241,27 @@
 		require.True(t, panicked)
 	})
 }
+
+// Guards against a stream that is given up for a move which comes too late: the pick ends after the wait bound, at which
+// the new attempt would be given up.
+func TestMoveReservedAfterTheWaitBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"a", "b"}}
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			return silentSteps(start.Attempt, 1, 5, 2500*time.Millisecond), nil
+		}
+		d, got := forwardDriver(f)
+		b := &budget{from: time.Now().Add(1700 * time.Millisecond)}
+		d.TakeRetry, d.ReturnRetry = b.take, b.put
+		d.Pick = func(ctx context.Context, criteria route.Criteria) (route.Choice, error) {
+			if criteria.Exclude["a"] {
+				time.Sleep(300 * time.Millisecond)
+			}
+			return f.pick(ctx, criteria)
+		}
+		require.NoError(t, runUntil(t, d, requestTime))
+		require.Equal(t, eventLines(1, silenceEvents), got())
+		require.Len(t, f.starts, 1)
+		require.Equal(t, []int{1, 1}, []int{b.taken, b.returned})
+	})
+}
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -54,9 +54,10 @@
 // maxSlowdown limits the silence of a slow engine that repeats chunks, in chunk timeouts.
 const maxSlowdown = 2
 
-// checkWaitBound returns an error if the caller's wait bound has passed since the last delivery.
+// checkWaitBound returns an error if the caller's wait bound has passed since the last delivery and no attempt is
+// reserved.
 func (r *driverCall) checkWaitBound(cause error) error {
-	if !r.callerWaitExceeded() || r.Log.Finish() != NotFinished || r.reachedMaxTokens() {
+	if r.reserved != nil || !r.callerWaitExceeded() || r.Log.Finish() != NotFinished || r.reachedMaxTokens() {
 		return nil
 	}
 	return WaitExceededError{Bound: r.waitBeforeError(), Offset: r.Log.Len(), Result: r.outcome(), Cause: cause}
