fix(generation): wait for a retry after a refused move from a silent engine

What callers saw: an answer that was cut with cause retry-budget although its engine was sound and silent.

Cause: the engine to which the stream moves may refuse it. That uses the reserved retry, and the attempt after it needs another one. If the budget was empty at that moment, the answer was cut at once, and the stream had been given up by choice.

Change: after a silence, the stream waits for the budget up to the wait bound. After a connection that has ended, it is cut at once as before.

Measured: TestRefusedMoveWaitsForTheRetryBudget/silent before: "engine c lost at offset 4: retry budget exhausted before attempt 3"; after: passes. Its case "connection ended" passes before and after.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -56,6 +56,7 @@
 	firstTimeout    time.Duration // timeout for the current stream's first chunk
 	opening         bool          // Open waits for the current attempt
 	charged         bool          // the current attempt took a retry from the retry budget
+	leftSilent      bool          // the last attempt that ran was given up because its engine was silent
 	reserved        *move         // next attempt, reserved before the current one is given up
 	keptReported    bool          // EventKept has been reported for the current silence
 }
@@ -140,7 +141,13 @@
 			}
 			r.hold(choice)
 			if !r.takeRetry() {
-				return r.newEngineLostError(RetryBudgetError{Attempt: r.Log.Attempt() + 1})
+				err = RetryBudgetError{Attempt: r.Log.Attempt() + 1}
+				r.release()
+				// A silent engine was given up for a move. Where that is refused, the stream waits for another retry.
+				if !r.leftSilent || clock.Sleep(boundCtx, moveCheckInterval) != nil {
+					return r.newEngineLostError(err)
+				}
+				continue
 			}
 			if err = r.startAttempt(ctx); err == nil {
 				return nil
--- a/core/generation/move_test.go
+++ b/core/generation/move_test.go
@@ -265,3 +265,51 @@
 		require.Equal(t, []int{1, 1}, []int{b.taken, b.returned})
 	})
 }
+
+// Guards against a stream that is cut although it left its silent engine by choice: the engine of the move refuses, and
+// the retry budget is empty for a moment. A stream whose connection ended is not waited for.
+func TestRefusedMoveWaitsForTheRetryBudget(t *testing.T) {
+	for name, last := range map[string]step{"silent": {hang: true}, "connection ended": {err: io.ErrUnexpectedEOF}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fixture{endpoints: []string{"a", "b", "c"}}
+				f.open = func(address string, start generation.Start) ([]step, error) {
+					switch address {
+					case "a":
+						return append(eventSteps(1, 1, 4, silenceEvents), last), nil
+					case "b":
+						return nil, refused{}
+					}
+					return eventSteps(start.Attempt, start.Offset+1, silenceEvents, silenceEvents), nil
+				}
+				d, got := forwardDriver(f)
+				began, taken, released := time.Now(), 0, 0
+				d.TakeRetry = func() bool {
+					if taken > 0 && time.Since(began) < 1200*time.Millisecond {
+						return false
+					}
+					taken++
+					return true
+				}
+				d.Pick = func(ctx context.Context, criteria route.Criteria) (route.Choice, error) {
+					choice, err := f.pick(ctx, criteria)
+					if err != nil {
+						return choice, err
+					}
+					released--
+					return route.NewChoice(choice.Address(), "", "", func() { released++ }), nil
+				}
+				err := runUntil(t, d, requestTime)
+				require.Zero(t, released)
+				if !last.hang {
+					_, exhausted := errors.AsType[generation.RetryBudgetError](err)
+					require.True(t, exhausted)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, eventLines(1, silenceEvents), got())
+				require.Equal(t, 2, taken)
+			})
+		})
+	}
+}
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -241,7 +241,7 @@
 // stream, and attaching to it again costs no prefill. An engine that is silent or mixes up streams is abandoned.
 func (r *driverCall) endAttempt(class string, err error) {
 	r.closeStream()
-	r.recovering, r.resumed, r.lastErr = true, true, err
+	r.recovering, r.resumed, r.lastErr, r.leftSilent = true, true, err, class == ClassSilence
 	if class == ClassConnection && r.exemptUsed == 0 {
 		// After the first broken connection, the next resume is exempt from the retry budget even without new output: an
 		// attempt that only waited at a dead engine leaves no work to repeat.
