--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -54,6 +54,11 @@
 	acceptedAttempt int           // attempt number that the engine of choice accepted, or may have; 0 if none
 	noEndpoint      bool          // the last pick found no endpoint although none was excluded
 	firstTimeout    time.Duration // timeout for the current stream's first chunk
+	opening         bool          // Open waits for the current attempt
+	charged         bool          // the current attempt took a retry from the retry budget
+	leftSilent      bool          // the last attempt that ran was given up because its engine was silent
+	reserved        *move         // next attempt, reserved before the current one is given up
+	keptReported    bool          // EventKept has been reported for the current silence
 }
 
 // attachFromCursor attaches to the stream that the caller's cursor describes, and reads it. A failed attach counts as a
@@ -119,24 +124,30 @@
 
 // open picks endpoints until one accepts an attempt, or until a bound or the retry budget ends the search.
 func (r *driverCall) open(ctx context.Context) error {
-	ctx, cancel := r.withWaitBound(ctx)
+	boundCtx, cancel := r.withWaitBound(ctx)
 	defer cancel()
 	delay := minPickDelay
 	for {
 		if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
 			return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
 		}
-		choice, err := r.Pick(ctx, r.pickCriteria())
+		choice, err := r.pick(boundCtx)
 		r.noEndpoint = err != nil && len(r.exclude) == 0
 		if err == nil {
 			// route.Table.Pick returns no excluded endpoint. If another Pick does, the endpoint is tried only after the delay.
-			if r.exclude[choice.Address()] && clock.Sleep(ctx, delay) != nil {
+			if r.exclude[choice.Address()] && clock.Sleep(boundCtx, delay) != nil {
 				choice.Release()
-				return r.lastErrorOr(ctx.Err())
+				return r.lastErrorOr(boundCtx.Err())
 			}
 			r.hold(choice)
 			if !r.takeRetry() {
-				return r.newEngineLostError(RetryBudgetError{Attempt: r.Log.Attempt() + 1})
+				err = RetryBudgetError{Attempt: r.Log.Attempt() + 1}
+				r.release()
+				// A silent engine was given up for a move. Where that is refused, the stream waits for another retry.
+				if !r.leftSilent || clock.Sleep(boundCtx, moveCheckInterval) != nil {
+					return r.newEngineLostError(err)
+				}
+				continue
 			}
 			if err = r.startAttempt(ctx); err == nil {
 				return nil
@@ -146,17 +157,25 @@
 			if r.recordPickError(err) {
 				return r.newEngineLostError(r.lastErr)
 			}
-			if sleepErr := clock.Sleep(ctx, delay); sleepErr != nil {
+			if sleepErr := clock.Sleep(boundCtx, delay); sleepErr != nil {
 				return err
 			}
 			delay = min(2*delay, maxPickDelay)
 		}
-		if ctx.Err() != nil {
+		if boundCtx.Err() != nil {
 			return err
 		}
 	}
 }
 
+// pick returns the endpoint of the reserved move, or picks one if none is reserved.
+func (r *driverCall) pick(ctx context.Context) (route.Choice, error) {
+	if r.reserved != nil {
+		return r.reserved.choice, nil
+	}
+	return r.Pick(ctx, r.pickCriteria())
+}
+
 // recordPickError records that no endpoint was found and makes excluded endpoints eligible again. It reports whether
 // FirstPickBound has passed without an attempt that may have run.
 func (r *driverCall) recordPickError(err error) (boundPassed bool) {
@@ -167,17 +186,25 @@
 	return r.runs == 0 && r.FirstPickBound > 0 && time.Since(r.started) >= r.FirstPickBound
 }
 
-// takeRetry takes one retry from the retry budget. The first attempt and exempt resumes are not charged: a resume
-// after new output repeats no work but the prefill.
+// takeRetry takes one retry from the retry budget for the next attempt, unless the reserved move has one. The first
+// attempt and exempt resumes are not charged: a resume after new output repeats no work but the prefill.
 func (r *driverCall) takeRetry() bool {
-	if r.openCalls == 0 || r.TakeRetry == nil || r.isExempt() {
+	if r.reserved != nil {
+		r.charged, r.reserved = r.reserved.charged, nil
 		return true
 	}
-	return r.TakeRetry()
+	r.charged = r.isCharged() && r.TakeRetry()
+	return r.charged || !r.isCharged()
 }
 
-// isExempt reports whether the next resume is not charged to the retry budget.
-func (r *driverCall) isExempt() bool { return r.exemptNext && r.exemptUsed < r.exemptResumes() }
+// isCharged reports whether the next attempt is charged to the retry budget.
+func (r *driverCall) isCharged() bool { return r.openCalls > 0 && r.TakeRetry != nil && !r.isExempt() }
+
+// isExempt reports whether the next resume is not charged to the retry budget. No resume is exempt that replaces an
+// attempt without output.
+func (r *driverCall) isExempt() bool {
+	return !r.opening && r.exemptNext && r.exemptUsed < r.exemptResumes()
+}
 
 // withWaitBound limits the context to what is left of the caller's wait bound.
 func (r *driverCall) withWaitBound(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -186,91 +213,10 @@
 	)
 }
 
-// startAttempt opens an attempt on the picked endpoint.
-func (r *driverCall) startAttempt(ctx context.Context) error {
-	l := r.Log
-	priority, class := r.Priority, ClassFirst
-	if r.resumed {
-		priority, class = r.ResumePriority, ClassResume
-	}
-	sampling := r.Sampling
-	sampling.MaxTokens = r.remainingTokens()
-	r.openCalls++
-	attempt, exempt := l.NextAttempt(), r.isExempt()
-	openCtx, cancel := context.WithTimeout(ctx, r.timeouts.FirstChunkTimeout())
-	defer cancel()
-	defer r.watchForStall(openCtx, cancel)()
-	began := time.Now()
-	stream, err := r.Open(openCtx, r.choice.Address(), Start{
-		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
-		Sampling: sampling, Priority: priority,
-	})
-	if err != nil && failure.Of(err).Outcome() == failure.NotRun {
-		r.skipEndpoint(err)
-		return err
-	}
-	r.runs++
-	if r.exemptNext = false; exempt {
-		r.exemptUsed++
-	}
-	if err == nil {
-		r.useStream(stream, class)
-		return nil
-	}
-	r.mayHaveRun, r.acceptedAttempt, r.awaitingFirst = true, attempt, true
-	return r.handleOpenError(ctx, openCtx.Err() != nil, time.Since(began), err)
-}
-
-// handleOpenError ends an attempt whose opening failed although the engine may run it. ctx ends with the wait bound or
-// the request, and the context of Open also at the first-chunk timeout or when the engine has stalled; openCtxEnded
-// reports whether the latter has ended. If only that has, the loss is of ClassSilence, and otherwise of
-// ClassConnection, also at the wait bound or the request's deadline. A canceled request reports no loss.
-func (r *driverCall) handleOpenError(ctx context.Context, openCtxEnded bool, elapsed time.Duration, err error) error {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return err
-	}
-	if !openCtxEnded || ctx.Err() != nil {
-		r.endAttempt(ClassConnection, err)
-		return err
-	}
-	if r.stalled(r.choice.Address()) {
-		err = SilenceError{Endpoint: r.choice.Address(), After: elapsed}
-	}
-	r.endAttempt(ClassSilence, err)
-	return err
-}
-
-// watchForStall starts a goroutine that cancels the opening of an attempt when its engine has stalled. The returned
-// function stops the goroutine and waits for its end.
-func (r *driverCall) watchForStall(ctx context.Context, cancel context.CancelFunc) (stop func()) {
-	if r.Stalled == nil {
-		return func() {}
-	}
-	ctx, stopWatch := context.WithCancel(ctx)
-	address, done := r.choice.Address(), make(chan struct{})
-	go func() {
-		defer close(done)
-		r.pollForStall(ctx, address, cancel)
-	}()
-	return func() {
-		stopWatch()
-		<-done
-	}
-}
-
-func (r *driverCall) pollForStall(ctx context.Context, address string, cancel context.CancelFunc) {
-	for interval := firstStallGrace; clock.Sleep(ctx, interval) == nil; interval = stallCheckInterval {
-		if r.stalled(address) {
-			cancel()
-			return
-		}
-	}
-}
-
 // useStream makes the stream of a new attempt the current one. Class is ClassFirst, ClassResume or ClassAttach.
 func (r *driverCall) useStream(stream Stream, class string) {
 	r.stream, r.mayHaveRun, r.awaitingFirst, r.acceptedAttempt = &stream, true, true, r.Log.Attempt()
-	r.firstTimeout = r.timeouts.FirstChunkTimeout()
+	r.firstTimeout, r.keptReported = r.timeouts.FirstChunkTimeout(), false
 	if class == ClassAttach {
 		// The engine of an attached stream has already done the prefill.
 		r.firstTimeout = r.timeouts.ChunkTimeout()
