fix(forward): write an error to a caller that has closed its side

A caller that closes its side of the connection after the request and still reads got "200 OK" with an empty body and no signature, a success that no endpoint produced.

Cause: net/http ends the request's context at the end of the caller's bytes. Server.finish took that for a caller that no longer reads, wrote nothing, and net/http completes an empty response with 200. Ruled out: responses that have begun (they are broken off) and disconnected callers (the write fails, as it does elsewhere).

Change: finish writes the error response of every failed request that has no response yet. The log and the metrics still say caller-gone.

TestForwardHalfClosedCallerGetsNoSuccess before: "[]int{502, 504} does not contain 200" for a booking, an idempotent request and a stream. After: passes.

--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -225,13 +225,14 @@
 	hedgeAfterPercent = 50
 )
 
-// finish writes the error response of a failed request, and logs and counts every request.
+// finish writes the error response of a failed request, and logs and counts every request. A caller that has closed its
+// side of the connection may still read, and net/http answers 200 for a handler that writes nothing.
 func (s *Server) finish(c *gin.Context, q *request, err error) {
 	status := c.Writer.Status()
 	started := c.Writer.Written()
 	_, callerGone := errors.AsType[generation.CallerGoneError](err)
 	callerGone = callerGone || c.Request.Context().Err() != nil
-	if err != nil && !started && !callerGone {
+	if err != nil && !started {
 		status = statusOf(err, q.deadline)
 		s.writeError(c, status, err)
 	}
