fix(service): reject a response whose status is below 200

An endpoint whose status line says 099, 000 or 101 ended the caller's connection without a status, or gave the caller "101 Switching Protocols" or a signed 200 that the endpoint never sent.

Cause: net/http's client passes 000, 099 and 101 on as final statuses. Its server panics on a status below 100; the handler had counted the header as written, so it broke the connection off. gin ignores status 0 and keeps 200.

Change: service.Client rejects such a response with a ResponseError that holds a StatusError; the caller gets 502, or the request is repeated where it may be.

--- a/io/service/client.go
+++ b/io/service/client.go
@@ -87,8 +87,8 @@
 }
 
 // Send sends the request once. It returns a SendError if there is no response; its Written field is false only if no
-// byte of the request was or will be written. It returns a ResponseError if Check rejects the response or its body
-// cannot be read completely.
+// byte of the request was or will be written. It returns a ResponseError if Check rejects the response, if its status
+// is below 200, or if its body cannot be read completely.
 func (c *Client) Send(ctx context.Context, address string, r booking.Request) (booking.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
@@ -133,10 +133,7 @@
 	if err != nil {
 		return nil, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
 	}
-	if c.Check == nil {
-		return resp, nil
-	}
-	if err := c.Check(r, resp.Header); err != nil {
+	if err := c.check(r, resp); err != nil {
 		// Further data on this connection may belong to other requests.
 		_ = conn.Close()
 		_ = resp.Body.Close()
@@ -145,9 +142,21 @@
 	return resp, nil
 }
 
+// check rejects a response whose status cannot be passed on, or that Check rejects. net/http writes no final response
+// with a status below 200 other than 101, after which the connection has another protocol.
+func (c *Client) check(r booking.Request, resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return StatusError{Status: resp.StatusCode}
+	}
+	if c.Check == nil {
+		return nil
+	}
+	return c.Check(r, resp.Header)
+}
+
 // Open sends the request once and returns the response with its body unread. The context applies only until Open
 // returns. The returned function cancels the request at any time and must be called. Open returns a SendError
-// as Send does, or a ResponseError if Check rejects the response.
+// as Send does, or a ResponseError if Check rejects the response or its status is below 200.
 func (c *Client) Open(
 	ctx context.Context, address string, r booking.Request,
 ) (*http.Response, context.CancelFunc, error) {
--- a/io/service/error.go
+++ b/io/service/error.go
@@ -53,6 +53,15 @@
 
 func (e ResponseError) Outcome() failure.Outcome { return failure.Unknown }
 
+// StatusError reports a response whose status is not that of a final HTTP response.
+type StatusError struct{ Status int }
+
+func (e StatusError) Error() string { return fmt.Sprintf("status %d is not a final status", e.Status) }
+
+func (e StatusError) Code() string { return "outcome-unknown" }
+
+func (e StatusError) Outcome() failure.Outcome { return failure.Unknown }
+
 // TooLargeError reports a response body above the limit.
 type TooLargeError struct {
 	Endpoint string
