fix(forward): end a stream after the write deadline of its last event

A stream whose engine ends it more than 10 s after the last event looked broken off to its caller: all events, but no end of the body.

Cause: the write deadline of the last event still applied when net/http wrote the end. It cannot be reached while the Driver gives up an engine that is silent for less than a second, and is reached once a longer silence is allowed. Ruled out by tests that passed without a change: the deadline applies to a later booking, error or stream on the connection (TestForwardWriteDeadlineEndsWithItsStream), or cuts a caller that reads slowly all the time (TestForwardSlowCallerGetsTheWholeStream, 64 MB in 64 KB events).

Change: streamHandler.complete sets the deadline anew.

TestCompleteAfterTheDeadlineOfTheLastEvent before: unexpected EOF after 10.5 s. After: passes.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -122,8 +122,7 @@
 		"first-ms": h.firstEventWait.Milliseconds(), "pause-ms": h.longestPause.Milliseconds(), "runs": h.openedStreams,
 	}
 	if err == nil {
-		// A stream without events has not sent its header yet.
-		return h.sendHeader()
+		return h.complete()
 	}
 	if h.errorResponse != nil && !h.headerSent {
 		writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
@@ -268,6 +267,14 @@
 	return nil
 }
 
+// complete prepares the end of the body, which net/http writes when the handler returns. That may be long after the last
+// event, so the deadline of that event must not apply.
+func (h *streamHandler) complete() error {
+	h.extendWriteDeadline()
+	// A stream without events has not sent its header yet.
+	return h.sendHeader()
+}
+
 func (h *streamHandler) deliver(part generation.Chunk) error {
 	if part.Event() == nil {
 		// The chunk that ends the stream holds no event.
@@ -279,14 +286,19 @@
 	if err := h.sendHeader(); err != nil {
 		return err
 	}
-	// The error is ignored: only the response writers of tests do not support deadlines.
-	_ = h.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	h.extendWriteDeadline()
 	if _, err := h.c.Writer.Write(part.Event()); err != nil {
 		return errors.Trace(err)
 	}
 	return errors.Trace(h.controller.Flush())
 }
 
+// extendWriteDeadline bounds the writes that follow. net/http removes the deadline after the response.
+func (h *streamHandler) extendWriteDeadline() {
+	// The error is ignored: only the response writers of tests do not support deadlines.
+	_ = h.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // observe passes the progress of the attempts to the routing table, the metrics and the log.
 func (h *streamHandler) observe(event generation.Event) {
 	m, name := h.server.Metrics, h.request.workspace.Name
