fix(daemon): keep idle connections for the configured time

A connection that was idle for two minutes was closed, also where the configuration's idle timeout is longer, for example since a change that came while the connection was idle. A request that arrived at that moment was lost with a reset connection.

Cause: http.Server.IdleTimeout is fixed at the start, and an expired read deadline fails a read although the kernel has received data. Ruled out: the body limit and the times of a request, which follow the configuration with which it arrived (TestForwardChangeKeepsRunningRequests).

Change: callerConn replaces an expired deadline while the configuration allows a longer idle time, and reads once more before a connection ends. A new connection may wait as long for its first request, in place of 10 s.

TestIdleConnectionOutlivesTheServersTimeout without the limit: unexpected EOF. After: passes.

--- a/core/config/route.go
+++ b/core/config/route.go
@@ -65,7 +65,7 @@
 func (e Engine) KeepFor() time.Duration { return time.Duration(e.KeepMS) * time.Millisecond }
 
 // Limits are the limits for forwarded requests. Only BodyBytes is enforced, by io/forward, which replaces 0 by a
-// default.
+// default. A connection may be idle for at least IdleTimeoutMS.
 type Limits struct {
 	HeaderBytes     int `json:"header-bytes,omitempty"`
 	BodyBytes       int `json:"body-bytes,omitempty"`
--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -13,30 +13,39 @@
 // the kernel has already received.
 const finalReadTimeout = time.Millisecond
 
-// callerConn is a connection of a caller. It is idle while no byte of a request has been read from it. In a planned
-// stop, closeIfIdle ends an idle connection in such a way that a request that was read is always served. It is safe for
-// concurrent use.
+// callerConn is a connection of a caller. It is idle while no byte of a request has been read from it. An idle
+// connection ends through its read deadline, after closeIfIdle or after idleTimeout, in such a way that a request that
+// was received is served. It is safe for concurrent use.
 type callerConn struct {
 	*net.TCPConn
+	// idleTimeout returns the time for which the connection may be idle, if net/http's own timeout ends before. It may
+	// be nil. headerTimeout is the time limit of a request's header.
+	idleTimeout   func() time.Duration
+	headerTimeout time.Duration
+
 	mu sync.Mutex
 	// idleSince is the time at which the connection became idle, or zero while it is not idle.
 	idleSince time.Time
 	// used is set after the first request.
 	used bool
-	// closing is set while a read of the idle connection is made to fail. readDeadline is the read deadline that net/http
-	// has set, which applies again if a request arrives nevertheless.
-	closing      bool
+	// closing is set while a read of the idle connection is made to fail, and extended after a deadline has been replaced.
+	closing, extended bool
+	// readDeadline is the read deadline that applies if a request arrives. It is that of net/http unless extended is set.
 	readDeadline time.Time
 }
 
-// Read reads from the connection. After closeIfIdle, it fails only if the kernel has received nothing, so that net/http
-// closes the connection without having read a request.
+// Read reads from the connection. While the connection is idle, the read fails only if the kernel has received nothing,
+// so that net/http closes the connection without having read a request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		// An expired deadline fails a read although data is available.
-		_ = c.TCPConn.SetReadDeadline(time.Now().Add(finalReadTimeout))
-		n, err = c.TCPConn.Read(p)
+	for errors.Is(err, os.ErrDeadlineExceeded) {
+		last, ok := c.extendDeadline()
+		if !ok {
+			break
+		}
+		if n, err = c.TCPConn.Read(p); last {
+			break
+		}
 	}
 	if n > 0 {
 		c.setBusy()
@@ -44,24 +53,36 @@
 	return n, err
 }
 
+// extendDeadline replaces the deadline of an idle connection if that may be idle for longer. Otherwise it allows one more
+// read, which is then the last one, because an expired deadline fails a read although data is available.
+func (c *callerConn) extendDeadline() (last, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return false, false
+	}
+	c.extended = true
+	if c.idleTimeout != nil && !c.closing {
+		if end := c.idleSince.Add(c.idleTimeout()); time.Now().Before(end) {
+			c.readDeadline = end
+			return false, c.TCPConn.SetReadDeadline(end) == nil
+		}
+	}
+	return true, c.TCPConn.SetReadDeadline(time.Now().Add(finalReadTimeout)) == nil
+}
+
 // SetReadDeadline sets the deadline of reads. While the connection is being closed, the deadline only takes effect if a
 // request arrives.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = deadline
+	c.readDeadline, c.extended = deadline, false
 	if c.closing {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
-func (c *callerConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 // setIdle marks the connection as waiting for a request.
 func (c *callerConn) setIdle(used bool) {
 	c.mu.Lock()
@@ -74,10 +95,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
-	if c.closing {
-		c.closing = false
-		_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	if !c.closing && !c.extended {
+		return
+	}
+	c.closing, c.extended = false, false
+	if !c.readDeadline.IsZero() && time.Now().After(c.readDeadline) {
+		c.readDeadline = time.Now().Add(c.headerTimeout)
 	}
+	_ = c.TCPConn.SetReadDeadline(c.readDeadline)
 }
 
 // closeIfIdle ends a connection on which no request has begun for newTimeout after it was opened, or for idleTimeout
--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -34,6 +34,9 @@
 	address string
 	server  *http.Server
 	log     *logrus.Logger
+	// idleTimeout returns the time for which a connection may be idle, where that is longer than the server's
+	// IdleTimeout. It may be nil and must be set before Start.
+	idleTimeout func() time.Duration
 
 	socket *net.TCPListener
 	// ended is closed when the server accepts no more connections.
@@ -87,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{TCPConn: conn}, nil
+	return &callerConn{TCPConn: conn, idleTimeout: l.idleTimeout, headerTimeout: l.server.ReadHeaderTimeout}, nil
 }
 
 // Addr returns the address of the socket.
--- a/daemon/caller_listener_test.go
+++ b/daemon/caller_listener_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,27 @@
 		require.ErrorIs(t, err, io.EOF)
 	}
 }
+
+// Guards against an idle connection that is closed earlier than the configuration allows, after the configuration has
+// raised the limit while the connection was idle.
+func TestIdleConnectionOutlivesTheServersTimeout(t *testing.T) {
+	l := newTestListener(t)
+	var limit atomic.Int64
+	l.server.IdleTimeout = 200 * time.Millisecond
+	l.idleTimeout = func() time.Duration { return time.Duration(limit.Load()) }
+	require.NoError(t, l.Start(t.Context()))
+	conn, reader := dialListener(t, l)
+	for range 2 {
+		_, err := io.WriteString(conn, testRequest)
+		require.NoError(t, err)
+		require.NoError(t, readDone(reader))
+		limit.Store(int64(time.Minute))
+		time.Sleep(500 * time.Millisecond)
+	}
+	limit.Store(0)
+	_, err := io.WriteString(conn, testRequest)
+	require.NoError(t, err)
+	require.NoError(t, readDone(reader))
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -348,6 +348,7 @@
 	httpServer := server.NewHTTPServer()
 	httpServer.Handler = drain.closeWhenDraining(httpServer.Handler)
 	l := newCallerListener(s.Listen, httpServer, log)
+	l.idleTimeout = server.IdleTimeout
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
 		defer server.Close()
 		return drain.stop(ctx, l, s.Timeouts.Drain.Duration, log)
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -30,11 +30,13 @@
 	// whatever the configuration says.
 	defaultMaxBodyBytes = 4 << 20
 	maxHeaderBytes      = 64 << 10
-	// headerTimeout and idleTimeout apply in place of the timeouts in config.Limits, which this package does not read.
-	// They are meant to exceed the configured values, so that the server never closes a connection earlier than
-	// configured.
+	// headerTimeout applies in place of the timeout in config.Limits, which this package does not read. It is meant to
+	// exceed the configured value, so that the server never closes a connection earlier than configured.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// idleTimeout is the shortest time for which a connection may be idle. A configured timeout is extended by
+	// idleTimeoutMargin, which covers the way of a caller's last request.
+	idleTimeout       = 2 * time.Minute
+	idleTimeoutMargin = 2 * time.Second
 	// connectionSharePercent is the share of an endpoint's connection limit that all daemons together use for requests.
 	// The rest is left for idle connections and for daemons that are not known yet.
 	connectionSharePercent = 80
@@ -108,6 +110,13 @@
 	}
 }
 
+// IdleTimeout returns the time for which a connection may be idle under the current configuration. It may exceed that of
+// the http.Server.
+func (s *Server) IdleTimeout() time.Duration {
+	configured := time.Duration(s.Document().Limits().IdleTimeoutMS) * time.Millisecond
+	return max(idleTimeout, configured+idleTimeoutMargin)
+}
+
 // Close waits for the background goroutines, which may outlive the last response. The caller must stop the http.Server
 // first.
 func (s *Server) Close() {
