--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -134,8 +134,7 @@
 	q.cutFields = h.cutFields()
 	if err == nil {
 		s.durations.record(q.service.Name, time.Since(q.arrivedAt))
-		// A stream without events has not sent its header yet.
-		return h.sendHeader()
+		return h.complete()
 	}
 	if h.errorResponse != nil && !h.headerSent {
 		return writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
@@ -277,6 +276,14 @@
 	return nil
 }
 
+// complete prepares the end of the body, which net/http writes when the handler returns. That may be long after the last
+// event, so the deadline of that event must not apply.
+func (h *streamHandler) complete() error {
+	h.extendWriteDeadline()
+	// A stream without events has not sent its header yet.
+	return h.sendHeader()
+}
+
 func (h *streamHandler) deliver(part generation.Chunk) error {
 	if part.Event() == nil {
 		// The chunk that ends the stream holds no event.
@@ -288,8 +295,7 @@
 	if err := h.sendHeader(); err != nil {
 		return err
 	}
-	// The error is ignored: only the response writers of tests do not support deadlines.
-	_ = h.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	h.extendWriteDeadline()
 	if _, err := h.c.Writer.Write(part.Event()); err != nil {
 		return errors.Trace(err)
 	}
@@ -298,6 +304,12 @@
 	return errors.Trace(h.controller.Flush())
 }
 
+// extendWriteDeadline bounds the writes that follow. net/http removes the deadline after the response.
+func (h *streamHandler) extendWriteDeadline() {
+	// The error is ignored: only the response writers of tests do not support deadlines.
+	_ = h.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // cutFields returns the log fields that only the line of a cut response has.
 func (h *streamHandler) cutFields() logrus.Fields {
 	fields := logrus.Fields{
