fix(forward): believe no refusal without an id on a kept connection

What callers saw: 429 or 503, "not run", for a request that its endpoint was running, or the request ran at a second endpoint. A late 421 also marked the sound endpoint as dead.

Cause: a refusal with the id of another request was rejected, but one without an id was believed on any connection. A faulty endpoint that writes an earlier refusal once more on a kept connection refuses the next request with it.

Bytes that arrive while the connection is idle make net/http close it.

Change: io/service tells the check whether the connection was used before. Such a refusal is believed only as the first answer of a new connection; elsewhere the outcome is unknown and the connection is closed.

--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -21,17 +21,23 @@
 	return header.Get(f.NotRun) != "" || status == http.StatusMisdirectedRequest
 }
 
-// Check rejects a response that carries the id of another request, a signed response without an id, and one whose body
-// is encoded. SendFunc rejects an unsigned response that is not a refusal.
-func (f Format) Check(r booking.Request, header http.Header) error {
-	want, got := r.Header.Get(f.RequestID), header.Get(f.RequestID)
-	signed := header.Get(f.Signature) != ""
+// Check rejects a response that carries the id of another request, a signed response without an id, a refusal without an
+// id on a connection that carried another request before, and a response whose body is encoded. SendFunc rejects an
+// unsigned response that is not a refusal.
+//
+// A refusal without an id comes from an endpoint that has not read the request, as one that refuses a connection. On a
+// kept connection it may be an earlier refusal that a faulty endpoint wrote once more, so it proves nothing there.
+func (f Format) Check(r booking.Request, head service.ResponseHead) error {
+	want, got := r.Header.Get(f.RequestID), head.Header.Get(f.RequestID)
+	signed := head.Header.Get(f.Signature) != ""
 	switch {
 	case got != "" && got != want:
 		return MismatchedResponseError{Want: want, Got: got, Reason: "other request id"}
 	case signed && got != want:
 		return MismatchedResponseError{Want: want, Got: got, Reason: "no request id"}
-	case header.Get("Content-Encoding") != "":
+	case got != want && head.ConnectionReused && f.isRefusal(head.Status, head.Header):
+		return MismatchedResponseError{Want: want, Got: got, Reason: "refusal without a request id on a kept connection"}
+	case head.Header.Get("Content-Encoding") != "":
 		return MismatchedResponseError{Want: want, Got: got, Reason: "encoded body"}
 	}
 	return nil
--- a/io/forward/response_test.go
+++ b/io/forward/response_test.go
@@ -26,7 +26,8 @@
 	}
 }
 
-// Guards against accepting a response to another request, a signed response without a request id, or an encoded body.
+// Guards against accepting a response to another request, a signed response without a request id, a refusal without one
+// on a kept connection, or an encoded body.
 func TestCheck(t *testing.T) {
 	r := booking.Request{Header: http.Header{"Id": {"1"}}}
 	for _, tt := range []struct {
@@ -41,7 +42,9 @@
 		{"refusal of another", http.Header{"Id": {"2"}, "Not-Run": {"1"}}, false},
 		{"encoded", http.Header{"Id": {"1"}, "Signed": {"x"}, "Content-Encoding": {"gzip"}}, false},
 	} {
-		require.Equal(t, tt.ok, testFormat().Check(r, tt.header) == nil, tt.name)
+		require.Equal(t, tt.ok, testFormat().Check(r, service.ResponseHead{Header: tt.header}) == nil, tt.name)
+		ok := tt.ok && tt.header.Get("Id") == "1"
+		require.Equal(t, ok, testFormat().Check(r, service.ResponseHead{Header: tt.header, ConnectionReused: true}) == nil, tt.name)
 	}
 }
 
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -40,9 +40,9 @@
 	pooled           *http.Transport
 	maxResponseBytes int64
 	bodies           bodyBuffer
-	// Check rejects a response by its header, for example one that belongs to another request. The connection of a
+	// Check rejects a response by its head, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
-	Check func(r booking.Request, header http.Header) error
+	Check func(r booking.Request, head ResponseHead) error
 	// MemoryLimit is the memory in bytes that all response bodies together may take while they are read, apart from a
 	// small part of each. Zero means no limit. It must be set before the first request.
 	MemoryLimit int64
@@ -51,6 +51,15 @@
 	Observe func(address, incarnation, state string)
 }
 
+// ResponseHead is a response without its body, as Client.Check receives it.
+type ResponseHead struct {
+	Status int
+	Header http.Header
+	// ConnectionReused is set if the connection carried another request before, so that the response may be a late one to
+	// that request.
+	ConnectionReused bool
+}
+
 // New returns a Client that waits up to dialTimeout for a new connection and closes a connection that has been idle for
 // idleTimeout.
 func New(dialTimeout, idleTimeout time.Duration) *Client {
@@ -115,8 +124,9 @@
 // roundTrip sends the request once and returns the response with its body unread.
 func (c *Client) roundTrip(ctx context.Context, address string, r booking.Request) (*http.Response, error) {
 	var conn net.Conn
+	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn
+		conn, reused = info.Conn, info.Reused
 		if tracked, ok := conn.(*writeTrackingConn); ok {
 			tracked.startRequest()
 		}
@@ -136,7 +146,8 @@
 	if c.Check == nil {
 		return resp, nil
 	}
-	if err := c.Check(r, resp.Header); err != nil {
+	head := ResponseHead{Status: resp.StatusCode, Header: resp.Header, ConnectionReused: reused}
+	if err := c.Check(r, head); err != nil {
 		// Further data on this connection may belong to other requests.
 		_ = conn.Close()
 		_ = resp.Body.Close()
