fix(forward): close the connection after an answer that is no endpoint's

What callers saw: a 502, and the next request on the same connection could get the late answer to the one before, which was then rejected, too.

Cause: an unsigned answer that is no refusal was rejected only after its body had been read, when the connection was back among the idle ones.

Evidence: TestStaleRefusalIsNoProof failed before for 503 and 429 without the mark of a refusal ("expected: int(2), actual: int32(1)" connections). It passed at once where further bytes follow, which net/http notices.

Change: the check of the head rejects such an answer, and the connection is closed.

--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -22,8 +22,8 @@
 }
 
 // Check rejects a response that carries the id of another request, a signed response without an id, a refusal without an
-// id on a connection that carried another request before, and a response whose body is encoded. SendFunc rejects an
-// unsigned response that is not a refusal.
+// id on a connection that carried another request before, a response to a request with an id that is neither signed nor a
+// refusal, and a response whose body is encoded. SendFunc rejects an unsigned response to a request without an id.
 //
 // A refusal without an id comes from an endpoint that has not read the request, as one that refuses a connection. On a
 // kept connection it may be an earlier refusal that a faulty endpoint wrote once more, so it proves nothing there.
@@ -37,6 +37,8 @@
 		return MismatchedResponseError{Want: want, Got: got, Reason: "no request id"}
 	case got != want && head.ConnectionReused && f.isRefusal(head.Status, head.Header):
 		return MismatchedResponseError{Want: want, Got: got, Reason: "refusal without a request id on a kept connection"}
+	case want != "" && !signed && !f.isRefusal(head.Status, head.Header):
+		return MismatchedResponseError{Want: want, Got: got, Reason: "no signature"}
 	case head.Header.Get("Content-Encoding") != "":
 		return MismatchedResponseError{Want: want, Got: got, Reason: "encoded body"}
 	}
--- a/io/forward/response_test.go
+++ b/io/forward/response_test.go
@@ -40,6 +40,7 @@
 		{"signed without id", http.Header{"Signed": {"x"}}, false},
 		{"refusal without id", http.Header{"Not-Run": {"1"}}, true},
 		{"refusal of another", http.Header{"Id": {"2"}, "Not-Run": {"1"}}, false},
+		{"unsigned", http.Header{"Id": {"1"}}, false},
 		{"encoded", http.Header{"Id": {"1"}, "Signed": {"x"}, "Content-Encoding": {"gzip"}}, false},
 	} {
 		require.Equal(t, tt.ok, testFormat().Check(r, service.ResponseHead{Header: tt.header}) == nil, tt.name)
--- a/io/forward/stale_refusal_test.go
+++ b/io/forward/stale_refusal_test.go
@@ -79,6 +79,8 @@
 	"421 with the old id":               refusal(421, "Id: 1\r\n"),
 	"503 with an empty id":              refusal(503, "Id: \r\nNot-Run: 1\r\n"),
 	"503 without an id, cut":            "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 90\r\n\r\nno",
+	"503 without a mark":                refusal(503, ""),
+	"429 without a mark":                refusal(429, ""),
 }
 
 func newCheckedClient(t *testing.T) *service.Client {
