fix(forward): new connection for a second attempt at the same engine

What callers saw: a stream that must not be repeated ran twice (TWICE).

Cause: the driver makes engines eligible again that refused an earlier attempt. All attempts have the request's id, so the first refusal, written once more on the kept connection, passed for the answer to the second attempt, which the engine was running.

Evidence: TestForwardStaleRefusalOfTheSameStream counted two runs before ("expected: int(1), actual: int32(2)"). Ruled out for other requests: booking.Sender never sends a request to an endpoint twice (exclude, markTried).

Change: a later attempt at the same engine gets a connection of its own, on which no earlier answer can arrive.

Result: the test passes three times in a row, ./io/forward passes.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -85,6 +85,8 @@
 	firstEventWait, longestPause time.Duration
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
+	// tried holds the engines of earlier attempts.
+	tried triedAddresses
 	// retryTaken reports whether the current attempt took a retry from the retry budget.
 	retryTaken bool
 }
@@ -178,6 +180,7 @@
 	if start.Offset > 0 {
 		r.Header.Set(f.LastEventID, strconv.Itoa(start.Offset))
 	}
+	r.ReuseConnection = h.tried.mayReuseConnection(address)
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.sentAt = time.Now()
 	h.probeLimiter.reset()
