fix(daemon): a refused load query is no report of an idle engine

What callers saw: longer waits; a busy engine that refuses a query with an empty object as body was chosen for long prompts.

Cause: the status of a load query's answer was not looked at, and missing counts are 0. The answer carries no request id, so an earlier refusal that is written once more is not recognised by one either.

KV cache calls check their status already; liveness probes only open connections.

Change: only an answer with 200 is a report.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -217,6 +217,10 @@
 			table.SetAddressUnreachable(address)
 			return
 		}
+		if response.Status != http.StatusOK {
+			log.WithFields(logrus.Fields{"address": address, "status": response.Status}).Warn("engine refuses to report its load")
+			return
+		}
 		load, err := platform.DecodeLoadReport(response.Body)
 		if err != nil {
 			log.WithField("address", address).WithError(err).Warn("load report is malformed")
