fix(booking): trust no refusal on a kept connection without request ids

What callers saw: on the own interface, outcome not-run for an idempotent call that its endpoint was running.

Cause: plain services echo no request id, and idempotent calls use kept connections, on which an earlier refusal that is written once more passes for the answer.

Calls that must not be repeated always had a connection of their own there.

Change: a response tells whether its connection was kept; a refusal on a kept one leaves the outcome unknown. An idempotent call is repeated as before, and the last refusal is passed on with that outcome.

--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -33,6 +33,9 @@
 	Header  http.Header
 	Body    []byte
 	Outcome failure.Outcome
+	// ConnectionReused is set if the connection carried another request before, so that the response may be a late one to
+	// that request where the endpoint echoes no request id.
+	ConnectionReused bool
 }
 
 // isRefusal reports whether the response states that the request was not executed.
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -213,7 +213,7 @@
 		return failure.NotRun
 	case err != nil:
 		return failure.Unknown
-	case response.isRefusal() && call.Service.TrustsRefusals:
+	case response.isRefusal() && call.Service.TrustsRefusals && !response.ConnectionReused:
 		return failure.NotRun
 	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
 		return failure.Unknown
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -102,7 +102,7 @@
 	if err := ctx.Err(); err != nil {
 		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
-	resp, err := c.roundTrip(ctx, address, r)
+	resp, reused, err := c.roundTrip(ctx, address, r)
 	if err != nil {
 		return booking.Response{}, err
 	}
@@ -118,13 +118,15 @@
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
-	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body, ConnectionReused: reused}, nil
 }
 
-// roundTrip sends the request once and returns the response with its body unread.
-func (c *Client) roundTrip(ctx context.Context, address string, r booking.Request) (*http.Response, error) {
+// roundTrip sends the request once and returns the response with its body unread, and whether its connection carried
+// another request before.
+func (c *Client) roundTrip(
+	ctx context.Context, address string, r booking.Request,
+) (resp *http.Response, reused bool, err error) {
 	var conn net.Conn
-	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, reused = info.Conn, info.Reused
 		if tracked, ok := conn.(*writeTrackingConn); ok {
@@ -133,27 +135,27 @@
 	}})
 	req, err := newRequest(ctx, address, r)
 	if err != nil {
-		return nil, errors.Trace(SendError{Endpoint: address, Cause: err})
+		return nil, false, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
 	transport := c.singleUse
 	if r.ReuseConnection {
 		transport = c.pooled
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err = transport.RoundTrip(req)
 	if err != nil {
-		return nil, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
+		return nil, false, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
 	}
 	if c.Check == nil {
-		return resp, nil
+		return resp, reused, nil
 	}
 	head := ResponseHead{Status: resp.StatusCode, Header: resp.Header, ConnectionReused: reused}
 	if err := c.Check(r, head); err != nil {
 		// Further data on this connection may belong to other requests.
 		_ = conn.Close()
 		_ = resp.Body.Close()
-		return nil, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+		return nil, false, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
-	return resp, nil
+	return resp, reused, nil
 }
 
 // Open sends the request once and returns the response with its body unread. The context applies only until Open
@@ -167,7 +169,7 @@
 	}
 	requestCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	resp, err := c.roundTrip(requestCtx, address, r)
+	resp, _, err := c.roundTrip(requestCtx, address, r)
 	if !stop() && err == nil {
 		_ = resp.Body.Close()
 		err = errors.Trace(SendError{Endpoint: address, Written: true, Cause: ctx.Err()})
--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -191,3 +191,18 @@
 	require.Equal(t, 8, report.Slots)
 	require.EqualValues(t, "leaving", report.State)
 }
+
+// Guards against a response on a kept connection that is reported as one on a new connection, on which a refusal is
+// believed.
+func TestResponseTellsWhetherItsConnectionWasKept(t *testing.T) {
+	address := (&bookingEndpoint{}).serve(t)
+	client := newClient(t)
+	for _, kept := range []bool{false, true} {
+		response, err := client.Send(t.Context(), address, booking.Request{Method: http.MethodGet, Path: "/", ReuseConnection: true})
+		require.NoError(t, err)
+		require.Equal(t, kept, response.ConnectionReused)
+	}
+	response, err := client.Send(t.Context(), address, booking.Request{Method: http.MethodGet, Path: "/"})
+	require.NoError(t, err)
+	require.False(t, response.ConnectionReused)
+}
