--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -96,6 +96,8 @@
 	openedStreams int
 	// silenceReported reports whether the current silence of the engine has been passed to ObserveAttempt.
 	silenceReported bool
+	// tried holds the engines of earlier attempts.
+	tried triedAddresses
 }
 
 // serveStream forwards a request whose response is a stream of events, which are passed on as they arrive.
@@ -186,6 +188,7 @@
 	if start.Offset > 0 {
 		r.Header.Set(f.LastEventID, strconv.Itoa(start.Offset))
 	}
+	r.ReuseConnection = h.tried.mayReuseConnection(address)
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.startRun(nextCopy)
 	h.probeLimiter.reset()
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -40,9 +40,9 @@
 	pooled           *http.Transport
 	maxResponseBytes int64
 	bodies           bodyBuffer
-	// Check rejects a response by its header, for example one that belongs to another request. The connection of a
+	// Check rejects a response by its head, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
-	Check func(r booking.Request, header http.Header) error
+	Check func(r booking.Request, head ResponseHead) error
 	// MemoryLimit is the memory in bytes that all response bodies together may take while they are read, apart from a
 	// small part of each. Zero means no limit. It must be set before the first request.
 	MemoryLimit int64
@@ -51,6 +51,15 @@
 	Observe func(address, incarnation, state string)
 }
 
+// ResponseHead is a response without its body, as Client.Check receives it.
+type ResponseHead struct {
+	Status int
+	Header http.Header
+	// ConnectionReused is set if the connection carried another request before, so that the response may be a late one to
+	// that request.
+	ConnectionReused bool
+}
+
 // New returns a Client that waits up to dialTimeout for a new connection and closes a connection that has been idle for
 // idleTimeout.
 func New(dialTimeout, idleTimeout time.Duration) *Client {
@@ -93,7 +102,7 @@
 	if err := ctx.Err(); err != nil {
 		return booking.Response{}, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
-	resp, err := c.roundTrip(ctx, address, r)
+	resp, reused, err := c.roundTrip(ctx, address, r)
 	if err != nil {
 		return booking.Response{}, err
 	}
@@ -109,49 +118,52 @@
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
-	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return booking.Response{Status: resp.StatusCode, Header: resp.Header, Body: body, ConnectionReused: reused}, nil
 }
 
-// roundTrip sends the request once and returns the response with its body unread.
-func (c *Client) roundTrip(ctx context.Context, address string, r booking.Request) (*http.Response, error) {
+// roundTrip sends the request once and returns the response with its body unread, and whether its connection carried
+// another request before.
+func (c *Client) roundTrip(
+	ctx context.Context, address string, r booking.Request,
+) (resp *http.Response, reused bool, err error) {
 	var conn net.Conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn
+		conn, reused = info.Conn, info.Reused
 		if tracked, ok := conn.(*writeTrackingConn); ok {
 			tracked.startRequest()
 		}
 	}})
 	req, err := newRequest(ctx, address, r)
 	if err != nil {
-		return nil, errors.Trace(SendError{Endpoint: address, Cause: err})
+		return nil, false, errors.Trace(SendError{Endpoint: address, Cause: err})
 	}
 	transport := c.singleUse
 	if r.ReuseConnection {
 		transport = c.pooled
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, err = transport.RoundTrip(req)
 	if err != nil {
-		return nil, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
+		return nil, false, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
 	}
-	if err := c.check(r, resp); err != nil {
+	if err := c.check(r, resp, reused); err != nil {
 		// Further data on this connection may belong to other requests.
 		_ = conn.Close()
 		_ = resp.Body.Close()
-		return nil, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
+		return nil, false, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
-	return resp, nil
+	return resp, reused, nil
 }
 
 // check rejects a response whose status cannot be passed on, or that Check rejects. net/http writes no final response
 // with a status below 200 other than 101, after which the connection has another protocol.
-func (c *Client) check(r booking.Request, resp *http.Response) error {
+func (c *Client) check(r booking.Request, resp *http.Response, reused bool) error {
 	if resp.StatusCode < http.StatusOK {
 		return StatusError{Status: resp.StatusCode}
 	}
 	if c.Check == nil {
 		return nil
 	}
-	return c.Check(r, resp.Header)
+	return c.Check(r, ResponseHead{Status: resp.StatusCode, Header: resp.Header, ConnectionReused: reused})
 }
 
 // Open sends the request once and returns the response with its body unread. The context applies only until Open
@@ -165,7 +177,7 @@
 	}
 	requestCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	resp, err := c.roundTrip(requestCtx, address, r)
+	resp, _, err := c.roundTrip(requestCtx, address, r)
 	if !stop() && err == nil {
 		_ = resp.Body.Close()
 		err = errors.Trace(SendError{Endpoint: address, Written: true, Cause: ctx.Err()})
