fix(generation): wait longer for a silent engine that alone can continue a stream

What callers saw (interface "own"): a caller that reconnected with its cursor, without the delivered ids, got cursor-lost after a second, although the engine still ran its stream and was only silent.

Cause: Attach was bounded by the timeout of a chunk, also where no other engine can continue the generation.

Change: there, Attach is bounded by the wait bound, or by the request's deadline if it has one.

Measured: TestSilentEngineIsKeptWhileItAttaches before: "stream at a cannot be continued from offset 5 without resume_token_ids"; after: passes.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -91,9 +91,14 @@
 	return nil
 }
 
+// attach waits for a silent engine longer than for a chunk if no other engine can continue the generation.
 func (r *driverCall) attach(ctx context.Context, attempt int) (Stream, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.timeouts.ChunkTimeout())
+	ctx, cancel := r.withSilenceBound(ctx)
 	defer cancel()
+	if r.Log.CanResumeElsewhere() {
+		ctx, cancel = context.WithTimeout(ctx, r.timeouts.ChunkTimeout())
+		defer cancel()
+	}
 	return r.Attach(ctx, r.choice.Address(), r.Log.Generation(), attempt, r.Log.Len())
 }
 
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/generation"
+	"radishhollow/core/route"
 )
 
 const (
@@ -180,3 +181,30 @@
 		}
 	}
 }
+
+// Guards against a caller that reconnects with its cursor alone and loses its stream, because the engine that runs it is
+// silent for a while and no other engine can continue it.
+func TestSilentEngineIsKeptWhileItAttaches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"b"}}
+		d := f.driver(9)
+		d.Attach = func(ctx context.Context, _, _ string, attempt, offset int) (generation.Stream, error) {
+			timer := time.NewTimer(1500 * time.Millisecond)
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+				return scriptedStream(tokenSteps(attempt, offset, 9, 9)), nil
+			case <-ctx.Done():
+				return generation.Stream{}, ctx.Err()
+			}
+		}
+		var err error
+		d.Log, err = generation.ResumeLog(generation.Cursor{
+			Generation: fakeID, Attempt: 1, Offset: 5, Spec: fakeSpec.String(), Digest: generation.DigestOf(referenceTokens(9)[:5]),
+		}, []uint32{1, 2, 3}, nil)
+		require.NoError(t, err)
+		d.AttachTo = route.NewChoice("a", "i-a", "p", nil)
+		require.NoError(t, d.Run(t.Context()))
+		require.Equal(t, referenceTokens(9)[5:], f.got)
+	})
+}
