fix(forward): an empty answer is no end of a broken stream

Cause: any clean end of a body counted as the end of the stream, also that of an answer which had nothing to add.

Change: such an end counts as a loss, and the stream goes on elsewhere. It is the true end only where a second engine has nothing to add at the same event, as after a loss behind the last event; the first engine's answer is passed on as it is. Never believing it would be stricter, but a stream that was complete would then never end for its caller.

An event that an engine itself cuts with other text cannot be told from a whole one, because events are opaque.

--- a/io/forward/events.go
+++ b/io/forward/events.go
@@ -16,11 +16,14 @@
 	attempt    int
 	// lastID is the highest event id read so far. It starts as the offset of the attempt.
 	lastID int
-	ended  bool
+	// offset is that of the attempt, and emptyEnd the error for a body that ends without an event after it, or nil.
+	offset   int
+	emptyEnd error
+	ended    bool
 }
 
-// next returns the next event as a chunk. At the end of the body it returns a chunk with FinishStop, and io.EOF after
-// that. An event without an id has offset -1, which generation.Log refuses.
+// next returns the next event as a chunk. At the end of the body it returns a chunk with FinishStop or emptyEnd, and io.EOF
+// after that. An event without an id has offset -1, which generation.Log refuses.
 func (c *eventChunker) next() (generation.Chunk, error) {
 	if c.ended {
 		return generation.Chunk{}, io.EOF
@@ -28,6 +31,9 @@
 	id, event, err := c.reader.Next()
 	if errors.Is(err, io.EOF) {
 		c.ended = true
+		if c.lastID == c.offset && c.emptyEnd != nil {
+			return generation.Chunk{}, c.emptyEnd
+		}
 		return generation.NewChunk(c.generation, c.attempt, generation.Spec{}, c.lastID, nil, "", generation.FinishStop), nil
 	}
 	if err != nil {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -85,6 +85,8 @@
 	firstEventWait, longestPause time.Duration
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
+	// nothingAdded is the error of the last engine that ended a resumed stream without a new event.
+	nothingAdded NothingAddedError
 	// tried holds the engines of earlier attempts.
 	tried triedAddresses
 	// retryTaken reports whether the current attempt took a retry from the retry budget.
@@ -205,13 +207,14 @@
 		defer cancel()
 		return generation.Stream{}, h.readErrorResponse(ctx, address, response)
 	}
+	chunker := &eventChunker{
+		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
+		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+	}
 	if h.header == nil {
 		h.header = response.Header
 	}
 	h.startReplicator(nextCopy)
-	chunker := &eventChunker{
-		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
-	}
 	return sse.NewStream(h.ctx, response.Body, cancel, chunker.next), nil
 }
 
@@ -324,6 +327,7 @@
 		}
 		// The copy of the lost run is kept for the next one.
 		h.stopReplicator()
+		h.recordLostStream(event.Cause)
 		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
 	}
 	h.reportResult(event)
