--- a/io/forward/observe.go
+++ b/io/forward/observe.go
@@ -46,6 +46,7 @@
 		}
 		// The copy of the lost run is kept for the next one.
 		h.stopReplicator()
+		h.recordLostStream(event.Cause)
 		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
 	}
 	h.reportResult(event)
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -96,6 +96,8 @@
 	openedStreams int
 	// silenceReported reports whether the current silence of the engine has been passed to ObserveAttempt.
 	silenceReported bool
+	// nothingAdded is the error of the last engine that ended a resumed stream without a new event.
+	nothingAdded NothingAddedError
 	// tried holds the engines of earlier attempts.
 	tried triedAddresses
 }
@@ -213,13 +215,14 @@
 		defer cancel()
 		return generation.Stream{}, h.readErrorResponse(ctx, address, response)
 	}
+	chunker := &eventChunker{
+		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
+		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+	}
 	if h.header == nil {
 		h.header = response.Header
 	}
 	h.startReplicator(nextCopy)
-	chunker := &eventChunker{
-		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
-	}
 	return sse.NewStream(h.ctx, response.Body, cancel, chunker.next), nil
 }
 
