feat(generation): ask before each attempt whether it is admitted

Change: Driver.Admit is called before each pick that precedes an attempt. Its error ends the generation with an AdmissionError, whose outcome is not-run only if no attempt of this call can have run. Nothing sets it yet.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -126,6 +126,9 @@
 		if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
 			return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
 		}
+		if err := r.admit(); err != nil {
+			return err
+		}
 		choice, err := r.Pick(ctx, r.pickCriteria())
 		r.noEndpoint = err != nil && len(r.exclude) == 0
 		if err == nil {
@@ -340,14 +343,6 @@
 	}
 }
 
-func isFinal(err error) bool {
-	switch failure.Of(err).(type) {
-	case EngineLostError, WaitExceededError, SupersededError, CursorLostError:
-		return true
-	}
-	return false
-}
-
 func (r *driverCall) lastErrorOr(err error) error {
 	if r.lastErr != nil {
 		return r.lastErr
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -21,9 +21,11 @@
 	errorDeliveryMargin = 100 * time.Millisecond
 )
 
-// Driver runs one generation to its end, over several attempts if engines fail. All functions but Attach, Cancel,
+// Driver runs one generation to its end, over several attempts if engines fail. All functions but Admit, Attach, Cancel,
 // Health, Stalled, Queued, TakeRetry and Observe are required. It is not safe for concurrent use.
 type Driver struct {
+	// Admit is called before each Pick that precedes an attempt. Its error ends the generation with an AdmissionError.
+	Admit func() error
 	// Pick chooses the endpoint of the next attempt.
 	Pick func(ctx context.Context, criteria route.Criteria) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream stays open until its Close.
--- a/core/generation/error.go
+++ b/core/generation/error.go
@@ -49,6 +49,24 @@
 
 func (e EngineLostError) Outcome() failure.Outcome { return e.Result }
 
+// AdmissionError reports that Driver.Admit rejected an attempt, for the reason in Cause. Result is failure.NotRun only if
+// no attempt of this call of Run can have run.
+type AdmissionError struct {
+	Offset int
+	Result failure.Outcome
+	Cause  error
+}
+
+func (e AdmissionError) Error() string {
+	return fmt.Sprintf("no further attempt is admitted at offset %d: %v", e.Offset, e.Cause)
+}
+
+func (e AdmissionError) Unwrap() error { return e.Cause }
+
+func (e AdmissionError) Code() string { return failure.Of(e.Cause).Code() }
+
+func (e AdmissionError) Outcome() failure.Outcome { return e.Result }
+
 // WaitExceededError reports that no stream was open, or that the next token did not arrive after a loss, within the
 // caller's wait bound. Cause is the last attempt's error.
 type WaitExceededError struct {
@@ -147,3 +165,12 @@
 func (e CursorLostError) Code() string { return "cursor-lost" }
 
 func (e CursorLostError) Outcome() failure.Outcome { return failure.Ran }
+
+// isFinal reports whether Run returns the error as it is.
+func isFinal(err error) bool {
+	switch failure.Of(err).(type) {
+	case AdmissionError, EngineLostError, WaitExceededError, SupersededError, CursorLostError:
+		return true
+	}
+	return false
+}
