feat(quarantine): evidence and verdict on parts that crash engines

Callers saw engine after engine end: a part of a prompt that crashes each engine which begins to write an answer on it was sent again and again, as new requests and as repeats, because nothing knew a part as a cause.

Change: package quarantine, not yet wired. A Register keeps ends of engines with the parts that were at risk, clearances of parts on which an engine lived, and exchanges both as evidence with ages. Each daemon derives the quarantined groups itself and refuses only requests with all parts of a group; after a hold one daemon admits one trial.

--- /dev/null
+++ b/core/quarantine/register.go
@@ -0,0 +1,235 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// floodAge is the age up to which a peer's evidence that is new here is passed on at once.
+const floodAge = 5 * time.Second
+
+// Register holds one daemon's evidence and its verdict. Its exported fields must be set before use. It is safe for
+// concurrent use.
+type Register struct {
+	// Self is the daemon's own address.
+	Self string
+	// Peers returns the addresses of all other daemons that are known, reachable or not.
+	Peers func() []string
+	// OnChange is called for each group that is quarantined or released. It may be nil, and may call the register.
+	OnChange func(change Change)
+	// OnEvidence is called when there is evidence that peers should get soon. It may be nil, and may call the register.
+	OnEvidence func()
+
+	mu         sync.Mutex
+	ends       ends
+	clearances clearances
+	groups     []*group
+	// byPart holds the groups by their first part.
+	byPart map[Part][]*group
+}
+
+// RecordEnd records that an endpoint ended. The parts are those of the requests that waited there for their first event,
+// without each request's last part. There may be none: such an end only shows an outage.
+func (r *Register) RecordEnd(endpoint string, parts []Part) {
+	now := time.Now()
+	r.mu.Lock()
+	changed := r.ends.add(endpoint, now, r.suspects(parts, now))
+	changes := r.evaluate(now, changed)
+	r.mu.Unlock()
+	r.notify(changes, changed && len(parts) > 0)
+}
+
+// suspects returns the parts that were not cleared after a time, at most maxParts of them. If there are more, those
+// whose last clearance is the oldest are returned, because common parts are cleared again soon.
+func (r *Register) suspects(parts []Part, at time.Time) []Part {
+	list := slices.DeleteFunc(sortedParts(parts), func(p Part) bool { return r.clearances.last(p).After(at) })
+	if len(list) > maxParts {
+		slices.SortFunc(list, func(a, b Part) int { return r.clearances.last(a).Compare(r.clearances.last(b)) })
+		list = list[:maxParts]
+	}
+	return list
+}
+
+// RecordLived records that an engine began an answer on the parts and lived.
+func (r *Register) RecordLived(parts []Part) {
+	now := time.Now()
+	r.mu.Lock()
+	changed := false
+	for _, p := range parts {
+		if r.ends.clear(p, now) {
+			r.clearances.setCleared(p, now)
+			changed = true
+		} else {
+			r.clearances.setLived(p, now)
+		}
+	}
+	changes := r.evaluate(now, changed)
+	r.mu.Unlock()
+	r.notify(changes, changed)
+}
+
+// Merge adds a peer's evidence.
+func (r *Register) Merge(e Evidence) {
+	now := time.Now()
+	r.mu.Lock()
+	changed, urgent := false, false
+	for _, c := range e.Clearances[:min(len(e.Clearances), maxCleared)] {
+		if c.Age < 0 || c.Age > evidenceExpiry {
+			continue
+		}
+		at := now.Add(-c.Age)
+		if r.clearances.setCleared(c.Part, at) && r.ends.clear(c.Part, at) {
+			changed, urgent = true, urgent || c.Age < floodAge
+		}
+	}
+	for _, reported := range e.Ends[:min(len(e.Ends), maxEnds)] {
+		added, answer := r.mergeEnd(reported, now)
+		changed = changed || added
+		urgent = urgent || answer || added && reported.Age < floodAge
+	}
+	changes := r.evaluate(now, changed)
+	r.mu.Unlock()
+	r.notify(changes, urgent)
+}
+
+// mergeEnd adds a peer's end. It reports whether it is new here, and whether a clearance that the peer may not know is
+// the answer to it.
+func (r *Register) mergeEnd(reported End, now time.Time) (added, answer bool) {
+	if reported.Age < 0 || reported.Age > evidenceExpiry {
+		return false, false
+	}
+	at := now.Add(-reported.Age)
+	reported.Parts = reported.Parts[:min(len(reported.Parts), maxParts)]
+	for _, p := range reported.Parts {
+		if last := r.clearances.last(p); last.After(at) && r.clearances.setCleared(p, last) {
+			answer = true
+		}
+	}
+	parts := r.suspects(reported.Parts, at)
+	if len(parts) == 0 {
+		return false, answer
+	}
+	return r.ends.add(reported.Endpoint, at, parts), answer
+}
+
+// Admit returns nil if a request with these parts may be sent, and a SuspectError if all parts of a quarantined group are
+// among them. A nil for such a request makes it the group's trial.
+func (r *Register) Admit(parts []Part) error {
+	now := time.Now()
+	r.mu.Lock()
+	changes := r.evaluate(now, false)
+	matching := r.matching(parts)
+	err := refusal(matching, now)
+	r.mu.Unlock()
+	r.notify(changes, false)
+	if len(matching) == 0 {
+		return nil
+	}
+	if err != nil {
+		return *err
+	}
+	return r.try(parts, now)
+}
+
+// matching returns the groups whose parts are all among parts.
+func (r *Register) matching(parts []Part) []*group {
+	if len(r.groups) == 0 {
+		return nil
+	}
+	var list []*group
+	for _, p := range parts {
+		for _, g := range r.byPart[p] {
+			if containsAll(parts, g.parts) {
+				list = append(list, g)
+			}
+		}
+	}
+	return list
+}
+
+func refusal(matching []*group, now time.Time) *SuspectError {
+	for _, g := range matching {
+		if wait := g.wait(now); wait > 0 {
+			return &SuspectError{Parts: g.parts, After: wait}
+		}
+	}
+	return nil
+}
+
+// try starts the trial of the groups that match if this daemon owns them all.
+func (r *Register) try(parts []Part, now time.Time) error {
+	peers := r.Peers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Another call may have started a trial, or changed the groups, in the meantime.
+	matching := r.matching(parts)
+	if err := refusal(matching, now); err != nil {
+		return *err
+	}
+	for _, g := range matching {
+		if owner(g.parts, r.Self, peers) != r.Self {
+			return SuspectError{Parts: g.parts, After: trialTimeout}
+		}
+	}
+	for _, g := range matching {
+		g.trialEnd = now.Add(trialTimeout)
+	}
+	return nil
+}
+
+// Quarantined returns the number of quarantined groups.
+func (r *Register) Quarantined() int {
+	r.mu.Lock()
+	changes := r.evaluate(time.Now(), false)
+	n := len(r.groups)
+	r.mu.Unlock()
+	r.notify(changes, false)
+	return n
+}
+
+// evaluate derives the groups from the evidence if it has changed or expired, and returns what changed.
+func (r *Register) evaluate(now time.Time, changed bool) []Change {
+	if !r.ends.expire(now) && !changed {
+		return nil
+	}
+	r.clearances.expire(now)
+	before := r.groups
+	r.groups = r.ends.verdict()
+	r.byPart = map[Part][]*group{}
+	var changes []Change
+	for _, g := range r.groups {
+		r.byPart[g.parts[0]] = append(r.byPart[g.parts[0]], g)
+		if known := find(before, g.parts); known != nil {
+			g.trialEnd = known.trialEnd
+		} else {
+			changes = append(changes, Change{Parts: g.parts, Quarantined: true, Ends: len(g.ends)})
+		}
+	}
+	for _, g := range before {
+		if find(r.groups, g.parts) == nil {
+			changes = append(changes, Change{Parts: g.parts, Ends: len(g.ends)})
+		}
+	}
+	return changes
+}
+
+func find(groups []*group, parts []Part) *group {
+	for _, g := range groups {
+		if slices.Equal(g.parts, parts) {
+			return g
+		}
+	}
+	return nil
+}
+
+func (r *Register) notify(changes []Change, urgent bool) {
+	if r.OnChange != nil {
+		for _, change := range changes {
+			r.OnChange(change)
+		}
+	}
+	if urgent && r.OnEvidence != nil {
+		r.OnEvidence()
+	}
+}
