feat(peer): exchange evidence on parts of prompts that crash engines

Change: a view carries up to 8 ends of engines with at most 48 parts in all and up to 16 clearances, each with an age that grows with every transfer. The parts of received ends count against the limit of a view's items. Daemons of versions without the fields ignore them, and a view without them changes nothing. Nothing provides evidence yet.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -1,7 +1,11 @@
 // Package member holds one daemon's membership table: its peers, and the endpoints that are leaving or dead.
 package member
 
-import "time"
+import (
+	"time"
+
+	"radishhollow/core/quarantine"
+)
 
 // View is the message that daemons exchange. It contains ages at the time of sending instead of timestamps, so that the
 // clocks of two machines are never compared.
@@ -22,6 +26,9 @@
 	Demand               []Demand
 	Marks                []Mark
 	Members              []Member
+	// Evidence is the sender's evidence on parts of prompts that may crash engines. It is empty in a view from a version
+	// without it.
+	Evidence quarantine.Evidence
 }
 
 // Demand is the demand of one workspace at one daemon.
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -30,6 +30,7 @@
 			AgeMs: toMS(e.Age),
 		})
 	}
+	w.Ends, w.Clearances = evidenceToWire(v.Evidence)
 	return w
 }
 
@@ -55,6 +56,7 @@
 			Draining: m.GetDraining(), Age: fromMS(m.GetAgeMs()),
 		})
 	}
+	v.Evidence = evidenceFromWire(w)
 	return v
 }
 
--- a/io/peer/exchanger.go
+++ b/io/peer/exchanger.go
@@ -61,7 +61,7 @@
 	x.fetchQueue.TryPush(address)
 }
 
-// TriggerExchange makes the next exchange start earlier, for example after a new mark.
+// TriggerExchange makes the next exchange start earlier, for example after a new mark or new evidence.
 func (x *Exchanger) TriggerExchange() {
 	x.initQueues()
 	select {
@@ -149,6 +149,7 @@
 		// does not prove that it is the current incarnation at the address that it states.
 		x.Node.Table.MergeRequest(v)
 	}
+	x.Node.mergeEvidence(v.Evidence)
 	if x.Node.observeRevisions(v) {
 		x.EnqueueFetch(address)
 	}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -6,6 +6,7 @@
 
 	"radishhollow/core/config"
 	"radishhollow/core/member"
+	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
@@ -17,6 +18,10 @@
 	maxSentMembers = 8
 	maxSentMarks   = 16
 	maxSentDemand  = 16
+	// maxSentParts is the maximum number of parts of all ends together. Each takes 8 bytes.
+	maxSentEnds       = 8
+	maxSentParts      = 48
+	maxSentClearances = 16
 )
 
 // Limits of a received view, which are above what any version sends.
@@ -45,6 +50,10 @@
 	Listings func() ([]route.Listing, uint64, bool)
 	// OnInstanceListRevision is called with the revision of the instance list in each merged view. It may be nil.
 	OnInstanceListRevision func(revision uint64)
+	// Evidence returns the evidence to send, and MergeEvidence is called with that of each merged view that has any. They
+	// may be nil.
+	Evidence      func(maxEnds, maxClearances int) quarantine.Evidence
+	MergeEvidence func(evidence quarantine.Evidence)
 	// Keys signs the messages between peers.
 	Keys      Keys
 	Table     *member.Table
@@ -63,6 +72,11 @@
 	if n.Listings != nil {
 		_, listRevision, _ = n.Listings()
 	}
+	var evidence quarantine.Evidence
+	if n.Evidence != nil {
+		evidence = n.Evidence(maxSentEnds, maxSentClearances)
+		evidence.Ends = limitParts(evidence.Ends, maxSentParts)
+	}
 	return member.View{
 		InstanceListRevision: listRevision,
 		Address:              n.Address, Incarnation: n.Incarnation, Place: n.Place, Draining: n.Draining(),
@@ -70,6 +84,8 @@
 		Demand:  demand[:min(maxSentDemand, len(demand))],
 		Marks:   n.Table.Marks(maxSentMarks),
 		Members: n.Table.SampleMembers(maxSentMembers),
+
+		Evidence: evidence,
 	}
 }
 
@@ -90,7 +106,7 @@
 // isValidView reports whether a received view is within the limits and well-formed. Other views must not be merged into
 // the table.
 func isValidView(v *rpc.View) bool {
-	if len(v.GetMembers())+len(v.GetMarks())+len(v.GetDemand()) > maxReceivedItems {
+	if len(v.GetMembers())+len(v.GetMarks())+len(v.GetDemand())+evidenceItems(v) > maxReceivedItems {
 		return false
 	}
 	ok := route.IsAddress(v.GetAddress()) && withinStringLimit(v.GetIncarnation(), v.GetPlace(), v.GetDigest())
@@ -103,7 +119,7 @@
 	for _, d := range v.GetDemand() {
 		ok = ok && withinStringLimit(d.GetWorkspace()) && d.GetRequestsPerSecond() >= 0 && d.GetTokensPerSecond() >= 0
 	}
-	return ok
+	return ok && isValidEvidence(v)
 }
 
 func withinStringLimit(texts ...string) bool {
--- a/io/peer/rpc/generate.sh
+++ b/io/peer/rpc/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates the committed peer code; needs protoc and the tools module's plugins in .bin.
+# Regenerates the committed peer code; needs buf, and the tools module's plugins in .bin. Both work without a network.
 set -euo pipefail
 cd "$(dirname "$0")/../../.."
-PATH="$PWD/.bin:$PATH" protoc --go_out=. --go_opt=module=radishhollow --twirp_out=. --twirp_opt=module=radishhollow io/peer/rpc/peer.proto
+PATH="$PWD/.bin:$PATH" buf generate --template io/peer/rpc/buf.gen.yaml --path io/peer/rpc
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -42,6 +42,7 @@
 	}
 	v := fromWire(w)
 	s.Node.Table.MergeRequest(v)
+	s.Node.mergeEvidence(v.Evidence)
 	s.Node.Isolation.RecordContact()
 	if s.Node.observeRevisions(v) {
 		s.OnNewerRevision(v.Address)
