--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -59,6 +59,12 @@
 	m.histogram(name, workspace).Update(d.Seconds())
 }
 
+// Gauge adds a gauge whose value is read by the function whenever the metrics are written. A second gauge of the same
+// name is ignored.
+func (m *Metrics) Gauge(name string, read func() float64) {
+	m.set.GetOrCreateGauge("radishhollow_"+name, read)
+}
+
 // WritePrometheus writes all metrics in the text format that Prometheus reads.
 func (m *Metrics) WritePrometheus(w io.Writer) {
 	m.set.WritePrometheus(w)
--- a/io/telemetry/metrics_test.go
+++ b/io/telemetry/metrics_test.go
@@ -33,6 +33,16 @@
 	require.Contains(t, out.String(), `radishhollow_resume_latency_seconds_bucket{workspace="north",le="0.35"} 0`)
 }
 
+// Guards against a gauge that keeps the value of its creation.
+func TestGauge(t *testing.T) {
+	m, value := telemetry.New(), 1.0
+	m.Gauge(telemetry.QuarantinedParts, func() float64 { return value })
+	value = 3
+	var out strings.Builder
+	m.WritePrometheus(&out)
+	require.Contains(t, out.String(), "radishhollow_quarantined_parts 3")
+}
+
 func BenchmarkObserve(b *testing.B) {
 	m := telemetry.New()
 	for b.Loop() {
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -31,4 +31,8 @@
 	Orders            = "orders"             // class is the order's kind or refused
 	Rejections        = "rejections"         // class is the error code
 	Restarts          = "restarts"           // class is the component
+	Quarantine        = "quarantine"         // class is end, lived, refused, quarantined or released
 )
+
+// QuarantinedParts is the name of a gauge.
+const QuarantinedParts = "quarantined_parts"
