--- a/io/forward/format.go
+++ b/io/forward/format.go
@@ -2,7 +2,11 @@
 // without interpreting their bodies.
 package forward
 
-import "net/http"
+import (
+	"net/http"
+
+	"radishhollow/core/quarantine"
+)
 
 // Format defines the headers that callers and endpoints use: their names and how to decode them. All names are
 // required.
@@ -36,6 +40,8 @@
 	TokenCounts func(header http.Header) (prompt, output int)
 	// Affinity returns a key that identifies the prompt, or an empty string.
 	Affinity func(header http.Header) string
+	// Parts returns the parts of the prompt that other requests may share, in a bounded number.
+	Parts func(header http.Header) []quarantine.Part
 }
 
 // hopByHop lists headers that apply to a single connection and are not forwarded.
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -14,6 +14,7 @@
 
 	"radishhollow/core/booking"
 	"radishhollow/core/config"
+	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 )
 
@@ -34,6 +35,8 @@
 	lastEventID     int
 	promptTokens    int
 	maxOutputTokens int
+	// parts are the parts of the prompt that other requests may share.
+	parts []quarantine.Part
 	// logFields are additional fields for the log entry of the request.
 	logFields logrus.Fields
 }
@@ -67,6 +70,7 @@
 	q.header = s.endpointHeader(q, r.Header)
 	q.lastEventID = max(headerNumber(r.Header.Get(s.Format.LastEventID)), 0)
 	q.promptTokens, q.maxOutputTokens = s.Format.TokenCounts(r.Header)
+	q.parts = s.Format.Parts(r.Header)
 	var err error
 	q.body, err = readBody(w, r, int64(q.document.Limits().BodyBytes))
 	return q, err
