fix(forward): refuse requests that end the engines that answer them

What callers saw: a request with one part of its prompt ended each engine that began to answer it.

Cause: nothing related an engine's end to the prompts that it began to answer.

Change: a run counts as starting from its send until its second event, its complete response or 250 ms after its first event. When the connection of a starting run is closed or reset and its engine accepts no connections any more, the daemon records the end with the parts of the prompt, before it asks whether the next attempt is admitted. Runs that outlive their start clear their parts. Ends of engines that broke off other runs are recorded without parts. Evidence is exchanged with the peers. A request with a quarantined part is answered 503 with the Retry-After of the register before an endpoint is chosen; if an attempt may have run, the answer promises nothing, as after any lost engine. Many runs that lose one engine share one check of it.

Evidence: TestForwardStopsARequestThatEndsEngines, with two daemons and 16 stand-in engines that are back after 1 s.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -15,6 +15,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
+	"radishhollow/core/quarantine"
 	"radishhollow/core/relay"
 	"radishhollow/core/retry"
 	"radishhollow/core/route"
@@ -29,7 +30,7 @@
 
 // forwardProviders provides the components that forward requests along the routes of the operators' platform.
 var forwardProviders = fx.Provide(
-	newRelay, (*relay.Store).KV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient, newForwardServer,
+	newRelay, (*relay.Store).KV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient, newRegister, newForwardServer,
 	newForwardSupervisor,
 )
 
@@ -171,7 +172,7 @@
 
 func newForwardServer(
 	s settings.Settings, documents *config.Store, table *route.Table, client *service.Client, window *retry.Window,
-	endpoints *endpointList, m *telemetry.Metrics, log *logrus.Logger,
+	endpoints *endpointList, register *quarantine.Register, m *telemetry.Metrics, log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
 	server := &forward.Server{
@@ -196,6 +197,7 @@
 		TakeRetry: func(call booking.Call) bool { return window.TakeRetry(call.Service.Name) },
 	}
 	server.Do = sender.Do
+	useRegister(server, register, m)
 	return server
 }
 
--- /dev/null
+++ b/daemon/quarantine.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"radishhollow/core/member"
+	"radishhollow/core/quarantine"
+	"radishhollow/io/forward"
+	"radishhollow/io/peer"
+	"radishhollow/io/telemetry"
+)
+
+// newRegister returns the evidence on parts of prompts that crash engines, which the daemons exchange.
+func newRegister(
+	id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
+) *quarantine.Register {
+	register := &quarantine.Register{
+		Self: id.address, Peers: members.Addresses, OnEvidence: peers.TriggerExchange,
+		OnChange: func(change quarantine.Change) {
+			class, message := "released", "parts released"
+			if change.Quarantined {
+				class, message = "quarantined", "parts quarantined"
+			}
+			m.Count(telemetry.Quarantine, class)
+			log.WithFields(logrus.Fields{"parts": forward.FormatParts(change.Parts), "ends": change.Ends}).Warn(message)
+		},
+	}
+	m.Gauge(telemetry.QuarantinedParts, func() float64 { return float64(register.Quarantined()) })
+	// fx constructs all components before the first OnStart, so the node does not serve yet.
+	peers.Node.Evidence, peers.Node.MergeEvidence = register.Evidence, register.Merge
+	return register
+}
+
+// useRegister makes the server admit streams and record evidence by the register.
+func useRegister(server *forward.Server, register *quarantine.Register, m *telemetry.Metrics) {
+	server.Admit = func(parts []quarantine.Part) error {
+		err := register.Admit(parts)
+		if err != nil {
+			m.Count(telemetry.Quarantine, "refused")
+		}
+		return err
+	}
+	server.RecordEnd = func(incarnation string, parts []quarantine.Part) {
+		m.Count(telemetry.Quarantine, "end")
+		register.RecordEnd(incarnation, parts)
+	}
+	server.RecordLived = func(parts []quarantine.Part) {
+		m.Count(telemetry.Quarantine, "lived")
+		register.RecordLived(parts)
+	}
+}
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -20,6 +20,7 @@
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
 	"radishhollow/core/guard"
+	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 	"radishhollow/io/telemetry"
 )
@@ -65,6 +66,13 @@
 	// RefreshLoad queries the load of one of them.
 	LoadQueryCandidates func(criteria route.Criteria, n int) []string
 	RefreshLoad         func(ctx context.Context, address string)
+	// Admit returns an error if a stream whose prompt has these parts must not be sent. If the error has a method
+	// RetryAfter, the caller is told that time.
+	Admit func(parts []quarantine.Part) error
+	// RecordEnd records that an engine has ended, with the parts of the prompt whose run was starting there, if any, and
+	// RecordLived that a run on the parts has outlived its start.
+	RecordEnd   func(incarnation string, parts []quarantine.Part)
+	RecordLived func(parts []quarantine.Part)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
 	// CopyKVCache copies the KV cache of a run from its engine to another one and returns the handle of the copy, which
@@ -93,6 +101,7 @@
 
 	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
+	ends          endDetector
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
 	backgroundMu sync.Mutex
@@ -102,6 +111,7 @@
 // NewHTTPServer returns an http.Server with the limits of this package. The caller sets its listener and stops it.
 func (s *Server) NewHTTPServer() *http.Server {
 	gin.SetMode(gin.ReleaseMode)
+	s.ends.reachable = s.Reachable
 	router := gin.New()
 	router.NoRoute(s.handle)
 	return &http.Server{
@@ -261,8 +271,7 @@
 func (s *Server) writeError(c *gin.Context, status int, err error) {
 	header := c.Writer.Header()
 	if status == http.StatusServiceUnavailable {
-		wait := meanRetryAfter/2 + rand.N(meanRetryAfter)
-		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter(err).Seconds(), 'f', 3, 64))
 	}
 	if code := failure.Of(err).Code(); code == "body-too-large" || code == "body-incomplete" {
 		// A connection cannot be reused while part of the request body on it is unread.
@@ -274,6 +283,19 @@
 	_, _ = io.WriteString(c.Writer, failure.Of(err).Code()+"\n")
 }
 
+// retryAfter returns the time after which the error tells the caller to retry. Without such a time it is that of an
+// endpoint's restart.
+func retryAfter(err error) time.Duration {
+	timed, ok := errors.AsType[interface {
+		error
+		RetryAfter() time.Duration
+	}](err)
+	if ok {
+		return timed.RetryAfter()
+	}
+	return meanRetryAfter/2 + rand.N(meanRetryAfter)
+}
+
 // observeRequest logs a request and updates its metrics.
 func (s *Server) observeRequest(q *request, status int, callerGone bool, err error) {
 	code := "ok"
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -73,6 +73,8 @@
 	lostPlace string
 	// sentAt is the time at which the current attempt was sent.
 	sentAt time.Time
+	// start tracks the start of the current attempt's run. It is nil before the first attempt.
+	start *startTracker
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
@@ -100,12 +102,13 @@
 	h := &streamHandler{
 		server: s, c: c, controller: http.NewResponseController(c.Writer), request: q, ctx: ctx,
 	}
+	defer h.stopTracking()
 	maxRuns := 1
 	if q.route.Resumable {
 		maxRuns = q.route.Attempts
 	}
 	d := &generation.Driver{
-		Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
+		Admit: h.admit, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
 		TakeRetry: h.takeRetry,
 		// No resume is exempt, so each takes a retry from the service's budget.
 		ExemptResumes: -1, MaxRuns: maxRuns, FirstPickBound: q.route.Target() * firstPickPercent / 100,
@@ -180,6 +183,7 @@
 	}
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.sentAt = time.Now()
+	h.trackStart()
 	h.probeLimiter.reset()
 	response, cancel, err := h.server.Open(ctx, address, r)
 	fields := h.server.choiceFields(h.choice)
@@ -249,7 +253,7 @@
 	return true
 }
 
-// connectAttemptsPerProbe is the number of consecutive connection attempts that must time out for a probe to fail. A
+// connectAttemptsPerProbe is the number of consecutive connection attempts that must fail for a probe to fail. A
 // single attempt often times out on a link with packet loss.
 const connectAttemptsPerProbe = 2
 
@@ -271,8 +275,10 @@
 func (h *streamHandler) deliver(part generation.Chunk) error {
 	if part.Event() == nil {
 		// The chunk that ends the stream holds no event.
+		h.start.recordCompletion()
 		return nil
 	}
+	h.start.recordEvent()
 	if h.replicator != nil {
 		h.replicator.check()
 	}
@@ -311,6 +317,7 @@
 		}, nil)
 		h.choice.PrefillDone()
 	case generation.EventRefused:
+		h.stopTracking()
 		h.returnRetry(event.Cause)
 		h.log("stream refused", logrus.Fields{"endpoint": h.choice.Incarnation()}, event.Cause)
 	case generation.EventLoss:
@@ -322,6 +329,7 @@
 		// The copy of the lost run is kept for the next one.
 		h.stopReplicator()
 		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
+		h.recordLoss(event)
 	}
 	h.reportResult(event)
 }
