--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -38,6 +38,8 @@
 	// ShareKeys states that the peer keys are kept in the key-value service. The Registrar then reads and rotates them,
 	// and each read of them replaces Node.Keys, also if a reload of the settings has set them.
 	ShareKeys bool
+	// OnListed is called after each full read of the list, when Node.Table has its daemons. It may be nil.
+	OnListed func()
 
 	shared *sharedKeys
 }
@@ -142,6 +144,9 @@
 	members := map[string]member.Member{}
 	r.apply(members, entries)
 	r.Node.Table.SetListed(memberList(members))
+	if r.OnListed != nil {
+		r.OnListed()
+	}
 	relistAt := time.Now().Add(r.RelistInterval)
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
 		changes, revision, err := r.KV.Watch(ctx, MembersPrefix, after, r.WatchWait)
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -242,3 +242,21 @@
 		require.Empty(t, registered(f))
 	})
 }
+
+// Guards against a daemon that starts and serves requests until its next regular exchange without what its peers know.
+func TestListTriggersAnExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeKV()
+		_, stopPeer := startRegistrar(f, "127.0.0.1:1")
+		defer stopPeer()
+		synctest.Wait()
+		known := -1
+		node, stop := startRegistrar(f, "127.0.0.1:2", func(r *Registrar) {
+			r.OnListed = func() { known = len(r.Node.Table.Addresses()) }
+		})
+		synctest.Wait()
+		stop()
+		require.Equal(t, 1, known, "the peers must be known by then")
+		require.Len(t, node.Table.Addresses(), 1)
+	})
+}
