--- a/io/forward/evidence.go
+++ b/io/forward/evidence.go
@@ -53,11 +53,11 @@
 	s.RecordEnd(choice.Incarnation(), q.parts)
 }
 
-// FormatParts returns the parts in the form of the log.
+// FormatParts returns the parts in hexadecimal, as in the text of a quarantine.SuspectError.
 func FormatParts(parts []quarantine.Part) []string {
 	list := make([]string, len(parts))
 	for i, p := range parts {
-		list[i] = fmt.Sprintf("%016x", uint64(p))
+		list[i] = fmt.Sprintf("%x", uint64(p))
 	}
 	return list
 }
