--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -23,30 +23,48 @@
 // group is a set of parts that cannot be told apart by the ends that contain them.
 type group struct {
 	parts []Part
-	ends  []*end
+	// ends are those that the group explains, in the order of their times.
+	ends []*end
 	// hold is the time after the last end in which no request is admitted.
 	hold     time.Duration
 	lastEnd  time.Time
 	trialEnd time.Time
+	// rivals are parts outside the group that could by themselves be the cause, because enough of the ends contain them.
+	rivals []Part
 }
 
 // verdict derives the quarantined groups from the ends.
 type verdict struct {
 	ends *ends
-	// open holds the ends that no group explains, in the order of their times.
-	open []*end
+	// open holds the times of the ends that no group explains, in ascending order.
+	open []time.Time
 }
 
 func (s *ends) verdict() []*group {
-	v := verdict{ends: s, open: s.list}
+	for _, e := range s.list {
+		e.explained = false
+	}
+	v := verdict{ends: s}
 	var groups []*group
 	for {
+		v.setOpen()
 		best := v.next()
 		if best == nil {
 			return groups
 		}
 		groups = append(groups, best)
-		v.open = slices.DeleteFunc(slices.Clone(v.open), func(e *end) bool { return containsAll(e.parts, best.parts) })
+		for _, e := range best.ends {
+			e.explained = true
+		}
+	}
+}
+
+func (v *verdict) setOpen() {
+	v.open = v.open[:0]
+	for _, e := range v.ends.list {
+		if !e.explained {
+			v.open = append(v.open, e.at)
+		}
 	}
 }
 
@@ -55,82 +73,84 @@
 	weights := map[Part]float64{}
 	var top Part
 	for p, list := range v.ends.byPart {
-		if len(list) < 2 {
+		if len(list) <= maxMomentWeight {
 			continue
 		}
-		w := v.weight(func(e *end) bool { return slices.Contains(e.parts, p) })
+		w := v.weight([]Part{p})
 		if w < threshold {
 			continue
 		}
-		weights[p] = w
-		if known, found := weights[top]; !found || w > known || w == known && p < top {
+		known, found := weights[top]
+		if !found || w > known || w == known && p < top {
 			top = p
 		}
+		weights[p] = w
 	}
 	if len(weights) == 0 {
 		return nil
 	}
-	parts := []Part{top}
+	return v.group(top, weights)
+}
+
+// group returns the group of a part. The other parts that reach the threshold are in weights.
+func (v *verdict) group(top Part, weights map[Part]float64) *group {
+	g := &group{parts: []Part{top}}
 	for p := range weights {
 		if p == top {
 			continue
 		}
-		both := []Part{top, p}
-		shared := v.weight(func(e *end) bool { return containsAll(e.parts, both) })
-		if shared > weights[top]-sameSetTolerance {
-			parts = append(parts, p)
-		}
-	}
-	return v.group(sortedParts(parts))
-}
-
-func (v *verdict) group(parts []Part) *group {
-	g := &group{parts: parts}
-	for _, e := range v.open {
-		if containsAll(e.parts, parts) {
-			g.ends = append(g.ends, e)
+		switch shared := v.weight([]Part{top, p}); {
+		case shared > weights[top]-sameSetTolerance:
+			g.parts = append(g.parts, p)
+		case shared >= threshold:
+			g.rivals = append(g.rivals, p)
 		}
 	}
+	g.parts = sortedParts(g.parts)
+	g.ends = v.matching(g.parts, false)
 	if len(g.ends) == 0 {
 		return nil
 	}
-	g.setHold()
+	g.setHold(v.matching(g.parts, true))
 	return g
 }
 
-// weight returns the weight of the ends that match.
-func (v *verdict) weight(match func(*end) bool) float64 {
-	var times []time.Time
-	for _, e := range v.open {
-		if match(e) {
-			times = append(times, e.at)
+// matching returns the ends that contain all of the parts, in the order of their times: the unexplained ones or all.
+func (v *verdict) matching(parts []Part, all bool) []*end {
+	var list []*end
+	for _, e := range v.ends.byPart[parts[0]] {
+		if (all || !e.explained) && containsAll(e.parts, parts[1:]) {
+			list = append(list, e)
 		}
 	}
+	slices.SortFunc(list, func(a, b *end) int { return a.at.Compare(b.at) })
+	return list
+}
+
+// weight returns the weight of the unexplained ends that contain all of the parts.
+func (v *verdict) weight(parts []Part) float64 {
+	list := v.matching(parts, false)
+	times := make([]time.Time, len(list))
+	for i, e := range list {
+		times[i] = e.at
+	}
 	sum := 0.0
 	for i := 0; i < len(times); {
 		n := 1
 		for i+n < len(times) && times[i+n].Sub(times[i]) < momentLength {
 			n++
 		}
-		sum += min(float64(n), maxMomentWeight) * v.share(times, times[i])
+		from, to := times[i].Add(-outageReach), times[i].Add(momentLength+outageReach)
+		share := float64(countBetween(times, from, to)) / float64(countBetween(v.open, from, to))
+		sum += min(float64(n), maxMomentWeight) * share
 		i += n
 	}
 	return sum
 }
 
-// share returns the share of the ends around a moment that are at one of the times.
-func (v *verdict) share(times []time.Time, moment time.Time) float64 {
-	from, to := moment.Add(-outageReach), moment.Add(momentLength+outageReach)
-	matching, all := 0, 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(to) {
-			matching++
-		}
-	}
-	for _, e := range v.open {
-		if !e.at.Before(from) && e.at.Before(to) {
-			all++
-		}
-	}
-	return float64(matching) / float64(all)
+// countBetween returns the number of sorted times from one time to before another.
+func countBetween(times []time.Time, from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return last - first
 }
