--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -133,8 +133,8 @@
 	defer cancel()
 	delay := minPickDelay
 	for {
-		if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
-			return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
+		if err := r.checkNext(); err != nil {
+			return err
 		}
 		choice, err := r.pick(boundCtx)
 		r.noEndpoint = err != nil && len(r.exclude) == 0
@@ -173,6 +173,14 @@
 	}
 }
 
+// checkNext returns an error if no further attempt may be made.
+func (r *driverCall) checkNext() error {
+	if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
+		return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
+	}
+	return r.admitNext()
+}
+
 // pick returns the endpoint of the reserved move, or picks one if none is reserved.
 func (r *driverCall) pick(ctx context.Context) (route.Choice, error) {
 	if r.reserved != nil {
@@ -291,14 +299,6 @@
 	}
 }
 
-func isFinal(err error) bool {
-	switch failure.Of(err).(type) {
-	case EngineLostError, WaitExceededError, SupersededError, CursorLostError:
-		return true
-	}
-	return false
-}
-
 func (r *driverCall) lastErrorOr(err error) error {
 	if r.lastErr != nil {
 		return r.lastErr
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -19,6 +19,7 @@
 	ReasonWaitBound    = "wait-bound"
 	ReasonRetryBudget  = "retry-budget"
 	ReasonNoEndpoint   = "no-endpoint"
+	ReasonNotAdmitted  = "not-admitted"
 )
 
 // move is the endpoint and the retry of the next attempt, reserved while the current attempt still runs.
@@ -66,6 +67,10 @@
 		// Pick has taken too long. An attempt that starts now would end at once.
 		r.returnMove()
 		return ReasonWaitBound
+	case r.admit() != nil:
+		// Admission is asked last, because it may be granted to one attempt only.
+		r.returnMove()
+		return ReasonNotAdmitted
 	}
 	return ""
 }
--- a/io/forward/observe.go
+++ b/io/forward/observe.go
@@ -34,6 +34,7 @@
 		h.choice.PrefillDone()
 	case generation.EventRefused:
 		h.running = false
+		h.stopTracking()
 		h.returnRetry(event)
 		h.log("stream refused", logrus.Fields{"endpoint": h.choice.Incarnation()}, event.Cause)
 	case generation.EventKept:
@@ -48,6 +49,7 @@
 		h.stopReplicator()
 		h.recordLostStream(event.Cause)
 		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
+		h.recordLoss(event)
 	}
 	h.reportResult(event)
 }
--- a/io/forward/run_state.go
+++ b/io/forward/run_state.go
@@ -24,6 +24,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sentAt, h.firstCopy = time.Now(), firstCopy
+	h.trackStart()
 }
 
 func (h *streamHandler) setResumeCopy(from kvCopy) {
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -19,6 +19,7 @@
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
 	"radishhollow/core/guard"
+	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 	"radishhollow/io/telemetry"
 )
@@ -69,6 +70,13 @@
 	// TimeLeft returns the time until the daemon stops, and false if no planned stop with a time limit has begun. It may
 	// be nil.
 	TimeLeft func() (left time.Duration, limited bool)
+	// Admit returns an error if a stream whose prompt has these parts must not be sent. If the error has a method
+	// RetryAfter, the caller is told that time.
+	Admit func(parts []quarantine.Part) error
+	// RecordEnd records that an engine has ended, with the parts of the prompt whose run was starting there, if any, and
+	// RecordLived that a run on the parts has outlived its start.
+	RecordEnd   func(incarnation string, parts []quarantine.Part)
+	RecordLived func(parts []quarantine.Part)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
 	// CopyKVCache copies the KV cache of a run from its engine to another one and returns the handle of the copy, which
@@ -100,6 +108,7 @@
 	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
 	durations     streamDurations
+	ends          endDetector
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
 	backgroundMu sync.Mutex
@@ -109,6 +118,7 @@
 // NewHTTPServer returns an http.Server with the limits of this package. The caller sets its listener and stops it.
 func (s *Server) NewHTTPServer() *http.Server {
 	gin.SetMode(gin.ReleaseMode)
+	s.ends.reachable = s.Reachable
 	router := gin.New()
 	router.NoRoute(s.handle)
 	return &http.Server{
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -78,7 +78,8 @@
 	replicator *replicator
 	// resumeCopy is the copy that the last run left, from which the next one can resume.
 	resumeCopy kvCopy
-
+	// start tracks the start of the current attempt's run. It is nil before the first attempt.
+	start *startTracker
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
@@ -113,12 +114,13 @@
 	h := &streamHandler{
 		server: s, c: c, controller: http.NewResponseController(c.Writer), request: q, ctx: ctx,
 	}
+	defer h.stopTracking()
 	maxRuns := 1
 	if q.route.Resumable {
 		maxRuns = q.route.Attempts
 	}
 	d := &generation.Driver{
-		Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
+		Admit: h.admit, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
 		TakeRetry:   func() bool { return s.TakeRetry(q.service.Name) },
 		ReturnRetry: func() { s.ReturnRetry(q.service.Name) },
 		// No resume is exempt, so each takes a retry from the service's budget.
@@ -263,7 +265,7 @@
 	return true
 }
 
-// connectAttemptsPerProbe is the number of consecutive connection attempts that must time out for a probe to fail. A
+// connectAttemptsPerProbe is the number of consecutive connection attempts that must fail for a probe to fail. A
 // single attempt often times out on a link with packet loss.
 const connectAttemptsPerProbe = 2
 
@@ -293,8 +295,10 @@
 func (h *streamHandler) deliver(part generation.Chunk) error {
 	if part.Event() == nil {
 		// The chunk that ends the stream holds no event.
+		h.start.recordCompletion()
 		return nil
 	}
+	h.start.recordEvent()
 	if h.replicator != nil {
 		h.replicator.check()
 	}
