fix(peer): call the first peer that a daemon knows without a pause

Cause: after an exchange without any peer, a triggered exchange still waited a fifth of the interval. A daemon that starts served requests meanwhile without the evidence of its peers.

Change: the pause follows only exchanges in which a peer was called. TestFirstPeerIsCalledAtOnce fails without it (no call).

--- a/io/peer/exchanger.go
+++ b/io/peer/exchanger.go
@@ -80,24 +80,28 @@
 	for ctx.Err() == nil {
 		// Changed is called before the round, so that a revision that arrives during the round triggers the next one.
 		changed := x.Node.Store.Changed()
-		x.round(ctx)
-		if !x.wait(ctx, changed) {
+		minDelay := x.Interval / triggeredDivisor
+		if x.round(ctx) == 0 {
+			// A daemon that starts exchanges as soon as it knows a peer.
+			minDelay = 0
+		}
+		if !x.wait(ctx, minDelay, changed) {
 			return
 		}
 	}
 }
 
-// wait returns after the interval with jitter, or after a fraction of it if there is a change to send. It returns false
-// if ctx has ended.
-func (x *Exchanger) wait(ctx context.Context, changed <-chan struct{}) bool {
-	minDelay := time.NewTimer(x.Interval / triggeredDivisor)
-	defer minDelay.Stop()
+// wait returns after the interval with jitter, or after minDelay if there is a change to send. It returns false if ctx has
+// ended.
+func (x *Exchanger) wait(ctx context.Context, minDelay time.Duration, changed <-chan struct{}) bool {
+	earliest := time.NewTimer(minDelay)
+	defer earliest.Stop()
 	select {
-	case <-minDelay.C:
+	case <-earliest.C:
 	case <-ctx.Done():
 		return false
 	}
-	remaining := time.NewTimer(x.Interval*3/4 + rand.N(x.Interval/2+1) - x.Interval/triggeredDivisor)
+	remaining := time.NewTimer(x.Interval*3/4 + rand.N(x.Interval/2+1) - minDelay)
 	defer remaining.Stop()
 	select {
 	case <-remaining.C:
@@ -109,10 +113,12 @@
 	return true
 }
 
-// round exchanges views with a few random peers concurrently, so that a peer that hangs does not delay the others.
-func (x *Exchanger) round(ctx context.Context) {
+// round exchanges views with a few random peers concurrently, so that a peer that hangs does not delay the others. It
+// returns the number of peers that it called.
+func (x *Exchanger) round(ctx context.Context) int {
 	var group sync.WaitGroup
-	for _, address := range x.randomAddresses() {
+	addresses := x.randomAddresses()
+	for _, address := range addresses {
 		group.Go(func() {
 			if err := guard.Call(func() error { x.exchange(ctx, address); return nil }, nil); err != nil {
 				x.Node.Metrics.Count(telemetry.Panics, "exchange")
@@ -120,6 +126,7 @@
 		})
 	}
 	group.Wait()
+	return len(addresses)
 }
 
 func (x *Exchanger) randomAddresses() []string {
--- a/io/peer/network_test.go
+++ b/io/peer/network_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+// Guards against a daemon that starts, knows no peer in its first exchange, and serves requests without what its peers
+// know until the next one.
+func TestFirstPeerIsCalledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		b, _ := n.addNode(2)
+		a, x := n.addNode(1)
+		defer runAll(x)()
+		time.Sleep(time.Millisecond)
+		a.Table.SetListed([]member.Member{{Address: b.Address, Incarnation: "1"}})
+		x.TriggerExchange()
+		time.Sleep(time.Millisecond)
+		require.Len(t, n.callTimes(b.Address), 1)
+	})
+}
+
 // Guards against a new revision that is not sent before the next regular exchange.
 func TestRevisionStartsTheNextExchangeEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
