perf(peer): send less evidence in a view

Change: at most 32 parts of ends and 8 clearances instead of 48 and 16. TestEvidenceReachesAFleetByExchange passes unchanged.

--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -8,10 +8,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishhollow/core/member"
+	"radishhollow/core/quarantine"
 	"radishhollow/io/peer/rpc"
 )
 
-// fullView returns a view with the maximum numbers of members, marks and workspaces that a daemon sends.
+// fullView returns a view with the maximum numbers of members, marks, workspaces and items of evidence that a daemon
+// sends.
 func fullView() member.View {
 	v := member.View{
 		Address: "10.20.30.40:7000", Incarnation: "1764800000000000000", Place: "dk-east-1", Revision: 27000,
@@ -33,6 +35,16 @@
 			Age: time.Second,
 		})
 	}
+	for i := range maxSentEnds {
+		v.Evidence.Ends = append(v.Evidence.Ends, quarantine.End{
+			Endpoint: fmt.Sprintf("i-%010x", i), Parts: make([]quarantine.Part, maxSentParts/maxSentEnds), Age: time.Minute,
+		})
+	}
+	for i := range maxSentClearances {
+		v.Evidence.Clearances = append(v.Evidence.Clearances, quarantine.Clearance{
+			Part: quarantine.PartOf(fmt.Sprint(i)), Age: time.Second,
+		})
+	}
 	return v
 }
 
--- a/io/peer/evidence_test.go
+++ b/io/peer/evidence_test.go
@@ -96,7 +96,7 @@
 func TestSentEvidenceIsBounded(t *testing.T) {
 	d := newDaemon(t)
 	withoutEvidence := proto.Size(toWire(d.view()))
-	parts := make([]quarantine.Part, 40)
+	parts := make([]quarantine.Part, 24)
 	for i := range parts {
 		parts[i] = quarantine.Part(i)
 	}
@@ -105,7 +105,7 @@
 		for i := range maxEnds {
 			// Every second end has only a few parts.
 			e.Ends = append(e.Ends, quarantine.End{
-				Endpoint: fmt.Sprintf("i-%08x", i), Parts: parts[:40-38*(i%2)], Age: 10 * time.Minute,
+				Endpoint: fmt.Sprintf("i-%08x", i), Parts: parts[:24-22*(i%2)], Age: 10 * time.Minute,
 			})
 		}
 		for i := range maxClearances {
@@ -116,7 +116,7 @@
 	v := d.view()
 	require.Len(t, v.Evidence.Ends, 5, "the first end and those with few parts")
 	require.Len(t, v.Evidence.Clearances, maxSentClearances)
-	require.Less(t, proto.Size(toWire(v))-withoutEvidence, 800)
+	require.Less(t, proto.Size(toWire(v))-withoutEvidence, 600)
 
 	first := limitParts([]quarantine.End{{Parts: make([]quarantine.Part, maxSentParts+1)}}, maxSentParts)
 	require.Len(t, first, 1, "an end with too many parts is sent alone")
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -20,8 +20,8 @@
 	maxSentDemand  = 16
 	// maxSentParts is the maximum number of parts of all ends together. Each takes 8 bytes.
 	maxSentEnds       = 8
-	maxSentParts      = 48
-	maxSentClearances = 16
+	maxSentParts      = 32
+	maxSentClearances = 8
 )
 
 // Limits of a received view, which are above what any version sends.
