fix(forward): an answer of another type does not go on with a stream

What callers saw: the text of an answer of another type in the middle of their stream, if it had the form of an event, and the end of that answer as the end of the stream.

Cause: the type of a later engine's answer was not compared with that of the first one, whose head the caller has.

Evidence: TestForwardWrongAnswersNeverEnterAStream failed before for signed text/html in a stream of text/event-stream ("should not contain ERR"). Answers that state no type are still accepted.

Change: an answer whose media type is neither text/event-stream nor that of the first answer counts as a loss. A stricter rule, that both be equal, was tried and dropped: an engine that states no type has one that net/http derives from its bytes, and TestForwardReplacesALostKVCopy, whose engines do so, then hung.

Result: the test, ./io/forward and the tests of KV cache copies in ./platform pass.

--- a/io/forward/resumed_answer.go
+++ b/io/forward/resumed_answer.go
@@ -1,11 +1,17 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"mime"
+	"net/http"
 
 	"github.com/juju/errors"
 
 	"radishhollow/core/failure"
+	"radishhollow/core/generation"
+	"radishhollow/io/sse"
 )
 
 // NothingAddedError reports an answer to a resumed stream that ended without a new event. Such an end is a true one only
@@ -23,6 +29,58 @@
 
 func (e NothingAddedError) Outcome() failure.Outcome { return failure.Ran }
 
+// ContentTypeError reports an answer to a resumed stream whose type is not that of the stream.
+type ContentTypeError struct{ Endpoint, Want, Got string }
+
+func (e ContentTypeError) Error() string {
+	return fmt.Sprintf("endpoint %s goes on with %q in a stream of %q", e.Endpoint, e.Got, e.Want)
+}
+
+func (e ContentTypeError) Code() string { return "content-type-changed" }
+
+func (e ContentTypeError) Outcome() failure.Outcome { return failure.Ran }
+
+// checkStreamHead returns an error for a response that is not a stream, or not one that goes on with the caller's. The body
+// is then closed.
+func (h *streamHandler) checkStreamHead(ctx context.Context, address string, response *http.Response) error {
+	if response.StatusCode != http.StatusOK || response.Header.Get(h.server.Format.Signature) == "" {
+		return h.readErrorResponse(ctx, address, response)
+	}
+	err := h.checkContentType(address, response.Header)
+	if err != nil {
+		_ = response.Body.Close()
+	}
+	return err
+}
+
+// checkContentType rejects the answer of a later engine whose media type is neither that of streams nor that of the first
+// one's. An answer that states no type is accepted.
+func (h *streamHandler) checkContentType(address string, header http.Header) error {
+	want, got := mediaType(h.header), mediaType(header)
+	if want == "" || got == "" || got == want || got == streamType {
+		return nil
+	}
+	return errors.Trace(ContentTypeError{Endpoint: address, Want: want, Got: got})
+}
+
+const streamType = "text/event-stream"
+
+func mediaType(header http.Header) string {
+	value, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	if err != nil {
+		return header.Get("Content-Type")
+	}
+	return value
+}
+
+// newChunker returns the chunker for the body of an attempt. It must be called before the first header is kept.
+func (h *streamHandler) newChunker(address string, start generation.Start, body io.Reader) *eventChunker {
+	return &eventChunker{
+		reader: sse.NewEventReader(body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
+		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+	}
+}
+
 // recordLostStream keeps the error of an engine that had nothing to add.
 func (h *streamHandler) recordLostStream(cause error) {
 	if nothing, ok := errors.AsType[NothingAddedError](cause); ok {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -213,19 +213,16 @@
 		}
 		return generation.Stream{}, err
 	}
-	if response.StatusCode != http.StatusOK || response.Header.Get(f.Signature) == "" {
-		defer cancel()
-		return generation.Stream{}, h.readErrorResponse(ctx, address, response)
-	}
-	chunker := &eventChunker{
-		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
-		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+	if err := h.checkStreamHead(ctx, address, response); err != nil {
+		cancel()
+		return generation.Stream{}, err
 	}
+	next := h.newChunker(address, start, response.Body).next
 	if h.header == nil {
 		h.header = response.Header
 	}
 	h.startReplicator(nextCopy)
-	return sse.NewStream(h.ctx, response.Body, cancel, chunker.next), nil
+	return sse.NewStream(h.ctx, response.Body, cancel, next), nil
 }
 
 // readErrorResponse reads a response that is not a stream and returns the matching error. It keeps a complete response
