fix(forward): a run that starts anew does not go on with a stream

What callers saw: the first events of one run and the later events of another, as one complete stream (ORDER).

Cause: events up to the last delivered one were dropped as repeated, whatever run they came from. An engine that ignores Last-Event-Id makes a new run, whose later events were joined to those of the lost one.

Evidence: TestForwardWrongAnswersNeverEnterAStream/200_with_a_whole_stream_that_starts_anew failed before: events 5 to 9 of the second run followed events 1 to 4 of the first ("should not contain ERR").

Change: an answer that must go on after an event and begins with event 1 counts as a loss, with later engines and on resumable routes. Events that overlap otherwise are dropped as before. On other routes the first engine's answer to a caller with Last-Event-Id stays as it was.

Result: TestChunkerRejectsARunThatStartsAnew, ./io/forward and ./platform (32 s) pass.

--- a/io/forward/events.go
+++ b/io/forward/events.go
@@ -19,7 +19,9 @@
 	// offset is that of the attempt, and emptyEnd the error for a body that ends without an event after it, or nil.
 	offset   int
 	emptyEnd error
-	ended    bool
+	// mustContinue is set where the body must go on after offset, as that of a later engine.
+	mustContinue bool
+	ended        bool
 }
 
 // next returns the next event as a chunk. At the end of the body it returns a chunk with FinishStop or emptyEnd, and io.EOF
@@ -39,6 +41,9 @@
 	if err != nil {
 		return generation.Chunk{}, err
 	}
+	if id == 1 && c.offset > 0 && c.mustContinue {
+		return generation.Chunk{}, RestartedRunError{Offset: c.offset}
+	}
 	c.lastID = max(id, c.lastID)
 	return generation.NewEventChunk(c.generation, c.attempt, id, event), nil
 }
--- a/io/forward/resumed_answer.go
+++ b/io/forward/resumed_answer.go
@@ -29,6 +29,18 @@
 
 func (e NothingAddedError) Outcome() failure.Outcome { return failure.Ran }
 
+// RestartedRunError reports an engine that began with the first event although it was to go on after Offset events. Its
+// events are those of another run, so none of them continues the stream.
+type RestartedRunError struct{ Offset int }
+
+func (e RestartedRunError) Error() string {
+	return fmt.Sprintf("the run starts anew in place of going on after event %d", e.Offset)
+}
+
+func (e RestartedRunError) Code() string { return "run-restarted" }
+
+func (e RestartedRunError) Outcome() failure.Outcome { return failure.Ran }
+
 // ContentTypeError reports an answer to a resumed stream whose type is not that of the stream.
 type ContentTypeError struct{ Endpoint, Want, Got string }
 
@@ -78,6 +90,7 @@
 	return &eventChunker{
 		reader: sse.NewEventReader(body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
 		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+		mustContinue: h.header != nil || h.request.route.Resumable,
 	}
 }
 
