fix(daemon): complete the start before a planned stop

A SIGTERM during the start ended the process at once, although the listener for callers may be open and a request on it may be being read.

Cause: the start was canceled with the signal's context; fx then returns without waiting for the stop hooks, and the process exits.

Change: Run completes the start and drains as after any other SIGTERM. The exit code is ExitOK in place of ExitFailed.

TestForwardStopDuringTheStartAnswers before: "Should be empty ... the daemon has ended while a request is being read". After: the request gets 503.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -18,8 +18,8 @@
 
 // RunServe runs one daemon until SIGTERM or SIGINT, and then drains it. On SIGHUP, it reads the settings again. Errors
 // of the command line and the settings are written to stderr and give ExitUsage. A planned stop gives ExitOK, also if
-// the drain timeout expires. A failed start, including one that a signal interrupts, a failed component and a failed
-// stop hook give ExitFailed.
+// the drain timeout expires or it begins during the start. A failed start, a failed component and a failed stop hook give
+// ExitFailed.
 func RunServe(args []string, stdout, stderr io.Writer) int {
 	var options struct {
 		Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this daemon in TOML"`
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -96,8 +96,9 @@
 }
 
 // Run starts a daemon, serves until ctx ends, the process receives SIGINT or SIGTERM, or a component fails, and then
-// drains. It calls ready once all listeners serve. It returns an EndedError if a component failed. If ctx ends during
-// the start, Run returns the error of ctx and waits for no drain. Run itself handles the signals only after the start.
+// drains. It calls ready once all listeners serve. It returns an EndedError if a component failed. If ctx
+// ends during the start, Run completes the start and drains, because requests may have arrived on the open listeners. Run
+// itself handles the signals only after the start.
 func Run(
 	ctx context.Context, s settings.Settings, log *logrus.Logger, ready func(), options ...fx.Option,
 ) error {
@@ -105,7 +106,7 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return err
