--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -150,15 +150,16 @@
 	if !s.closed {
 		s.background.Go(func() {
 			if err := guard.Call(func() error { task(); return nil }, nil); err != nil {
-				s.recordPanic(err)
+				s.recordPanic("", err)
 			}
 		})
 	}
 }
 
-func (s *Server) recordPanic(err error) {
+// recordPanic counts and logs a panic. The request id is empty for a background goroutine.
+func (s *Server) recordPanic(requestID string, err error) {
 	s.Metrics.Count(telemetry.Panics, "request")
-	s.Log.WithError(err).Error("panic while a request was handled")
+	s.Log.WithField("request", requestID).WithError(err).Error("panic while a request was handled")
 }
 
 // handle serves one request. A panic ends only this request.
@@ -170,7 +171,7 @@
 		return
 	}
 	q := &request{id: c.Request.Header.Get(s.Format.RequestID), arrivedAt: started}
-	s.recordPanic(err)
+	s.recordPanic(q.id, err)
 	if c.Writer.Written() {
 		s.recordCut(q, c.Writer.Size(), false, err)
 		abort(c)
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -175,7 +175,7 @@
 		group.Go(func() {
 			err := guard.Call(func() error { h.server.RefreshLoad(ctx, address); return nil }, nil)
 			if err != nil {
-				h.server.recordPanic(err)
+				h.server.recordPanic(h.request.id, err)
 			}
 		})
 	}
