--- a/core/quarantine/ends.go
+++ b/core/quarantine/ends.go
@@ -15,6 +15,8 @@
 	maxEnds = 256
 	// maxParts is the maximum number of parts of one end.
 	maxParts = 64
+	// maxEndpointLength is the maximum length of the endpoint in a peer's report.
+	maxEndpointLength = 256
 )
 
 // end is an End with the parts of which it has not been cleared.
@@ -22,18 +24,21 @@
 	endpoint string
 	at       time.Time
 	parts    []Part
+	// rank is the order in which ends are sent.
+	rank int
 }
 
-// ends holds the ends in the order of their times.
+// ends holds the ends in the order of their times, and by their endpoints and parts.
 type ends struct {
-	list   []*end
-	byPart map[Part][]*end
+	list       []*end
+	byEndpoint map[string][]*end
+	byPart     map[Part][]*end
 }
 
 // find returns the end that a report on an endpoint is about, or nil if it is a new one.
 func (s *ends) find(endpoint string, at time.Time) *end {
-	for _, e := range s.list {
-		if e.endpoint == endpoint && e.at.Sub(at).Abs() < sameEnd {
+	for _, e := range s.byEndpoint[endpoint] {
+		if e.at.Sub(at).Abs() < sameEnd {
 			return e
 		}
 	}
@@ -42,6 +47,9 @@
 
 // add adds a report and reports whether it adds an end or a part to what is known.
 func (s *ends) add(endpoint string, at time.Time, parts []Part) bool {
+	if s.byPart == nil {
+		s.byPart, s.byEndpoint = map[Part][]*end{}, map[string][]*end{}
+	}
 	e := s.find(endpoint, at)
 	known := e != nil
 	if !known {
@@ -50,6 +58,7 @@
 		}
 		e = &end{endpoint: endpoint, at: at}
 		s.insert(e)
+		s.byEndpoint[endpoint] = append(s.byEndpoint[endpoint], e)
 	} else if at.Before(e.at) {
 		// The earlier of two times is kept; otherwise daemons that report an end to each other would renew it forever.
 		s.list = slices.DeleteFunc(s.list, func(other *end) bool { return other == e })
@@ -60,14 +69,14 @@
 }
 
 func (s *ends) insert(e *end) {
-	i, _ := slices.BinarySearchFunc(s.list, e.at, func(other *end, at time.Time) int { return other.at.Compare(at) })
+	i := len(s.list)
+	for i > 0 && s.list[i-1].at.After(e.at) {
+		i--
+	}
 	s.list = slices.Insert(s.list, i, e)
 }
 
 func (s *ends) addParts(e *end, parts []Part) bool {
-	if s.byPart == nil {
-		s.byPart = map[Part][]*end{}
-	}
 	changed := false
 	for _, p := range parts {
 		if len(e.parts) >= maxParts || slices.Contains(e.parts, p) {
@@ -88,28 +97,30 @@
 			continue
 		}
 		e.parts = slices.DeleteFunc(e.parts, func(other Part) bool { return other == p })
-		s.unlink(p, e)
+		unlink(s.byPart, p, e)
 		changed = true
 	}
 	return changed
 }
 
-func (s *ends) unlink(p Part, e *end) {
-	rest := slices.DeleteFunc(s.byPart[p], func(other *end) bool { return other == e })
-	if len(rest) == 0 {
-		delete(s.byPart, p)
-		return
-	}
-	s.byPart[p] = rest
-}
-
 func (s *ends) remove(e *end) {
 	for _, p := range e.parts {
-		s.unlink(p, e)
+		unlink(s.byPart, p, e)
 	}
+	unlink(s.byEndpoint, e.endpoint, e)
 	s.list = slices.DeleteFunc(s.list, func(other *end) bool { return other == e })
 }
 
+// unlink removes an end from an index.
+func unlink[K comparable](index map[K][]*end, key K, e *end) {
+	rest := slices.DeleteFunc(index[key], func(other *end) bool { return other == e })
+	if len(rest) == 0 {
+		delete(index, key)
+		return
+	}
+	index[key] = rest
+}
+
 // leastUseful returns the oldest end without parts, or else the oldest one that shares no part with another, or else the
 // oldest one.
 func (s *ends) leastUseful() *end {
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -21,6 +21,9 @@
 	// OnEvidence is called when there is evidence that peers should get soon. It may be nil, and may call the register.
 	OnEvidence func()
 
+	// shuffle replaces rand.Shuffle in tests.
+	shuffle func(n int, swap func(i, j int))
+
 	mu         sync.Mutex
 	ends       ends
 	clearances clearances
@@ -43,7 +46,7 @@
 // suspects returns the parts that were not cleared after a time, at most maxParts of them. If there are more, those
 // whose last clearance is the oldest are returned, because common parts are cleared again soon.
 func (r *Register) suspects(parts []Part, at time.Time) []Part {
-	list := slices.DeleteFunc(sortedParts(parts), func(p Part) bool { return r.clearances.last(p).After(at) })
+	list := slices.DeleteFunc(sortedParts(parts), func(p Part) bool { return !r.clearances.last(p).Before(at) })
 	if len(list) > maxParts {
 		slices.SortFunc(list, func(a, b Part) int { return r.clearances.last(a).Compare(r.clearances.last(b)) })
 		list = list[:maxParts]
@@ -58,7 +61,7 @@
 	changed := false
 	for _, p := range parts {
 		if r.ends.clear(p, now) {
-			r.clearances.setCleared(p, now)
+			r.clearances.setCleared(p, now, now)
 			changed = true
 		} else {
 			r.clearances.setLived(p, now)
@@ -79,7 +82,7 @@
 			continue
 		}
 		at := now.Add(-c.Age)
-		if r.clearances.setCleared(c.Part, at) && r.ends.clear(c.Part, at) {
+		if r.clearances.setCleared(c.Part, at, now) && r.ends.clear(c.Part, at) {
 			changed, urgent = true, urgent || c.Age < floodAge
 		}
 	}
@@ -96,14 +99,14 @@
 // mergeEnd adds a peer's end. It reports whether it is new here, and whether a clearance that the peer may not know is
 // the answer to it.
 func (r *Register) mergeEnd(reported End, now time.Time) (added, answer bool) {
-	if reported.Age < 0 || reported.Age > evidenceExpiry {
+	if reported.Age < 0 || reported.Age > evidenceExpiry || len(reported.Endpoint) > maxEndpointLength {
 		return false, false
 	}
 	at := now.Add(-reported.Age)
 	reported.Parts = reported.Parts[:min(len(reported.Parts), maxParts)]
 	for _, p := range reported.Parts {
-		if last := r.clearances.last(p); last.After(at) && r.clearances.setCleared(p, last) {
-			answer = true
+		if !r.clearances.last(p).Before(at) {
+			answer = !r.clearances.answer(p, now) || answer
 		}
 	}
 	parts := r.suspects(reported.Parts, at)
@@ -168,7 +171,7 @@
 		return *err
 	}
 	for _, g := range matching {
-		if owner(g.parts, r.Self, peers) != r.Self {
+		if owner(g.parts, r.Self, peers) != r.Self || !g.mayTry(parts, now) {
 			return SuspectError{Parts: g.parts, After: trialTimeout}
 		}
 	}
@@ -195,14 +198,17 @@
 	}
 	r.clearances.expire(now)
 	before := r.groups
-	r.groups = r.ends.verdict()
+	r.groups = r.ends.verdict(&r.clearances, before)
 	r.byPart = map[Part][]*group{}
 	var changes []Change
 	for _, g := range r.groups {
 		r.byPart[g.parts[0]] = append(r.byPart[g.parts[0]], g)
-		if known := find(before, g.parts); known != nil {
-			g.trialEnd = known.trialEnd
-		} else {
+		for _, known := range before {
+			if known.sharesPart(g) && known.trialEnd.After(g.trialEnd) {
+				g.trialEnd = known.trialEnd
+			}
+		}
+		if find(before, g.parts) == nil {
 			changes = append(changes, Change{Parts: g.parts, Quarantined: true, Ends: len(g.ends)})
 		}
 	}
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,25 +11,49 @@
 const (
 	// firstHold is the time after a group's last end until its first trial.
 	firstHold = 15 * time.Second
-	// holdFactor multiplies the hold for each trial that ended an engine.
-	holdFactor = 2
+	// contestedHold is the first hold of a group with rivals. The group may be a common part that shares its engines with a
+	// deadly one, and one early trial without the rivals tells.
+	contestedHold = time.Second
+	// holdFactor multiplies the hold for each trial that ended an engine. No more than three requests may reach engines
+	// late: with 4, there are two trials in the first five minutes and a third one after them.
+	holdFactor = 4
 	// maxHold is the longest hold.
 	maxHold = 5 * time.Minute
 	// trialTimeout is the time after which a trial without a result no longer prevents the next one.
 	trialTimeout = 15 * time.Second
 )
 
-// setHold derives the hold from the ends: one that follows another after a whole hold came from a trial.
+// setHold derives the hold from the ends: one that follows another after a whole hold came from a trial. The first ends
+// did not, because the group was not quarantined before them.
 func (g *group) setHold() {
 	g.hold = firstHold
+	if len(g.rivals) > 0 {
+		g.hold = contestedHold
+	}
 	for i, e := range g.ends {
-		if i > 0 && e.at.Sub(g.lastEnd) >= g.hold {
-			g.hold = min(holdFactor*g.hold, maxHold)
+		if i > maxMomentWeight && e.at.Sub(g.lastEnd) >= g.hold && !g.hasRival(e.parts) {
+			g.hold = min(holdFactor*max(g.hold, firstHold), maxHold)
 		}
 		g.lastEnd = e.at
 	}
 }
 
+// mayTry reports whether a request with these parts may be the group's trial. If a request with a rival ends the engine,
+// nothing is known, so it is tried only if no other request came for long.
+func (g *group) mayTry(parts []Part, now time.Time) bool {
+	return !g.hasRival(parts) || now.Sub(g.lastEnd) >= firstHold
+}
+
+// hasRival reports whether one of the parts is a rival.
+func (g *group) hasRival(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return slices.Contains(g.rivals, p) })
+}
+
+// sharesPart reports whether two groups have a part in common. A group whose parts changed keeps its trial.
+func (g *group) sharesPart(other *group) bool {
+	return slices.ContainsFunc(g.parts, func(p Part) bool { return slices.Contains(other.parts, p) })
+}
+
 // wait returns the time until the group's next trial.
 func (g *group) wait(now time.Time) time.Duration {
 	return max(g.lastEnd.Add(g.hold).Sub(now), g.trialEnd.Sub(now))
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,117 +22,137 @@
 	sameSetTolerance = 0.5
 )
 
-// group is a set of parts that cannot be told apart by the ends that contain them.
-type group struct {
-	parts []Part
-	ends  []*end
-	// hold is the time after the last end in which no request is admitted.
-	hold     time.Duration
-	lastEnd  time.Time
-	trialEnd time.Time
+// separateThreshold is the weight from which each part of a group is a suspect by itself. Requests with the whole group
+// have been refused before, so further ends show that they are not the cause: two parts of different requests may be at
+// risk on the same engines.
+const separateThreshold = 2 * threshold
+
+// suspect is a group of parts that the ends give reason to quarantine, or did until another one explained them.
+type suspect struct {
+	*group
+	weight float64
+	// lastLife is the last clearance of any of its parts.
+	lastLife time.Time
 }
 
 // verdict derives the quarantined groups from the ends.
 type verdict struct {
-	ends *ends
-	// open holds the ends that no group explains, in the order of their times.
-	open []*end
+	ends       *ends
+	clearances *clearances
+	// before holds the groups of the verdict before this one.
+	before []*group
+	// unexplained holds the times of the ends without a part that has enough ends by number, in ascending order. They are
+	// the signs of an outage; those of another such part are not, or two parts at once would hide each other.
+	unexplained []time.Time
 }
 
-func (s *ends) verdict() []*group {
-	v := verdict{ends: s, open: s.list}
-	var groups []*group
-	for {
-		best := v.next()
-		if best == nil {
-			return groups
+// verdict returns the groups that together explain the ends.
+func (s *ends) verdict(c *clearances, before []*group) []*group {
+	v := verdict{ends: s, clearances: c, before: before}
+	candidates := v.heavy(s.repeatedParts())
+	for _, e := range s.list {
+		if !slices.ContainsFunc(e.parts, func(p Part) bool { return candidates[p] > 0 }) {
+			v.unexplained = append(v.unexplained, e.at)
 		}
-		groups = append(groups, best)
-		v.open = slices.DeleteFunc(slices.Clone(v.open), func(e *end) bool { return containsAll(e.parts, best.parts) })
 	}
+	return v.explain(v.suspects(v.heavy(slices.Collect(maps.Keys(candidates)))))
 }
 
-// next returns the group with the highest weight, or nil if none reaches the threshold.
-func (v *verdict) next() *group {
-	weights := map[Part]float64{}
-	var top Part
-	for p, list := range v.ends.byPart {
-		if len(list) < 2 {
-			continue
-		}
-		w := v.weight(func(e *end) bool { return slices.Contains(e.parts, p) })
-		if w < threshold {
-			continue
-		}
-		weights[p] = w
-		if known, found := weights[top]; !found || w > known || w == known && p < top {
-			top = p
+// repeatedParts returns the parts with enough ends to reach the threshold.
+func (s *ends) repeatedParts() []Part {
+	var list []Part
+	for p, ends := range s.byPart {
+		if len(ends) > maxMomentWeight {
+			list = append(list, p)
 		}
 	}
-	if len(weights) == 0 {
-		return nil
+	return list
+}
+
+// heavy returns those of the parts that reach the threshold, with their weights.
+func (v *verdict) heavy(parts []Part) map[Part]float64 {
+	weights := map[Part]float64{}
+	for _, p := range parts {
+		if w := v.weight(v.ends.byPart[p]); w >= threshold {
+			weights[p] = w
+		}
 	}
-	parts := []Part{top}
-	for p := range weights {
-		if p == top {
-			continue
+	return weights
+}
+
+// suspects joins the parts that cannot be told apart to groups.
+func (v *verdict) suspects(weights map[Part]float64) []suspect {
+	parts := slices.SortedFunc(maps.Keys(weights), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	var list []suspect
+	for len(parts) > 0 {
+		top := parts[0]
+		isJoined := weights[top] < separateThreshold
+		members, rest := []Part{top}, []Part(nil)
+		for _, p := range parts[1:] {
+			if isJoined && weights[p] > weights[top]-sameSetTolerance &&
+				v.weight(v.ends.containing([]Part{top, p})) > weights[top]-sameSetTolerance {
+				members = append(members, p)
+			} else {
+				rest = append(rest, p)
+			}
 		}
-		both := []Part{top, p}
-		shared := v.weight(func(e *end) bool { return containsAll(e.parts, both) })
-		if shared > weights[top]-sameSetTolerance {
-			parts = append(parts, p)
+		parts = rest
+		g := &group{parts: sortedParts(members)}
+		if g.ends = v.ends.containing(g.parts); len(g.ends) > 0 {
+			list = append(list, suspect{group: g, weight: weights[top], lastLife: v.lastLife(g.parts)})
 		}
 	}
-	return v.group(sortedParts(parts))
+	return list
 }
 
-func (v *verdict) group(parts []Part) *group {
-	g := &group{parts: parts}
-	for _, e := range v.open {
-		if containsAll(e.parts, parts) {
-			g.ends = append(g.ends, e)
+func (v *verdict) lastLife(parts []Part) time.Time {
+	var last time.Time
+	for _, p := range parts {
+		if at := v.clearances.last(p); at.After(last) {
+			last = at
 		}
 	}
-	if len(g.ends) == 0 {
-		return nil
-	}
-	g.setHold()
-	return g
+	return last
 }
 
-// weight returns the weight of the ends that match.
-func (v *verdict) weight(match func(*end) bool) float64 {
-	var times []time.Time
-	for _, e := range v.open {
-		if match(e) {
-			times = append(times, e.at)
+// containing returns the ends that contain all of the parts, in the order of their times.
+func (s *ends) containing(parts []Part) []*end {
+	var list []*end
+	for _, e := range s.byPart[parts[0]] {
+		if containsAll(e.parts, parts[1:]) {
+			list = append(list, e)
 		}
 	}
+	slices.SortFunc(list, func(a, b *end) int { return a.at.Compare(b.at) })
+	return list
+}
+
+// weight returns the weight of ends.
+func (v *verdict) weight(list []*end) float64 {
+	times := make([]time.Time, len(list))
+	for i, e := range list {
+		times[i] = e.at
+	}
+	slices.SortFunc(times, time.Time.Compare)
 	sum := 0.0
 	for i := 0; i < len(times); {
 		n := 1
 		for i+n < len(times) && times[i+n].Sub(times[i]) < momentLength {
 			n++
 		}
-		sum += min(float64(n), maxMomentWeight) * v.share(times, times[i])
+		from, to := times[i].Add(-outageReach), times[i].Add(momentLength+outageReach)
+		matching, others := countBetween(times, from, to), countBetween(v.unexplained, from, to)
+		sum += min(float64(n), maxMomentWeight) * float64(matching) / float64(matching+others)
 		i += n
 	}
 	return sum
 }
 
-// share returns the share of the ends around a moment that are at one of the times.
-func (v *verdict) share(times []time.Time, moment time.Time) float64 {
-	from, to := moment.Add(-outageReach), moment.Add(momentLength+outageReach)
-	matching, all := 0, 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(to) {
-			matching++
-		}
-	}
-	for _, e := range v.open {
-		if !e.at.Before(from) && e.at.Before(to) {
-			all++
-		}
-	}
-	return float64(matching) / float64(all)
+// countBetween returns the number of sorted times from one time to before another.
+func countBetween(times []time.Time, from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return last - first
 }
