--- a/core/quarantine/ends.go
+++ b/core/quarantine/ends.go
@@ -24,8 +24,6 @@
 	endpoint string
 	at       time.Time
 	parts    []Part
-	// explained is true if a quarantined group is the cause.
-	explained bool
 	// rank is the order in which ends are sent.
 	rank int
 }
--- a/core/quarantine/faults_test.go
+++ b/core/quarantine/faults_test.go
@@ -90,7 +90,7 @@
 	f.after(time.Second+f.jitter(4*time.Second), func() { f.flap(e) })
 }
 
-// resets resets all connections of a random daemon again and again, while the engines go on.
+// resets ends all connections of a random daemon again and again, while the engines go on.
 func (f *modelFleet) resets() {
 	if f.stopped {
 		return
@@ -114,7 +114,7 @@
 	f.after(time.Second+f.jitter(8*time.Second), f.kills)
 }
 
-// cuts cuts a random daemon from its peers again and again.
+// cuts separates a random daemon from its peers again and again.
 func (f *modelFleet) cuts() {
 	if f.stopped {
 		return
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -171,7 +171,7 @@
 		return *err
 	}
 	for _, g := range matching {
-		if owner(g.parts, r.Self, peers) != r.Self || g.hasRival(parts) {
+		if owner(g.parts, r.Self, peers) != r.Self || !g.mayTry(parts, now) {
 			return SuspectError{Parts: g.parts, After: trialTimeout}
 		}
 	}
@@ -198,7 +198,7 @@
 	}
 	r.clearances.expire(now)
 	before := r.groups
-	r.groups = r.ends.verdict()
+	r.groups = r.ends.verdict(&r.clearances, before)
 	r.byPart = map[Part][]*group{}
 	var changes []Change
 	for _, g := range r.groups {
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -121,7 +121,7 @@
 	})
 }
 
-// Guards against an outage during a trial that is taken for the trial's failure and lengthens the hold more than once.
+// Guards against a hold that grows without a limit.
 func TestHoldHasALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegister("a")
@@ -137,3 +137,24 @@
 		}
 	})
 }
+
+// Guards against a common part that stays refused for a whole hold because it shared its engines with two parts that crash
+// engines, and against a trial of it that contains one of them and so tells nothing.
+func TestContestedPartIsTriedSoonWithoutItsRivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister("a")
+		for i := range 6 {
+			time.Sleep(400 * time.Millisecond)
+			r.RecordEnd(fmt.Sprint(i), []Part{third, []Part{bad, other}[i%2]})
+		}
+		require.Equal(t, []Part{third}, requireSuspect(t, r, third).Parts)
+		time.Sleep(contestedHold)
+		require.Error(t, r.Admit([]Part{third, bad}))
+		require.NoError(t, r.Admit([]Part{third}))
+		r.RecordLived([]Part{third})
+		require.NoError(t, r.Admit([]Part{third}))
+		require.Equal(t, 2, r.Quarantined())
+		require.Error(t, r.Admit([]Part{third, bad}))
+		require.Error(t, r.Admit([]Part{third, other}))
+	})
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,106 +22,107 @@
 	sameSetTolerance = 0.5
 )
 
-// group is a set of parts that cannot be told apart by the ends that contain them.
-type group struct {
-	parts []Part
-	// ends are those that the group explains, in the order of their times.
-	ends []*end
-	// hold is the time after the last end in which no request is admitted.
-	hold     time.Duration
-	lastEnd  time.Time
-	trialEnd time.Time
-	// rivals are parts outside the group that could by themselves be the cause, because enough of the ends contain them.
-	rivals []Part
+// separateThreshold is the weight from which each part of a group is a suspect by itself. Requests with the whole group
+// have been refused before, so further ends show that they are not the cause: two parts of different requests may be at
+// risk on the same engines.
+const separateThreshold = 2 * threshold
+
+// suspect is a group of parts that the ends give reason to quarantine, or did until another one explained them.
+type suspect struct {
+	*group
+	weight float64
+	// lastLife is the last clearance of any of its parts.
+	lastLife time.Time
 }
 
 // verdict derives the quarantined groups from the ends.
 type verdict struct {
-	ends *ends
-	// open holds the times of the ends that no group explains, in ascending order.
-	open []time.Time
+	ends       *ends
+	clearances *clearances
+	// before holds the groups of the verdict before this one.
+	before []*group
+	// unexplained holds the times of the ends without a part that has enough ends by number, in ascending order. They are
+	// the signs of an outage; those of another such part are not, or two parts at once would hide each other.
+	unexplained []time.Time
 }
 
-func (s *ends) verdict() []*group {
+// verdict returns the groups that together explain the ends.
+func (s *ends) verdict(c *clearances, before []*group) []*group {
+	v := verdict{ends: s, clearances: c, before: before}
+	candidates := v.heavy(s.repeatedParts())
 	for _, e := range s.list {
-		e.explained = false
-	}
-	v := verdict{ends: s}
-	var groups []*group
-	for {
-		v.setOpen()
-		best := v.next()
-		if best == nil {
-			return groups
-		}
-		groups = append(groups, best)
-		for _, e := range best.ends {
-			e.explained = true
+		if !slices.ContainsFunc(e.parts, func(p Part) bool { return candidates[p] > 0 }) {
+			v.unexplained = append(v.unexplained, e.at)
 		}
 	}
+	return v.explain(v.suspects(v.heavy(slices.Collect(maps.Keys(candidates)))))
 }
 
-func (v *verdict) setOpen() {
-	v.open = v.open[:0]
-	for _, e := range v.ends.list {
-		if !e.explained {
-			v.open = append(v.open, e.at)
+// repeatedParts returns the parts with enough ends to reach the threshold.
+func (s *ends) repeatedParts() []Part {
+	var list []Part
+	for p, ends := range s.byPart {
+		if len(ends) > maxMomentWeight {
+			list = append(list, p)
 		}
 	}
+	return list
 }
 
-// next returns the group with the highest weight, or nil if none reaches the threshold.
-func (v *verdict) next() *group {
+// heavy returns those of the parts that reach the threshold, with their weights.
+func (v *verdict) heavy(parts []Part) map[Part]float64 {
 	weights := map[Part]float64{}
-	var top Part
-	for p, list := range v.ends.byPart {
-		if len(list) <= maxMomentWeight {
-			continue
-		}
-		w := v.weight([]Part{p})
-		if w < threshold {
-			continue
-		}
-		known, found := weights[top]
-		if !found || w > known || w == known && p < top {
-			top = p
+	for _, p := range parts {
+		if w := v.weight(v.ends.byPart[p]); w >= threshold {
+			weights[p] = w
 		}
 		weights[p] = w
 	}
-	if len(weights) == 0 {
-		return nil
-	}
-	return v.group(top, weights)
+	return weights
 }
 
-// group returns the group of a part. The other parts that reach the threshold are in weights.
-func (v *verdict) group(top Part, weights map[Part]float64) *group {
-	g := &group{parts: []Part{top}}
-	for p := range weights {
-		if p == top {
-			continue
+// suspects joins the parts that cannot be told apart to groups.
+func (v *verdict) suspects(weights map[Part]float64) []suspect {
+	parts := slices.SortedFunc(maps.Keys(weights), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	var list []suspect
+	for len(parts) > 0 {
+		top := parts[0]
+		isJoined := weights[top] < separateThreshold
+		members, rest := []Part{top}, []Part(nil)
+		for _, p := range parts[1:] {
+			if isJoined && weights[p] > weights[top]-sameSetTolerance &&
+				v.weight(v.ends.containing([]Part{top, p})) > weights[top]-sameSetTolerance {
+				members = append(members, p)
+			} else {
+				rest = append(rest, p)
+			}
 		}
-		switch shared := v.weight([]Part{top, p}); {
-		case shared > weights[top]-sameSetTolerance:
-			g.parts = append(g.parts, p)
-		case shared >= threshold:
-			g.rivals = append(g.rivals, p)
+		parts = rest
+		g := &group{parts: sortedParts(members)}
+		if g.ends = v.ends.containing(g.parts); len(g.ends) > 0 {
+			list = append(list, suspect{group: g, weight: weights[top], lastLife: v.lastLife(g.parts)})
 		}
 	}
-	g.parts = sortedParts(g.parts)
-	g.ends = v.matching(g.parts, false)
-	if len(g.ends) == 0 {
-		return nil
+	return list
+}
+
+func (v *verdict) lastLife(parts []Part) time.Time {
+	var last time.Time
+	for _, p := range parts {
+		if at := v.clearances.last(p); at.After(last) {
+			last = at
+		}
 	}
-	g.setHold(v.matching(g.parts, true))
-	return g
+	return last
 }
 
-// matching returns the ends that contain all of the parts, in the order of their times: the unexplained ones or all.
-func (v *verdict) matching(parts []Part, all bool) []*end {
+// containing returns the ends that contain all of the parts, in the order of their times.
+func (s *ends) containing(parts []Part) []*end {
 	var list []*end
-	for _, e := range v.ends.byPart[parts[0]] {
-		if (all || !e.explained) && containsAll(e.parts, parts[1:]) {
+	for _, e := range s.byPart[parts[0]] {
+		if containsAll(e.parts, parts[1:]) {
 			list = append(list, e)
 		}
 	}
@@ -127,13 +130,13 @@
 	return list
 }
 
-// weight returns the weight of the unexplained ends that contain all of the parts.
-func (v *verdict) weight(parts []Part) float64 {
-	list := v.matching(parts, false)
+// weight returns the weight of ends.
+func (v *verdict) weight(list []*end) float64 {
 	times := make([]time.Time, len(list))
 	for i, e := range list {
 		times[i] = e.at
 	}
+	slices.SortFunc(times, time.Time.Compare)
 	sum := 0.0
 	for i := 0; i < len(times); {
 		n := 1
@@ -141,8 +144,8 @@
 			n++
 		}
 		from, to := times[i].Add(-outageReach), times[i].Add(momentLength+outageReach)
-		share := float64(countBetween(times, from, to)) / float64(countBetween(v.open, from, to))
-		sum += min(float64(n), maxMomentWeight) * share
+		matching, others := countBetween(times, from, to), countBetween(v.unexplained, from, to)
+		sum += min(float64(n), maxMomentWeight) * float64(matching) / float64(matching+others)
 		i += n
 	}
 	return sum
