fix(quarantine): wait for a verdict that is not settled

What callers saw: 503 for a sound request whose part had been on engines that another part ended, for 12 to 47 ms, when many engines end at once.

Cause: evidence on one moment arrives from the daemons in pieces. Until the reports with the deadly part are there, a sound part stands alone in some ends.

Rejected: counting an end only after 300, 150 or 50 ms.

Change: a group that is younger than 300 ms gives a SuspectError that is unsettled. The stream waits for the rest of that time and asks again, at most four times, so no request with the part is sent meanwhile. TestHoldHasALimit waits for the verdict to settle; it checks that the request is refused before, too.

--- a/core/quarantine/error.go
+++ b/core/quarantine/error.go
@@ -11,6 +11,9 @@
 type SuspectError struct {
 	Parts []Part
 	After time.Duration
+	// Unsettled states that the group is so new that evidence of other daemons on the same ends may still change it. The
+	// request should wait for After and ask again.
+	Unsettled bool
 }
 
 func (e SuspectError) Error() string {
--- a/core/quarantine/explain.go
+++ b/core/quarantine/explain.go
@@ -9,6 +9,8 @@
 // group is a set of parts that cannot be told apart by the ends that contain them.
 type group struct {
 	parts []Part
+	// since is the time from which the group has been quarantined with these parts.
+	since time.Time
 	// ends contain all of the parts, in the order of their times.
 	ends []*end
 	// hold is the time after the last end in which no request is admitted.
--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -151,13 +151,20 @@
 	return list
 }
 
+// refusal returns the error for a request with these groups, or nil if it may be their trial. A group that has settled
+// decides before one that may still change.
 func refusal(matching []*group, now time.Time) *SuspectError {
+	var unsettled *SuspectError
 	for _, g := range matching {
+		if wait := g.unsettled(now); wait > 0 {
+			unsettled = &SuspectError{Parts: g.parts, After: wait, Unsettled: true}
+			continue
+		}
 		if wait := g.wait(now); wait > 0 {
 			return &SuspectError{Parts: g.parts, After: wait}
 		}
 	}
-	return nil
+	return unsettled
 }
 
 // try starts the trial of the groups that match if this daemon owns them all.
@@ -208,7 +215,10 @@
 				g.trialEnd = known.trialEnd
 			}
 		}
-		if find(before, g.parts) == nil {
+		g.since = now
+		if known := find(before, g.parts); known != nil {
+			g.since = known.since
+		} else {
 			changes = append(changes, Change{Parts: g.parts, Quarantined: true, Ends: len(g.ends)})
 		}
 	}
--- a/core/quarantine/register_test.go
+++ b/core/quarantine/register_test.go
@@ -54,6 +54,27 @@
 	})
 }
 
+// Guards against a sound request that is refused for good because the first report on some ends shows a sound part alone
+// on their engines: the reports of other daemons, with the part that ended them, come a little later.
+func TestNewGroupIsUnsettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, peer := newRegister("a", "b"), newRegister("b", "a")
+		for i := range 3 {
+			time.Sleep(time.Second)
+			r.RecordEnd(fmt.Sprint("engine ", i), []Part{other})
+			peer.RecordEnd(fmt.Sprint("engine ", i), []Part{bad})
+		}
+		suspect := requireSuspect(t, r, other)
+		require.True(t, suspect.Unsettled)
+		require.Equal(t, settleTime, suspect.RetryAfter())
+		r.Merge(peer.Evidence(8, 8))
+		require.NoError(t, r.Admit([]Part{other}))
+		require.True(t, requireSuspect(t, r, bad, other).Unsettled)
+		time.Sleep(settleTime)
+		require.False(t, requireSuspect(t, r, bad, other).Unsettled)
+	})
+}
+
 // Guards against verdicts that the evidence does not support, and against missing ones. Each line of a history is an end
 // ("!engine parts") or a life ("+parts") at a time in milliseconds.
 func TestVerdict(t *testing.T) {
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -59,6 +59,13 @@
 	return max(g.lastEnd.Add(g.hold).Sub(now), g.trialEnd.Sub(now))
 }
 
+// settleTime is the time in which the evidence on a moment arrives from all daemons. Before that, a part that was merely
+// on the same engines may look like the cause.
+const settleTime = 300 * time.Millisecond
+
+// unsettled returns the time until the group has been quarantined for settleTime.
+func (g *group) unsettled(now time.Time) time.Duration { return g.since.Add(settleTime).Sub(now) }
+
 // owner returns the daemon that may try a group: all daemons with the same view of the fleet choose the same one
 // (rendezvous hashing).
 func owner(parts []Part, self string, peers []string) string {
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -126,6 +126,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegister("a")
 		recordEnds(r, 3, bad)
+		require.True(t, requireSuspect(t, r, bad).Unsettled)
+		time.Sleep(settleTime)
 		for range 6 {
 			time.Sleep(requireSuspect(t, r, bad).RetryAfter())
 			require.NoError(t, r.Admit([]Part{bad}))
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/member"
@@ -35,7 +36,7 @@
 func useRegister(server *forward.Server, register *quarantine.Register, m *telemetry.Metrics) {
 	server.Admit = func(parts []quarantine.Part) error {
 		err := register.Admit(parts)
-		if err != nil {
+		if suspect, refused := errors.AsType[quarantine.SuspectError](err); refused && !suspect.Unsettled {
 			m.Count(telemetry.Quarantine, "refused")
 		}
 		return err
--- a/io/forward/evidence.go
+++ b/io/forward/evidence.go
@@ -4,15 +4,31 @@
 	"context"
 	"fmt"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/generation"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 )
 
-// admit returns an error if the request must not be sent because of the parts of its prompt.
-func (h *streamHandler) admit() error { return h.server.Admit(h.request.parts) }
+// maxAdmitCalls bounds the calls of Admit for one attempt, because a group may change again while it settles.
+const maxAdmitCalls = 4
+
+// admit returns an error if the request must not be sent because of the parts of its prompt. It waits while the verdict on
+// them is not settled, so that a sound request is not refused because of evidence that is incomplete.
+func (h *streamHandler) admit() error {
+	var err error
+	for range maxAdmitCalls {
+		err = h.server.Admit(h.request.parts)
+		suspect, refused := errors.AsType[quarantine.SuspectError](err)
+		if !refused || !suspect.Unsettled || clock.Sleep(h.ctx, suspect.After) != nil {
+			return err
+		}
+	}
+	return err
+}
 
 // trackStart starts to track the run of an attempt that is about to be sent.
 func (h *streamHandler) trackStart() {
