feat(quarantine): count and log trials

A request that is admitted as a trial of a quarantined part could not be told from others. Register.OnTrial reports it: radishhollow_quarantine_total{class="trial"} and one log line with the parts. TestOneTrialOverAllDaemons checks that 30 daemons report one trial.

--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -18,6 +18,8 @@
 	Peers func() []string
 	// OnChange is called for each group that is quarantined or released. It may be nil, and may call the register.
 	OnChange func(change Change)
+	// OnTrial is called with the parts of a request that is admitted as a trial. It may be nil, and may call the register.
+	OnTrial func(parts []Part)
 	// OnEvidence is called when there is evidence that peers should get soon. It may be nil, and may call the register.
 	OnEvidence func()
 
@@ -123,16 +125,20 @@
 	r.mu.Lock()
 	changes := r.evaluate(now, false)
 	matching := r.matching(parts)
-	err := refusal(matching, now)
+	suspect := refusal(matching, now)
 	r.mu.Unlock()
 	r.notify(changes, false)
 	if len(matching) == 0 {
 		return nil
 	}
-	if err != nil {
-		return *err
+	if suspect != nil {
+		return *suspect
 	}
-	return r.try(parts, now)
+	isTrial, err := r.try(parts, now)
+	if isTrial && r.OnTrial != nil {
+		r.OnTrial(parts)
+	}
+	return err
 }
 
 // matching returns the groups whose parts are all among parts.
@@ -168,24 +174,24 @@
 }
 
 // try starts the trial of the groups that match if this daemon owns them all.
-func (r *Register) try(parts []Part, now time.Time) error {
+func (r *Register) try(parts []Part, now time.Time) (isTrial bool, err error) {
 	peers := r.Peers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Another call may have started a trial, or changed the groups, in the meantime.
 	matching := r.matching(parts)
 	if err := refusal(matching, now); err != nil {
-		return *err
+		return false, *err
 	}
 	for _, g := range matching {
 		if owner(g.parts, r.Self, peers) != r.Self || !g.mayTry(parts, now) {
-			return SuspectError{Parts: g.parts, After: trialTimeout}
+			return false, SuspectError{Parts: g.parts, After: trialTimeout}
 		}
 	}
 	for _, g := range matching {
 		g.trialEnd = now.Add(trialTimeout)
 	}
-	return nil
+	return len(matching) > 0, nil
 }
 
 // Quarantined returns the number of quarantined groups.
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -43,13 +43,19 @@
 func TestOneTrialOverAllDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := newRegisters(30)
+		trials := 0
+		for _, r := range list {
+			r.OnTrial = func([]Part) { trials++ }
+		}
 		time.Sleep(firstHold - time.Second)
 		require.Empty(t, admitting(list, bad))
 		time.Sleep(time.Second)
 		require.Len(t, admitting(list, bad, other), 1)
+		require.Equal(t, 1, trials)
 		require.Empty(t, admitting(list, bad, other))
 		time.Sleep(trialTimeout - time.Second)
 		require.Empty(t, admitting(list, bad, other))
+		require.Equal(t, 1, trials, "a refused request is no trial")
 	})
 }
 
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -26,6 +26,10 @@
 			log.WithFields(logrus.Fields{"parts": forward.FormatParts(change.Parts), "ends": change.Ends}).Warn(message)
 		},
 	}
+	register.OnTrial = func(parts []quarantine.Part) {
+		m.Count(telemetry.Quarantine, "trial")
+		log.WithField("parts", forward.FormatParts(parts)).Warn("request with quarantined parts admitted as a trial")
+	}
 	m.Gauge(telemetry.QuarantinedParts, func() float64 { return float64(register.Quarantined()) })
 	// fx constructs all components before the first OnStart, so the node does not serve yet.
 	peers.Node.Evidence, peers.Node.MergeEvidence = register.Evidence, register.Merge
