fix(generation): ask for the admission of a move without waiting

What callers saw: an event of a sound stream up to 1.2 s late, after a silence during which the verdict on a part of its prompt was not settled.

Cause: the wait for a settled verdict ran in the goroutine that reads the stream, and in the watch of Open, which Open's caller waits for.

Change: Driver.AdmitMove asks without waiting, and an unsettled verdict keeps the stream. Admit gets the context of the pick, so its wait ends with the wait bound. A move counts as reserved only once it is admitted. Refusals are counted by request, no longer for each look at a silent stream.

Result: the cases "not admitted" of TestSilentEngineIsKept, TestSilentEngineIsKeptAfterResume and TestSilentEngineIsKeptWhileItOpens pass.

--- a/core/generation/admission.go
+++ b/core/generation/admission.go
@@ -1,13 +1,18 @@
 package generation
 
-import "radishhollow/core/failure"
+import (
+	"context"
 
-// admit returns an AdmissionError if no further attempt may be made.
-func (r *driverCall) admit() error {
-	if r.Admit == nil {
+	"radishhollow/core/failure"
+)
+
+// admitNext asks for the admission of the next attempt, unless that has been reserved, which includes the admission. It
+// returns an AdmissionError if no further attempt may be made.
+func (r *driverCall) admitNext(ctx context.Context) error {
+	if r.Admit == nil || r.reserved != nil {
 		return nil
 	}
-	err := r.Admit()
+	err := r.Admit(ctx)
 	if err == nil {
 		return nil
 	}
@@ -18,10 +23,4 @@
 	return AdmissionError{Offset: r.Log.Len(), Result: r.outcome(), Cause: err}
 }
 
-// admitNext asks for the admission of the next attempt, unless that has been reserved, which includes the admission.
-func (r *driverCall) admitNext() error {
-	if r.reserved != nil {
-		return nil
-	}
-	return r.admit()
-}
+func (r *driverCall) mayMove() bool { return r.AdmitMove == nil || r.AdmitMove() == nil }
--- a/core/generation/admission_test.go
+++ b/core/generation/admission_test.go
@@ -46,7 +46,7 @@
 				}
 				d, _ := eventDriver(f, tt.delivered)
 				asked, picks := 0, 0
-				d.Admit = func() error {
+				d.Admit = func(context.Context) error {
 					if asked++; asked <= tt.admitted {
 						return nil
 					}
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -133,7 +133,7 @@
 	defer cancel()
 	delay := minPickDelay
 	for {
-		if err := r.checkNext(); err != nil {
+		if err := r.checkNext(boundCtx); err != nil {
 			return err
 		}
 		choice, err := r.pick(boundCtx)
@@ -174,11 +174,11 @@
 }
 
 // checkNext returns an error if no further attempt may be made.
-func (r *driverCall) checkNext() error {
+func (r *driverCall) checkNext(ctx context.Context) error {
 	if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
 		return r.newEngineLostError(r.lastErrorOr(RetryBudgetError{Attempt: r.Log.Attempt() + 1}))
 	}
-	return r.admitNext()
+	return r.admitNext(ctx)
 }
 
 // pick returns the endpoint of the reserved move, or picks one if none is reserved.
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -21,19 +21,22 @@
 	errorDeliveryMargin = 100 * time.Millisecond
 )
 
-// Driver runs one generation to its end, over several attempts if engines fail. All functions but Admit, Attach,
-// Cancel, Health, Stalled, Queued, TakeRetry, ReturnRetry and Observe are required. It is not safe for concurrent use.
+// Driver runs one generation to its end, over several attempts if engines fail. All functions but Admit, AdmitMove,
+// Attach, Cancel, Health, Stalled, Queued, TakeRetry, ReturnRetry and Observe are required. It is not safe for concurrent use.
 //
 // A silent engine may be sound and go on, so its stream is given up only after the next attempt has been reserved: its
 // retry and another endpoint. If there is none, the stream is kept until its connection ends, a move becomes possible,
 // or the deadline of Run's context passes. Without such a deadline, the stream is kept up to WaitBound. The old stream
 // is closed before the new one is opened.
 //
-// While Open waits, Admit, Pick, Stalled, TakeRetry, ReturnRetry and, for EventKept, Observe are called from another goroutine.
+// While Open waits, AdmitMove, Pick, Stalled, TakeRetry, ReturnRetry and, for EventKept, Observe are called from another goroutine.
 type Driver struct {
-	// Admit is called before each Pick that precedes an attempt, and before a silent stream is moved. Its error ends the
-	// generation with an AdmissionError; a silent stream is kept instead.
-	Admit func() error
+	// Admit is called before each Pick that precedes an attempt, and may wait until its context ends. Its error ends the
+	// generation with an AdmissionError.
+	Admit func(ctx context.Context) error
+	// AdmitMove is called before a silent stream is moved, which replaces Admit for that attempt. It must not wait, because
+	// the stream is not read meanwhile. After an error, the stream is kept.
+	AdmitMove func() error
 	// Pick chooses the endpoint of the next attempt. Its choice may be released without an attempt.
 	Pick func(ctx context.Context, criteria route.Criteria) (route.Choice, error)
 	// Open starts an attempt. Its context bounds the opening only; the stream stays open until its Close.
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -58,21 +58,22 @@
 		}
 		return ReasonNoEndpoint
 	}
-	r.reserved = &move{choice: choice, charged: charged}
+	reserved := &move{choice: choice, charged: charged}
 	switch {
 	case choice.Address() == r.choice.Address():
-		r.returnMove()
-		return ReasonNoEndpoint
+		reason = ReasonNoEndpoint
 	case r.callerWaitExceeded():
 		// Pick has taken too long. An attempt that starts now would end at once.
-		r.returnMove()
-		return ReasonWaitBound
-	case r.admit() != nil:
+		reason = ReasonWaitBound
+	case !r.mayMove():
 		// Admission is asked last, because it may be granted to one attempt only.
-		r.returnMove()
-		return ReasonNotAdmitted
+		reason = ReasonNotAdmitted
+	default:
+		r.reserved = reserved
+		return ""
 	}
-	return ""
+	r.returnUnused(reserved)
+	return reason
 }
 
 // pickOther picks an endpoint other than that of the current attempt. As in open, endpoints that were excluded before
@@ -93,14 +94,17 @@
 
 // returnMove frees the reserved move, if there is one.
 func (r *driverCall) returnMove() {
-	if r.reserved == nil {
-		return
+	if r.reserved != nil {
+		r.returnUnused(r.reserved)
+		r.reserved = nil
 	}
-	r.reserved.choice.Release()
-	if r.reserved.charged {
+}
+
+func (r *driverCall) returnUnused(m *move) {
+	m.choice.Release()
+	if m.charged {
 		r.returnRetry()
 	}
-	r.reserved = nil
 }
 
 func (r *driverCall) returnRetry() {
--- a/core/generation/opening.go
+++ b/core/generation/opening.go
@@ -106,7 +106,8 @@
 func (w *openingWatch) watch(ctx context.Context) error {
 	r, began := w.call, time.Now()
 	timeout, silent := r.timeouts.FirstChunkTimeout(), false
-	for wait := min(firstStallGrace, timeout); clock.Sleep(ctx, wait) == nil; wait = stallCheckInterval {
+	interval := stallCheckInterval
+	for wait := min(firstStallGrace, timeout); clock.Sleep(ctx, wait) == nil; wait = interval {
 		elapsed := time.Since(began)
 		silent = silent || elapsed >= timeout || r.callerWaitExceeded() || r.stalled(r.choice.Address())
 		if !silent {
@@ -117,6 +118,7 @@
 			return SilenceError{Endpoint: r.choice.Address(), After: elapsed}
 		}
 		r.observeKept(reason)
+		interval = moveCheckInterval
 	}
 	return nil
 }
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -41,6 +41,9 @@
 			left := attempt - 1
 			d.TakeRetry = func() bool { left--; return left >= 0 }
 		}},
+		{name: "not admitted", apply: func(d *generation.Driver, _ *fixture, _ int) {
+			d.AdmitMove = func() error { return refused{} }
+		}},
 		{name: "no other endpoint", apply: func(_ *generation.Driver, f *fixture, attempt int) {
 			if attempt == 1 {
 				f.endpoints = f.endpoints[:1]
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/member"
@@ -38,13 +37,7 @@
 
 // useRegister makes the server admit streams and record evidence by the register.
 func useRegister(server *forward.Server, register *quarantine.Register, m *telemetry.Metrics) {
-	server.Admit = func(parts []quarantine.Part) error {
-		err := register.Admit(parts)
-		if suspect, refused := errors.AsType[quarantine.SuspectError](err); refused && !suspect.Unsettled {
-			m.Count(telemetry.Quarantine, "refused")
-		}
-		return err
-	}
+	server.Admit = register.Admit
 	server.RecordEnd = func(incarnation string, parts []quarantine.Part) {
 		m.Count(telemetry.Quarantine, "end")
 		register.RecordEnd(incarnation, parts)
--- a/io/forward/evidence.go
+++ b/io/forward/evidence.go
@@ -11,6 +11,7 @@
 	"radishhollow/core/generation"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
+	"radishhollow/io/telemetry"
 )
 
 // maxAdmitCalls bounds the calls of Admit for one attempt, because a group may change again while it settles.
@@ -18,18 +19,24 @@
 
 // admit returns an error if the request must not be sent because of the parts of its prompt. It waits while the verdict on
 // them is not settled, so that a sound request is not refused because of evidence that is incomplete.
-func (h *streamHandler) admit() error {
+func (h *streamHandler) admit(ctx context.Context) error {
 	var err error
 	for range maxAdmitCalls {
 		err = h.server.Admit(h.request.parts)
 		suspect, refused := errors.AsType[quarantine.SuspectError](err)
-		if !refused || !suspect.Unsettled || clock.Sleep(h.ctx, suspect.After) != nil {
-			return err
+		if !refused || !suspect.Unsettled || clock.Sleep(ctx, suspect.After) != nil {
+			break
 		}
 	}
+	if err != nil {
+		h.server.Metrics.Count(telemetry.Quarantine, "refused")
+	}
 	return err
 }
 
+// admitMove is admit for the move of a silent stream, which is kept while the verdict is not settled.
+func (h *streamHandler) admitMove() error { return h.server.Admit(h.request.parts) }
+
 // trackStart starts to track the run of an attempt that is about to be sent.
 func (h *streamHandler) trackStart() {
 	h.start = &startTracker{onLived: func() { h.server.RecordLived(h.request.parts) }}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -120,7 +120,7 @@
 		maxRuns = q.route.Attempts
 	}
 	d := &generation.Driver{
-		Admit: h.admit, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
+		Admit: h.admit, AdmitMove: h.admitMove, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
 		TakeRetry:   func() bool { return s.TakeRetry(q.service.Name) },
 		ReturnRetry: func() { s.ReturnRetry(q.service.Name) },
 		// No resume is exempt, so each takes a retry from the service's budget.
