fix(daemon): keep the time limit of a new connection's first header

What callers saw: 400 for a request on a new connection whose first bytes came shortly before the end of the idle time, although its header was within its limit.

Cause: net/http sets the deadline of the first header when the connection opens; extending an idle connection's deadline replaced it for good. Found by a review.

Change: the header's limit runs from its first byte.

Result: TestFirstHeaderKeepsItsTimeout passes; without the change it fails with "a partial header holds the connection for the idle time".

--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -104,8 +104,10 @@
 	if !c.closing && !c.extended {
 		return
 	}
+	// net/http sets the deadline of the first header before the connection is idle, so extending it has replaced it.
+	isFirstHeader := c.extended && !c.used
 	c.closing, c.extended = false, false
-	if !c.readDeadline.IsZero() && time.Now().After(c.readDeadline) {
+	if isFirstHeader || (!c.readDeadline.IsZero() && time.Now().After(c.readDeadline)) {
 		c.readDeadline = time.Now().Add(c.headerTimeout)
 	}
 	_ = c.TCPConn.SetReadDeadline(c.readDeadline)
--- a/daemon/caller_listener_test.go
+++ b/daemon/caller_listener_test.go
@@ -172,3 +172,32 @@
 	_, err = reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a new connection whose extended idle time replaces the time limit of its first header: a partial header
+// would hold the connection for as long as it may be idle, and one that comes late would be cut within its time.
+func TestFirstHeaderKeepsItsTimeout(t *testing.T) {
+	l := newTestListener(t)
+	l.server.ReadHeaderTimeout, l.server.IdleTimeout = 300*time.Millisecond, time.Minute
+	var limit atomic.Int64
+	limit.Store(int64(800 * time.Millisecond))
+	l.idleTimeout = func() time.Duration { return time.Duration(limit.Load()) }
+	require.NoError(t, l.Start(t.Context()))
+
+	late, reader := dialListener(t, l)
+	time.Sleep(700 * time.Millisecond)
+	_, err := io.WriteString(late, testRequest[:10])
+	require.NoError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	_, err = io.WriteString(late, testRequest[10:])
+	require.NoError(t, err)
+	require.NoError(t, readDone(reader), "the header came within its time")
+
+	limit.Store(int64(time.Minute))
+	partial, reader := dialListener(t, l)
+	time.Sleep(500 * time.Millisecond)
+	_, err = io.WriteString(partial, testRequest[:10])
+	require.NoError(t, err)
+	require.NoError(t, partial.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadAll(reader)
+	require.NoError(t, err, "a partial header holds the connection for the idle time")
+}
