fix(forward): take streams in a planned stop only if the longest would be complete

What callers saw: a long stream that came 3.5 s after SIGTERM was accepted and cut 4 s later (a review's trial: 16 streams of 1.6 s, then one of 6 s, grace 8 s). Requests that the end of the drain cut left no log line, because the process ended before their handlers.

Cause: the estimate was a mean with two mean deviations, of resumed streams as well.

Change: a decaying maximum of whole streams; a stream that is refused costs its caller a retry at another daemon, one that is cut its answer. After the connections in use are closed, the daemon waits up to 0.2 s for their handlers, which log the cut.

Still open: a stream longer than all before it; a request without a header yet that is in flight since before the stop gets no status at its end.

--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -181,6 +181,20 @@
 	}
 }
 
+// waitClosed waits until the handlers of all connections have ended, or until the timeout has passed.
+func (l *callerListener) waitClosed(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	for l.openCount() > 0 && clock.Sleep(ctx, drainPollInterval) == nil {
+	}
+}
+
+func (l *callerListener) openCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // closeIdle closes the idle connections and returns the number of open ones.
 func (l *callerListener) closeIdle() int {
 	l.mu.Lock()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -82,6 +82,10 @@
 	}})
 }
 
+// closeTimeout bounds the wait for the handlers of connections that are closed at the end of a planned stop, which log
+// the end of their requests. It is a part of killMargin.
+const closeTimeout = 200 * time.Millisecond
+
 // minAcceptTime is the time before the end of a planned stop at which new connections are no longer accepted. Their
 // requests would come too late to be served.
 const minAcceptTime = 1500 * time.Millisecond
@@ -112,8 +116,10 @@
 	}
 	if err := l.drain(ctx); err != nil {
 		d.closing.Store(true)
-		log.WithError(err).Warn("drain timeout expired; closing connections in use")
-		return l.server.Close()
+		log.WithError(err).WithField("connections", l.openCount()).Warn("drain timeout expired; closing connections in use")
+		err := l.server.Close()
+		l.waitClosed(closeTimeout)
+		return err
 	}
 	log.Info("drained")
 	return nil
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -139,7 +139,10 @@
 	}
 	q.cutFields = h.cutFields()
 	if err == nil {
-		s.durations.record(q.service.Name, time.Since(q.arrivedAt))
+		if q.lastEventID == 0 {
+			// The rest of a stream that its caller resumes says little about a whole one.
+			s.durations.record(q.service.Name, time.Since(q.arrivedAt))
+		}
 		return h.complete()
 	}
 	if h.errorResponse != nil && !h.headerSent {
--- a/io/forward/stream_durations.go
+++ b/io/forward/stream_durations.go
@@ -5,48 +5,40 @@
 	"time"
 )
 
-// durationWeight is the weight of a new duration in the mean and in the mean deviation, as a divisor.
-const durationWeight = 8
-
-// durationDeviations is the number of mean deviations by which typical exceeds the mean, which covers most streams.
-const durationDeviations = 2
+const (
+	// durationDecay is the divisor by which the longest duration approaches each shorter one that follows it, so that a
+	// single long stream counts for some hundred others.
+	durationDecay = 256
+	// maxDurationServices bounds the services with an estimate. The services come from the configuration, and those that it
+	// no longer names are not removed.
+	maxDurationServices = 1024
+)
 
-// streamDurations estimates by service how long complete streams take. It is safe for concurrent use.
+// streamDurations estimates by service how long complete streams take at most. Callers learn late that a stream is cut,
+// and soon that it is refused, so the estimate is a decaying maximum and no mean. It is safe for concurrent use.
 type streamDurations struct {
 	mu        sync.Mutex
-	byService map[string]*durationEstimate
+	byService map[string]time.Duration
 }
 
-type durationEstimate struct{ mean, deviation time.Duration }
-
-// maxDurationServices bounds the services with an estimate. The services come from the configuration, and those that it
-// no longer names are not removed.
-const maxDurationServices = 1024
-
 // record adds the duration of a complete stream.
 func (d *streamDurations) record(service string, duration time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e, known := d.byService[service]
-	if !known {
-		if d.byService == nil || len(d.byService) >= maxDurationServices {
-			d.byService = map[string]*durationEstimate{}
-		}
-		d.byService[service] = &durationEstimate{mean: duration, deviation: duration / 2}
-		return
+	longest, known := d.byService[service]
+	if !known && len(d.byService) >= maxDurationServices {
+		clear(d.byService)
+	}
+	if d.byService == nil {
+		d.byService = map[string]time.Duration{}
 	}
-	difference := duration - e.mean
-	e.mean += difference / durationWeight
-	e.deviation += (max(difference, -difference) - e.deviation) / durationWeight
+	d.byService[service] = max(duration, longest-(longest-duration)/durationDecay)
 }
 
-// typical returns the time within which most streams of a service are complete, and false if none has been.
-func (d *streamDurations) typical(service string) (time.Duration, bool) {
+// longest returns the time within which nearly all streams of a service are complete, and false if none has been.
+func (d *streamDurations) longest(service string) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e, known := d.byService[service]
-	if !known {
-		return 0, false
-	}
-	return e.mean + durationDeviations*e.deviation, true
+	longest, known := d.byService[service]
+	return longest, known
 }
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -29,7 +29,7 @@
 	needed := minTimeLeft
 	if q.route.Kind == config.KindStream {
 		var known bool
-		if needed, known = s.durations.typical(q.service.Name); !known {
+		if needed, known = s.durations.longest(q.service.Name); !known {
 			return errors.Trace(DrainingError{Left: left})
 		}
 	}
