fix(quarantine): a stopping daemon starts no trial

What callers saw: nothing known; two trials at once, each of which may end an engine, of the three late requests that are allowed.

Cause: a stopping daemon serves on after it has given up its registration, and its peers may choose another owner of a trial.

Change: Register.Leaving; refused requests are told to come back as before.

--- a/core/quarantine/register.go
+++ b/core/quarantine/register.go
@@ -16,6 +16,9 @@
 	Self string
 	// Peers returns the addresses of all other daemons that are known, reachable or not.
 	Peers func() []string
+	// Leaving reports whether this daemon is stopping. It then starts no trials, because its peers may already have chosen
+	// another owner. It may be nil.
+	Leaving func() bool
 	// OnChange is called for each group that is quarantined or released. It may be nil, and may call the register.
 	OnChange func(change Change)
 	// OnTrial is called with the parts of a request that is admitted as a trial. It may be nil, and may call the register.
@@ -175,7 +178,7 @@
 
 // try starts the trial of the groups that match if this daemon owns them all.
 func (r *Register) try(parts []Part, now time.Time) (isTrial bool, err error) {
-	peers := r.Peers()
+	peers, leaving := r.Peers(), r.Leaving != nil && r.Leaving()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Another call may have started a trial, or changed the groups, in the meantime.
@@ -184,7 +187,7 @@
 		return false, *err
 	}
 	for _, g := range matching {
-		if owner(g.parts, r.Self, peers) != r.Self || !g.mayTry(parts, now) {
+		if leaving || owner(g.parts, r.Self, peers) != r.Self || !g.mayTry(parts, now) {
 			return false, SuspectError{Parts: g.parts, After: trialTimeout}
 		}
 	}
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -166,3 +166,17 @@
 		require.Error(t, r.Admit([]Part{third, other}))
 	})
 }
+
+// Guards against two trials at once: the peers of a daemon that stops may already have chosen another owner.
+func TestStoppingDaemonStartsNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister("a")
+		leaving := true
+		r.Leaving = func() bool { return leaving }
+		recordEnds(r, 3, bad)
+		time.Sleep(firstHold)
+		require.Positive(t, requireSuspect(t, r, bad).RetryAfter())
+		leaving = false
+		require.NoError(t, r.Admit([]Part{bad}))
+	})
+}
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -12,10 +12,10 @@
 
 // newRegister returns the evidence on parts of prompts that crash engines, which the daemons exchange.
 func newRegister(
-	id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
+	id Identity, drain *Drain, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
 ) *quarantine.Register {
 	register := &quarantine.Register{
-		Self: id.address, Peers: members.Addresses, OnEvidence: peers.TriggerExchange,
+		Self: id.address, Peers: members.Addresses, Leaving: drain.Draining, OnEvidence: peers.TriggerExchange,
 		OnChange: func(change quarantine.Change) {
 			class, message := "released", "parts released"
 			if change.Quarantined {
