--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -12,7 +12,7 @@
 // with the pause that a caller tolerates, and bounds the calls of Pick and TakeRetry of a long silence.
 const moveCheckInterval = 200 * time.Millisecond
 
-// Reasons for which the stream of a silent engine is kept. They are the classes of EventKept.
+// Reasons why the stream of a silent engine is kept. They are the classes of EventKept.
 const (
 	ReasonAttemptsUsed = "attempts-used"
 	ReasonNotResumable = "not-resumable"
@@ -28,8 +28,8 @@
 	charged bool // a retry was taken from the retry budget
 }
 
-// reserveMove reserves the next attempt at another endpoint and returns an empty string, or the reason for which the
-// generation cannot continue elsewhere. A silent engine is given up only after that, because it may be sound and go on.
+// reserveMove reserves the next attempt at another endpoint and returns an empty string, or why the generation
+// cannot continue elsewhere. A silent engine is given up only after that, because it may be sound and go on.
 func (r *driverCall) reserveMove(ctx context.Context) (reason string) {
 	runs := r.runs
 	if r.opening {
--- a/core/generation/opening.go
+++ b/core/generation/opening.go
@@ -74,7 +74,7 @@
 	cancelOpen context.CancelFunc
 	stop       context.CancelFunc
 	done       chan struct{}
-	err        error // reason for which Open was canceled; set before done is closed
+	err        error // why Open was canceled; set before done is closed
 }
 
 func (r *driverCall) watchOpening(ctx context.Context) *openingWatch {
@@ -86,7 +86,7 @@
 	return w
 }
 
-// Close ends the watch, waits for its goroutine and returns the reason for which it has canceled Open, or nil.
+// Close ends the watch, waits for its goroutine and returns why it has canceled Open, or nil.
 func (w *openingWatch) Close() error {
 	w.stop()
 	<-w.done
--- a/core/quarantine/explain.go
+++ b/core/quarantine/explain.go
@@ -17,8 +17,8 @@
 	hold     time.Duration
 	lastEnd  time.Time
 	trialEnd time.Time
-	// rivals are parts outside the group that could be the cause instead, because nearly all of the ends contain one.
-	rivals []Part
+	// alternatives are parts outside the group that could be the cause instead, because nearly all of the ends contain one.
+	alternatives []Part
 }
 
 // explain returns the suspects that are quarantined: those with enough ends that the suspects before them do not explain,
@@ -32,16 +32,16 @@
 func (v *verdict) explain(list []suspect) []*group {
 	firstEnd := func(a, b suspect) int { return a.ends[0].at.Compare(b.ends[0].at) }
 	weight := func(a, b suspect) int { return cmp.Compare(b.weight, a.weight) }
-	lastLife := func(a, b suspect) int { return a.lastLife.Compare(b.lastLife) }
+	lastCleared := func(a, b suspect) int { return a.lastCleared.Compare(b.lastCleared) }
 	kept := map[*group]bool{}
-	slices.SortStableFunc(list, func(a, b suspect) int { return cmp.Or(firstEnd(a, b), weight(a, b), lastLife(a, b)) })
+	slices.SortStableFunc(list, func(a, b suspect) int { return cmp.Or(firstEnd(a, b), weight(a, b), lastCleared(a, b)) })
 	v.keep(list, kept)
-	slices.SortStableFunc(list, func(a, b suspect) int { return cmp.Or(weight(a, b), lastLife(a, b)) })
+	slices.SortStableFunc(list, func(a, b suspect) int { return cmp.Or(weight(a, b), lastCleared(a, b)) })
 	v.keep(list, kept)
 	var groups []*group
 	for _, s := range list {
 		if kept[s.group] || find(v.before, s.parts) != nil {
-			s.setRivals(list)
+			s.setAlternatives(list)
 			s.setHold()
 			groups = append(groups, s.group)
 		}
@@ -64,12 +64,12 @@
 	}
 }
 
-// setRivals sets the rivals if other suspects could be the cause of nearly all ends of the group.
-func (g *group) setRivals(list []suspect) {
-	isRival := func(other suspect) bool { return !g.sharesPart(other.group) }
+// setAlternatives sets the alternatives if other suspects could be the cause of nearly all ends of the group.
+func (g *group) setAlternatives(list []suspect) {
+	isAlternative := func(other suspect) bool { return !g.sharesPart(other.group) }
 	own := len(g.ends)
 	for _, e := range g.ends {
-		if slices.ContainsFunc(list, func(s suspect) bool { return isRival(s) && containsAll(e.parts, s.parts) }) {
+		if slices.ContainsFunc(list, func(s suspect) bool { return isAlternative(s) && containsAll(e.parts, s.parts) }) {
 			own--
 		}
 	}
@@ -77,8 +77,8 @@
 		return
 	}
 	for _, s := range list {
-		if isRival(s) {
-			g.rivals = append(g.rivals, s.parts...)
+		if isAlternative(s) {
+			g.alternatives = append(g.alternatives, s.parts...)
 		}
 	}
 }
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -11,8 +11,8 @@
 const (
 	// firstHold is the time after a group's last end until its first trial.
 	firstHold = 15 * time.Second
-	// contestedHold is the first hold of a group with rivals. The group may be a common part that shares its engines with a
-	// deadly one, and one early trial without the rivals tells.
+	// contestedHold is the first hold of a group with alternatives. It may be a common part that shares its engines with one
+	// that crashes them, and one early trial without the alternatives tells.
 	contestedHold = time.Second
 	// holdFactor multiplies the hold for each trial that ended an engine. No more than three requests may reach engines
 	// late: with 4, there are two trials in the first five minutes and a third one after them.
@@ -27,26 +27,26 @@
 // did not, because the group was not quarantined before them.
 func (g *group) setHold() {
 	g.hold = firstHold
-	if len(g.rivals) > 0 {
+	if len(g.alternatives) > 0 {
 		g.hold = contestedHold
 	}
 	for i, e := range g.ends {
-		if i > maxMomentWeight && e.at.Sub(g.lastEnd) >= g.hold && !g.hasRival(e.parts) {
+		if i > maxMomentWeight && e.at.Sub(g.lastEnd) >= g.hold && !g.hasAlternative(e.parts) {
 			g.hold = min(holdFactor*max(g.hold, firstHold), maxHold)
 		}
 		g.lastEnd = e.at
 	}
 }
 
-// mayTry reports whether a request with these parts may be the group's trial. If a request with a rival ends the engine,
+// mayTry reports whether a request with these parts may be the group's trial. If a request with an alternative ends the engine,
 // nothing is known, so it is tried only if no other request came for long.
 func (g *group) mayTry(parts []Part, now time.Time) bool {
-	return !g.hasRival(parts) || now.Sub(g.lastEnd) >= firstHold
+	return !g.hasAlternative(parts) || now.Sub(g.lastEnd) >= firstHold
 }
 
-// hasRival reports whether one of the parts is a rival.
-func (g *group) hasRival(parts []Part) bool {
-	return slices.ContainsFunc(parts, func(p Part) bool { return slices.Contains(g.rivals, p) })
+// hasAlternative reports whether one of the parts is an alternative.
+func (g *group) hasAlternative(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return slices.Contains(g.alternatives, p) })
 }
 
 // sharesPart reports whether two groups have a part in common. A group whose parts changed keeps its trial.
--- a/core/quarantine/trial_test.go
+++ b/core/quarantine/trial_test.go
@@ -148,7 +148,7 @@
 
 // Guards against a common part that stays refused for a whole hold because it shared its engines with two parts that crash
 // engines, and against a trial of it that contains one of them and so tells nothing.
-func TestContestedPartIsTriedSoonWithoutItsRivals(t *testing.T) {
+func TestContestedPartIsTriedSoonWithoutItsAlternatives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegister("a")
 		for i := range 6 {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -34,8 +34,8 @@
 type suspect struct {
 	*group
 	weight float64
-	// lastLife is the last clearance of any of its parts.
-	lastLife time.Time
+	// lastCleared is the last clearance of any of its parts.
+	lastCleared time.Time
 }
 
 // verdict derives the quarantined groups from the ends.
@@ -105,13 +105,13 @@
 		parts = rest
 		g := &group{parts: sortedParts(members)}
 		if g.ends = v.ends.containing(g.parts); len(g.ends) > 0 {
-			list = append(list, suspect{group: g, weight: weights[top], lastLife: v.lastLife(g.parts)})
+			list = append(list, suspect{group: g, weight: weights[top], lastCleared: v.lastCleared(g.parts)})
 		}
 	}
 	return list
 }
 
-func (v *verdict) lastLife(parts []Part) time.Time {
+func (v *verdict) lastCleared(parts []Part) time.Time {
 	var last time.Time
 	for _, p := range parts {
 		if at := v.clearances.last(p); at.After(last) {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -13,8 +13,7 @@
 
 // Drain holds the readiness state of the daemon and the progress of a planned stop. It is safe for concurrent use.
 type Drain struct {
-	// draining is set when a planned stop begins. closing is set when
-	// the drain timeout has expired; it is read only with settings.InterfaceOwn.
+	// draining is set when a planned stop begins, and closing when its time is over.
 	draining    atomic.Bool
 	closing     atomic.Bool
 	initialized atomic.Bool
@@ -31,9 +30,12 @@
 	needsReports bool
 }
 
-func newDrain(s settings.Settings, documents *config.Store, table *route.Table, isolation *member.IsolationDetector) *Drain {
+func newDrain(
+	s settings.Settings, documents *config.Store, table *route.Table, isolation *member.IsolationDetector,
+) *Drain {
 	return &Drain{
-		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration, documents: documents, table: table, isolation: isolation,
+		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration,
+		documents: documents, table: table, isolation: isolation,
 		needsReports: s.Interface == settings.InterfaceOwn,
 	}
 }
@@ -56,8 +58,7 @@
 	return time.Until(d.beganAt.Add(d.stopGrace - killMargin)), true
 }
 
-// Draining reports whether a planned stop has begun. Requests are still accepted until drainDelay
-// has passed.
+// Draining reports whether a planned stop has begun. Requests are still accepted for a while.
 func (d *Drain) Draining() bool { return d.draining.Load() }
 
 // Closing reports whether the daemon closes connections that are still in use.
