--- a/bench/cost.go
+++ b/bench/cost.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/config"
+	"radishhollow/core/kv"
 	"radishhollow/core/route"
 	"radishhollow/daemon"
 	"radishhollow/io/keyvalue"
@@ -293,7 +294,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := store.Put(ctx, "members/"+address, value, 0, ""); err != nil {
+		if _, err := store.Put(ctx, "members/"+address, value, kv.Revision{}, kv.Lease{}); err != nil {
 			return err
 		}
 	}
--- a/cmd/apply_test.go
+++ b/cmd/apply_test.go
@@ -30,18 +30,18 @@
 		Get: func(context.Context, string) (kv.Entry, error) {
 			mu.Lock()
 			defer mu.Unlock()
-			if current.Revision() == 0 {
+			if current.Revision().IsZero() {
 				return current, kv.NotFoundError{}
 			}
 			return current, nil
 		},
-		Put: func(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+		Put: func(_ context.Context, key string, value []byte, ifRevision kv.Revision, _ kv.Lease) (kv.Revision, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			if ifRevision != current.Revision() {
-				return 0, kv.ConflictError{}
+				return kv.Revision{}, kv.ConflictError{}
 			}
-			current = kv.NewEntry(key, value, ifRevision+1, false)
+			current = kv.NewEntry(key, value, ifRevision.Next(), false)
 			return current.Revision(), nil
 		},
 	}
--- a/core/booking/sender_test.go
+++ b/core/booking/sender_test.go
@@ -155,24 +155,24 @@
 // newMemoryStore returns an in-memory key-value store whose writes fail while *down is set.
 func newMemoryStore(down *bool) kv.Store {
 	var mu sync.Mutex
-	entries, revision := map[string]kv.Entry{}, uint64(0)
+	entries, revision := map[string]kv.Entry{}, kv.Revision{}
 	return kv.Store{
-		Grant: func(context.Context, time.Duration) (string, error) { return "l", nil },
+		Grant: func(context.Context, time.Duration) (kv.Lease, error) { return kv.NewLease(0, "l"), nil },
 		Get: func(_ context.Context, key string) (kv.Entry, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			return entries[key], nil
 		},
-		Put: func(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+		Put: func(_ context.Context, key string, value []byte, ifRevision kv.Revision, _ kv.Lease) (kv.Revision, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			if *down {
-				return 0, kv.UnavailableError{Call: "put", Cause: context.DeadlineExceeded}
+				return kv.Revision{}, kv.UnavailableError{Call: "put", Cause: context.DeadlineExceeded}
 			}
 			if current := entries[key].Revision(); current != ifRevision {
-				return 0, kv.ConflictError{Key: key, Current: current}
+				return kv.Revision{}, kv.ConflictError{Key: key, Current: current}
 			}
-			revision++
+			revision = revision.Next()
 			entries[key] = kv.NewEntry(key, value, revision, false)
 			return revision, nil
 		},
--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -133,7 +133,7 @@
 func (r *Recorder) reconcile(ctx context.Context, w pendingWrite) error {
 	entry, err := r.get(ctx, w.storageKey)
 	if _, notFound := errors.AsType[kv.NotFoundError](err); notFound {
-		return r.putRecord(ctx, w, 0)
+		return r.putRecord(ctx, w, kv.Revision{})
 	}
 	if err != nil {
 		return err
@@ -148,7 +148,7 @@
 	return r.putRecord(ctx, w, entry.Revision())
 }
 
-func (r *Recorder) putRecord(ctx context.Context, w pendingWrite, revision uint64) error {
+func (r *Recorder) putRecord(ctx context.Context, w pendingWrite, revision kv.Revision) error {
 	data, err := w.record.encode()
 	if err != nil {
 		return err
--- a/core/claim/lease.go
+++ b/core/claim/lease.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"radishhollow/core/kv"
 )
 
 // leaseReusePeriod is how long one lease is used for new records; one lease per hour avoids a grant for each claim. It
@@ -15,8 +17,8 @@
 const leaseReusePeriod = time.Hour
 
 // lease returns the lease for a record that is to be written now.
-func (r *Recorder) lease(ctx context.Context) (string, error) {
-	return r.leases.current(ctx, func(ctx context.Context) (string, error) {
+func (r *Recorder) lease(ctx context.Context) (kv.Lease, error) {
+	return r.leases.current(ctx, func(ctx context.Context) (kv.Lease, error) {
 		ctx, cancel := context.WithTimeout(ctx, r.callTimeout())
 		defer cancel()
 		return r.Store.Grant(ctx, r.expiry()+leaseReusePeriod)
@@ -29,7 +31,7 @@
 // leaseCache holds the lease that new records are attached to. Concurrent claims share one grant call.
 type leaseCache struct {
 	mu          sync.Mutex
-	id          string
+	id          kv.Lease
 	requestedAt time.Time
 	pending     *grantCall
 }
@@ -37,14 +39,14 @@
 // grantCall is a call in progress that grants a lease. Its results are valid once done is closed.
 type grantCall struct {
 	done chan struct{}
-	id   string
+	id   kv.Lease
 	err  error
 }
 
 // current returns the cached lease, or grants a new one if there is none or it is older than leaseReusePeriod.
-func (l *leaseCache) current(ctx context.Context, grantLease func(context.Context) (string, error)) (string, error) {
+func (l *leaseCache) current(ctx context.Context, grantLease func(context.Context) (kv.Lease, error)) (kv.Lease, error) {
 	l.mu.Lock()
-	if l.id != "" && ageOf(l.requestedAt) < leaseReusePeriod {
+	if !l.id.IsZero() && ageOf(l.requestedAt) < leaseReusePeriod {
 		defer l.mu.Unlock()
 		return l.id, nil
 	}
@@ -62,13 +64,13 @@
 	case <-g.done:
 		return g.id, g.err
 	case <-ctx.Done():
-		return "", errors.Trace(ctx.Err())
+		return kv.Lease{}, errors.Trace(ctx.Err())
 	}
 }
 
 // request grants a lease. Its age counts from before the call, because the key-value service may grant the lease at any
 // time during the call.
-func (l *leaseCache) request(ctx context.Context, grantLease func(context.Context) (string, error), g *grantCall) {
+func (l *leaseCache) request(ctx context.Context, grantLease func(context.Context) (kv.Lease, error), g *grantCall) {
 	requestedAt := time.Now()
 	g.id, g.err = grantLease(ctx)
 	l.mu.Lock()
@@ -81,10 +83,10 @@
 }
 
 // invalidate removes a lease that no longer exists in the key-value service.
-func (l *leaseCache) invalidate(id string) {
+func (l *leaseCache) invalidate(id kv.Lease) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.id == id {
-		l.id = ""
+		l.id = kv.Lease{}
 	}
 }
--- a/core/claim/recorder.go
+++ b/core/claim/recorder.go
@@ -115,8 +115,8 @@
 	storageKey string
 	record     record
 	claimedAt  time.Time
-	// expectedRevision is the revision that the next write expects. Zero creates the key.
-	expectedRevision uint64
+	// expectedRevision is the revision that the next write expects. The zero value creates the key.
+	expectedRevision kv.Revision
 	// mayBeWritten is set after a failed write that may have taken effect.
 	mayBeWritten bool
 	// held is set while the key-value service reports that the key exists and is not known to be free.
@@ -179,7 +179,7 @@
 func (p *pendingClaim) readBack(ctx context.Context) (Ticket, bool, error) {
 	entry, err := p.recorder.get(ctx, p.storageKey)
 	if _, notFound := errors.AsType[kv.NotFoundError](err); notFound {
-		p.expectedRevision, p.held = 0, false
+		p.expectedRevision, p.held = kv.Revision{}, false
 		return Ticket{}, false, err
 	}
 	if err != nil {
@@ -237,7 +237,7 @@
 	}
 }
 
-func (p *pendingClaim) ownedTicket(revision uint64) Ticket {
+func (p *pendingClaim) ownedTicket(revision kv.Revision) Ticket {
 	return Ticket{
 		recorder: p.recorder, storageKey: p.storageKey, record: p.record, revision: revision,
 		claimedAt: p.claimedAt, owned: true,
@@ -250,7 +250,7 @@
 	return r.Store.Get(ctx, key)
 }
 
-func (r *Recorder) put(ctx context.Context, key string, data []byte, revision uint64, lease string) (uint64, error) {
+func (r *Recorder) put(ctx context.Context, key string, data []byte, revision kv.Revision, lease kv.Lease) (kv.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.callTimeout())
 	defer cancel()
 	return r.Store.Put(ctx, key, data, revision, lease)
--- a/core/claim/recorder_test.go
+++ b/core/claim/recorder_test.go
@@ -12,6 +12,7 @@
 
 	"radishhollow/core/claim"
 	"radishhollow/core/failure"
+	"radishhollow/core/kv"
 )
 
 func claimKey(t *testing.T, r *claim.Recorder) claim.Ticket {
@@ -202,9 +203,9 @@
 	for expiry, ttl := range map[time.Duration]time.Duration{0: 25 * time.Hour, 2 * time.Hour: 3 * time.Hour} {
 		var granted time.Duration
 		store := newFakeStore(1, 0).store()
-		store.Grant = func(_ context.Context, ttl time.Duration) (string, error) {
+		store.Grant = func(_ context.Context, ttl time.Duration) (kv.Lease, error) {
 			granted = ttl
-			return "lease", nil
+			return kv.NewLease(0, "lease"), nil
 		}
 		claimKey(t, &claim.Recorder{Store: store, Expiry: expiry})
 		require.Equal(t, ttl, granted)
--- a/core/claim/store_test.go
+++ b/core/claim/store_test.go
@@ -15,7 +15,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	faultRate float64
-	revision  uint64
+	revision  kv.Revision
 	entries   map[string]kv.Entry
 	puts      int
 	grants    int
@@ -80,15 +80,15 @@
 	return kv.Entry{}, kv.NotFoundError{Key: key}
 }
 
-func (f *fakeStore) put(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+func (f *fakeStore) put(_ context.Context, key string, value []byte, ifRevision kv.Revision, _ kv.Lease) (kv.Revision, error) {
 	switch f.drawFault("put") {
 	case faultRefused:
-		return 0, unavailable("put", false)
+		return kv.Revision{}, unavailable("put", false)
 	case faultRequestLost:
-		return 0, unavailable("put", true)
+		return kv.Revision{}, unavailable("put", true)
 	case faultResponseLost:
 		_, _ = f.apply(key, value, ifRevision)
-		return 0, unavailable("put", true)
+		return kv.Revision{}, unavailable("put", true)
 	case faultDelayed:
 		f.mu.Lock()
 		delay := time.Duration(f.rng.IntN(3000)) * time.Millisecond
@@ -97,35 +97,35 @@
 		}
 		f.mu.Unlock()
 		time.AfterFunc(delay, func() { _, _ = f.apply(key, value, ifRevision) })
-		return 0, unavailable("put", true)
+		return kv.Revision{}, unavailable("put", true)
 	default:
 		return f.apply(key, value, ifRevision)
 	}
 }
 
-func (f *fakeStore) apply(key string, value []byte, ifRevision uint64) (uint64, error) {
+func (f *fakeStore) apply(key string, value []byte, ifRevision kv.Revision) (kv.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.puts++
 	if current := f.entries[key].Revision(); current != ifRevision {
-		return 0, kv.ConflictError{Key: key, Want: ifRevision, Current: current}
+		return kv.Revision{}, kv.ConflictError{Key: key, Want: ifRevision, Current: current}
 	}
-	f.revision++
+	f.revision = f.revision.Next()
 	f.entries[key] = kv.NewEntry(key, value, f.revision, false)
 	return f.revision, nil
 }
 
 func (f *fakeStore) watch(
-	ctx context.Context, prefix string, after uint64, wait time.Duration,
-) ([]kv.Entry, uint64, error) {
+	ctx context.Context, prefix string, after kv.Revision, wait time.Duration,
+) ([]kv.Entry, kv.Revision, error) {
 	if f.drawFault("watch") != faultNone {
-		return nil, 0, unavailable("watch", false)
+		return nil, kv.Revision{}, unavailable("watch", false)
 	}
 	for deadline := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
 		entry, revision := f.entries[prefix], f.revision
 		f.mu.Unlock()
-		if entry.Revision() > after {
+		if entry.Revision().After(after) {
 			return []kv.Entry{entry}, revision, nil
 		}
 		if err := ctx.Err(); err != nil {
@@ -137,12 +137,12 @@
 	}
 }
 
-func (f *fakeStore) grant(context.Context, time.Duration) (string, error) {
+func (f *fakeStore) grant(context.Context, time.Duration) (kv.Lease, error) {
 	if f.drawFault("grant") != faultNone {
-		return "", unavailable("grant", true)
+		return kv.Lease{}, unavailable("grant", true)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.grants++
-	return "lease", nil
+	return kv.NewLease(0, "lease"), nil
 }
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -21,7 +21,7 @@
 	recorder   *Recorder
 	storageKey string
 	record     record
-	revision   uint64
+	revision   kv.Revision
 	claimedAt  time.Time
 	owned      bool
 }
@@ -119,7 +119,7 @@
 		return t, err
 	}
 	for _, entry := range entries {
-		if entry.Key() != t.storageKey || entry.Revision() <= t.revision {
+		if entry.Key() != t.storageKey || !entry.Revision().After(t.revision) {
 			continue
 		}
 		if entry.Deleted() {
--- a/core/config/fake_test.go
+++ b/core/config/fake_test.go
@@ -13,7 +13,7 @@
 type fakeKV struct {
 	mu       sync.Mutex
 	value    []byte
-	revision uint64
+	revision kv.Revision
 	down     bool
 	// loseResponses is the number of writes that take effect but whose response is lost, dropWrites the number of
 	// writes that are lost before they take effect.
@@ -36,24 +36,24 @@
 	if f.down {
 		return kv.Entry{}, kv.UnavailableError{Call: "get", Cause: context.DeadlineExceeded}
 	}
-	if f.revision == 0 {
+	if f.revision.IsZero() {
 		return kv.Entry{}, kv.NotFoundError{Key: Key}
 	}
 	return kv.NewEntry(Key, f.value, f.revision, false), nil
 }
 
-func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision kv.Revision, _ kv.Lease) (kv.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lost := kv.UnavailableError{Call: "put", MayHaveTakenEffect: true, Cause: context.DeadlineExceeded}
 	if f.down || f.dropWrites > 0 {
 		f.dropWrites--
-		return 0, lost
+		return kv.Revision{}, lost
 	}
 	if ifRevision != f.revision {
-		return 0, kv.ConflictError{Key: key, Want: ifRevision, Current: f.revision}
+		return kv.Revision{}, kv.ConflictError{Key: key, Want: ifRevision, Current: f.revision}
 	}
-	f.value, f.revision = value, f.revision+1
+	f.value, f.revision = value, f.revision.Next()
 	if f.afterPut != nil {
 		after := f.afterPut
 		f.afterPut = nil
@@ -63,25 +63,25 @@
 	}
 	if f.loseResponses > 0 {
 		f.loseResponses--
-		return 0, lost
+		return kv.Revision{}, lost
 	}
 	return f.revision, nil
 }
 
-func (f *fakeKV) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+func (f *fakeKV) watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
 	deadline := time.Now().Add(wait)
 	for time.Now().Before(deadline) {
 		f.mu.Lock()
 		down, value, revision := f.down, f.value, f.revision
 		f.mu.Unlock()
 		if down {
-			return nil, 0, kv.UnavailableError{Call: "watch", Cause: context.DeadlineExceeded}
+			return nil, kv.Revision{}, kv.UnavailableError{Call: "watch", Cause: context.DeadlineExceeded}
 		}
 		if revision != after {
 			return []kv.Entry{kv.NewEntry(Key, value, revision, false)}, revision, nil
 		}
 		if err := clock.Sleep(ctx, 10*time.Millisecond); err != nil {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 	}
 	return nil, after, nil
--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -66,7 +66,7 @@
 }
 
 func (s *Syncer) runWatch(ctx context.Context) {
-	var afterStoreRevision uint64
+	var afterStoreRevision kv.Revision
 	failures := 0
 	for ctx.Err() == nil {
 		entries, storeRevision, err := s.KV.Watch(ctx, Key, afterStoreRevision, s.WatchWait)
--- a/core/config/syncer_test.go
+++ b/core/config/syncer_test.go
@@ -53,7 +53,7 @@
 	require.NoError(t, err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.value, f.revision = value, f.revision+1
+	f.value, f.revision = value, f.revision.Next()
 }
 
 func TestSyncerFollowsTheWatch(t *testing.T) {
@@ -71,9 +71,9 @@
 func TestSyncerPollFindsWhatTheWatchMisses(t *testing.T) {
 	f := &fakeKV{}
 	store := f.store()
-	store.Watch = func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]kv.Entry, uint64, error) {
+	store.Watch = func(ctx context.Context, _ string, _ kv.Revision, _ time.Duration) ([]kv.Entry, kv.Revision, error) {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, kv.Revision{}, ctx.Err()
 	}
 	runSyncer(t, store, func(s *Store, c *counts) {
 		time.Sleep(time.Second)
--- a/core/config/writer.go
+++ b/core/config/writer.go
@@ -82,14 +82,14 @@
 
 // write repeats the same compare-and-swap until it is known whether it took effect. Repeating cannot apply the write
 // twice, because the first success changes the revision of the key.
-func (w *Writer) write(ctx context.Context, next Document, id string, value []byte, keyRevision uint64) (Applied, error) {
+func (w *Writer) write(ctx context.Context, next Document, id string, value []byte, keyRevision kv.Revision) (Applied, error) {
 	mayBeWritten := false
 	var lastErr error
 	for attempt := range maxWrites {
 		if attempt > 0 && clock.Sleep(ctx, writeRetryDelay<<(attempt-1)) != nil {
 			break
 		}
-		_, err := w.KV.Put(ctx, Key, value, keyRevision, "")
+		_, err := w.KV.Put(ctx, Key, value, keyRevision, kv.Lease{})
 		if err == nil {
 			return Applied{document: next}, nil
 		}
@@ -117,13 +117,13 @@
 }
 
 // read returns the record and the revision of the key. Both are zero if the key does not exist.
-func (w *Writer) read(ctx context.Context) (record, uint64, error) {
+func (w *Writer) read(ctx context.Context) (record, kv.Revision, error) {
 	entry, err := w.KV.Get(ctx, Key)
 	if _, notFound := errors.AsType[kv.NotFoundError](err); notFound {
-		return record{}, 0, nil
+		return record{}, kv.Revision{}, nil
 	}
 	if err != nil {
-		return record{}, 0, err
+		return record{}, kv.Revision{}, err
 	}
 	r, err := decodeRecord(entry.Value())
 	return r, entry.Revision(), err
--- a/core/config/writer_test.go
+++ b/core/config/writer_test.go
@@ -78,7 +78,7 @@
 				got, err := newWriter(fake, Document{}).Apply(t.Context(), fieldsOf(1, "a"), nil)
 				require.NoError(t, err)
 				require.EqualValues(t, 1, got.Document().Revision())
-				require.EqualValues(t, 1, fake.revision, "the document must be written exactly once")
+				require.EqualValues(t, 1, fake.revision.Number(), "the document must be written exactly once")
 			})
 		})
 	}
@@ -96,7 +96,7 @@
 		got, err := newWriter(fake, Document{}).Apply(t.Context(), fieldsOf(1, "a"), nil)
 		require.NoError(t, err)
 		require.EqualValues(t, 1, got.Document().Revision())
-		require.EqualValues(t, 2, fake.revision)
+		require.EqualValues(t, 2, fake.revision.Number())
 	})
 }
 
@@ -139,7 +139,7 @@
 				}
 			}
 			require.Equal(t, 1, lost, "round %d: %v", round, errs)
-			require.EqualValues(t, 1, fake.revision)
+			require.EqualValues(t, 1, fake.revision.Number())
 		}
 	})
 }
--- a/core/kv/error.go
+++ b/core/kv/error.go
@@ -18,12 +18,12 @@
 // ConflictError reports a conditional write whose key had another revision than expected.
 type ConflictError struct {
 	Key     string
-	Want    uint64
-	Current uint64
+	Want    Revision
+	Current Revision
 }
 
 func (e ConflictError) Error() string {
-	return fmt.Sprintf("key %q is at revision %d, not %d", e.Key, e.Current, e.Want)
+	return fmt.Sprintf("key %q is at revision %s, not %s", e.Key, e.Current, e.Want)
 }
 
 func (e ConflictError) Code() string { return "key-conflict" }
@@ -31,10 +31,10 @@
 func (e ConflictError) Outcome() failure.Outcome { return failure.NotRun }
 
 // LeaseLostError reports a lease that has expired or was revoked.
-type LeaseLostError struct{ Lease string }
+type LeaseLostError struct{ Lease Lease }
 
 func (e LeaseLostError) Error() string {
-	return fmt.Sprintf("lease %q has expired or was revoked", e.Lease)
+	return fmt.Sprintf("lease %q has expired or was revoked", e.Lease.ID())
 }
 
 func (e LeaseLostError) Code() string { return "lease-lost" }
@@ -68,10 +68,10 @@
 }
 
 // CompactedError reports a watch from a revision whose later changes the store has compacted.
-type CompactedError struct{ After uint64 }
+type CompactedError struct{ After Revision }
 
 func (e CompactedError) Error() string {
-	return fmt.Sprintf("the changes after revision %d have been compacted", e.After)
+	return fmt.Sprintf("the changes after revision %s have been compacted", e.After)
 }
 
 func (e CompactedError) Code() string { return "history-compacted" }
@@ -79,10 +79,10 @@
 func (e CompactedError) Outcome() failure.Outcome { return failure.NotRun }
 
 // OldRevisionError reports a response with a lower revision than one that the caller has already received.
-type OldRevisionError struct{ Want, Got uint64 }
+type OldRevisionError struct{ Want, Got Revision }
 
 func (e OldRevisionError) Error() string {
-	return fmt.Sprintf("response at revision %d is older than revision %d", e.Got, e.Want)
+	return fmt.Sprintf("response at revision %s is older than revision %s", e.Got, e.Want)
 }
 
 func (e OldRevisionError) Code() string { return "old-revision" }
--- a/core/kv/follower.go
+++ b/core/kv/follower.go
@@ -34,7 +34,7 @@
 	RelistInterval time.Duration
 	// Apply is called with all entries of a list, where full is true, or with the changes of a watch, and with the
 	// store's revision. It is called only from the goroutine of Run.
-	Apply func(entries []Entry, revision uint64, full bool)
+	Apply func(entries []Entry, revision Revision, full bool)
 	// OnError is called with the error of each failed call, and with OldRevisionError for each response that is refused
 	// because of its revision. It may be nil.
 	OnError func(err error)
@@ -44,11 +44,11 @@
 func (f *Follower) Run(ctx context.Context) error {
 	// highest is the highest revision received. It never falls: lists with a lower revision are refused until the store
 	// reaches it again.
-	var highest uint64
+	var highest Revision
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		entries, revision, err := f.Store.List(ctx, f.Prefix)
-		if err == nil && revision < highest {
+		if err == nil && revision.Before(highest) {
 			// The response is older than the current copy.
 			err = OldRevisionError{Want: highest, Got: revision}
 		}
@@ -70,14 +70,14 @@
 }
 
 // watch applies changes until the next list is due or a call fails, and returns the last revision.
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+func (f *Follower) watch(ctx context.Context, after Revision) (Revision, error) {
 	relistAt := time.Now().Add(cmp.Or(f.RelistInterval, DefaultRelistInterval))
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
 		changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, f.WatchWait)
 		if err != nil {
 			return after, err
 		}
-		if revision < after {
+		if revision.Before(after) {
 			return after, OldRevisionError{Want: after, Got: revision}
 		}
 		after = revision
--- a/core/kv/follower_test.go
+++ b/core/kv/follower_test.go
@@ -13,15 +13,15 @@
 
 // scriptedStore is a store with predefined responses. When all of them are used, calls block until the context ends.
 type scriptedStore struct {
-	lists   []func() ([]kv.Entry, uint64, error)
-	watches []func() ([]kv.Entry, uint64, error)
-	after   []uint64 // the revisions that Watch was called with
+	lists   []func() ([]kv.Entry, kv.Revision, error)
+	watches []func() ([]kv.Entry, kv.Revision, error)
+	after   []kv.Revision // the revisions that Watch was called with
 }
 
-func nextResponse(ctx context.Context, responses *[]func() ([]kv.Entry, uint64, error)) ([]kv.Entry, uint64, error) {
+func nextResponse(ctx context.Context, responses *[]func() ([]kv.Entry, kv.Revision, error)) ([]kv.Entry, kv.Revision, error) {
 	if len(*responses) == 0 {
 		<-ctx.Done()
-		return nil, 0, kv.UnavailableError{Call: "test", Cause: ctx.Err()}
+		return nil, kv.Revision{}, kv.UnavailableError{Call: "test", Cause: ctx.Err()}
 	}
 	next := (*responses)[0]
 	*responses = (*responses)[1:]
@@ -30,26 +30,28 @@
 
 func (s *scriptedStore) store() kv.Store {
 	return kv.Store{
-		List: func(ctx context.Context, _ string) ([]kv.Entry, uint64, error) { return nextResponse(ctx, &s.lists) },
-		Watch: func(ctx context.Context, _ string, after uint64, _ time.Duration) ([]kv.Entry, uint64, error) {
+		List: func(ctx context.Context, _ string) ([]kv.Entry, kv.Revision, error) {
+			return nextResponse(ctx, &s.lists)
+		},
+		Watch: func(ctx context.Context, _ string, after kv.Revision, _ time.Duration) ([]kv.Entry, kv.Revision, error) {
 			s.after = append(s.after, after)
 			return nextResponse(ctx, &s.watches)
 		},
 	}
 }
 
-func response(revision uint64, keys ...string) func() ([]kv.Entry, uint64, error) {
-	return func() ([]kv.Entry, uint64, error) {
+func response(revision uint64, keys ...string) func() ([]kv.Entry, kv.Revision, error) {
+	return func() ([]kv.Entry, kv.Revision, error) {
 		var entries []kv.Entry
 		for _, key := range keys {
-			entries = append(entries, kv.NewEntry(key, nil, revision, false))
+			entries = append(entries, kv.NewEntry(key, nil, kv.NewRevision(0, revision), false))
 		}
-		return entries, revision, nil
+		return entries, kv.NewRevision(0, revision), nil
 	}
 }
 
-func failing(err error) func() ([]kv.Entry, uint64, error) {
-	return func() ([]kv.Entry, uint64, error) { return nil, 0, err }
+func failing(err error) func() ([]kv.Entry, kv.Revision, error) {
+	return func() ([]kv.Entry, kv.Revision, error) { return nil, kv.Revision{}, err }
 }
 
 type applied struct {
@@ -65,8 +67,8 @@
 		defer cancel()
 		start := time.Now()
 		f.Store, f.RelistInterval = s.store(), time.Hour
-		f.Apply = func(_ []kv.Entry, revision uint64, full bool) {
-			got = append(got, applied{revision, full, time.Since(start)})
+		f.Apply = func(_ []kv.Entry, revision kv.Revision, full bool) {
+			got = append(got, applied{revision.Number(), full, time.Since(start)})
 		}
 		f.OnError = func(error) { failures++ }
 		require.Error(t, f.Run(ctx))
@@ -77,22 +79,22 @@
 // Guards against a copy that misses changes that the store has compacted.
 func TestFollowerRelistsAfterCompaction(t *testing.T) {
 	s := &scriptedStore{
-		lists:   []func() ([]kv.Entry, uint64, error){response(5, "a"), response(9, "b")},
-		watches: []func() ([]kv.Entry, uint64, error){response(6, "a"), failing(kv.CompactedError{After: 6}), response(10, "c")},
+		lists:   []func() ([]kv.Entry, kv.Revision, error){response(5, "a"), response(9, "b")},
+		watches: []func() ([]kv.Entry, kv.Revision, error){response(6, "a"), failing(kv.CompactedError{After: kv.NewRevision(0, 6)}), response(10, "c")},
 	}
 	got, _ := follow(t, s, &kv.Follower{})
 	require.Len(t, got, 4)
 	require.Equal(t, []uint64{5, 6, 9, 10}, []uint64{got[0].revision, got[1].revision, got[2].revision, got[3].revision})
 	require.True(t, got[2].full)
 	require.Less(t, got[2].elapsed, time.Second, "a change may be unnoticed until the next list")
-	require.Equal(t, []uint64{5, 6, 9, 10}, s.after)
+	require.Equal(t, []kv.Revision{kv.NewRevision(0, 5), kv.NewRevision(0, 6), kv.NewRevision(0, 9), kv.NewRevision(0, 10)}, s.after)
 }
 
 // Guards against a copy that is replaced by a response with a lower revision.
 func TestFollowerRejectsOldResponses(t *testing.T) {
 	s := &scriptedStore{
-		lists:   []func() ([]kv.Entry, uint64, error){response(5), response(4), response(6)},
-		watches: []func() ([]kv.Entry, uint64, error){response(3)},
+		lists:   []func() ([]kv.Entry, kv.Revision, error){response(5), response(4), response(6)},
+		watches: []func() ([]kv.Entry, kv.Revision, error){response(3)},
 	}
 	got, failures := follow(t, s, &kv.Follower{})
 	require.Len(t, got, 2)
@@ -103,8 +105,8 @@
 // Guards against a call to the store for each of many changes in quick succession.
 func TestFollowerPausesAfterChanges(t *testing.T) {
 	s := &scriptedStore{
-		lists:   []func() ([]kv.Entry, uint64, error){response(1)},
-		watches: []func() ([]kv.Entry, uint64, error){response(2, "a"), response(3, "a"), response(3), response(4, "a")},
+		lists:   []func() ([]kv.Entry, kv.Revision, error){response(1)},
+		watches: []func() ([]kv.Entry, kv.Revision, error){response(2, "a"), response(3, "a"), response(3), response(4, "a")},
 	}
 	got, _ := follow(t, s, &kv.Follower{BatchDelay: 500 * time.Millisecond})
 	require.Len(t, got, 5)
--- a/core/kv/store.go
+++ b/core/kv/store.go
@@ -14,22 +14,22 @@
 	// Get returns the entry at key, or fails with NotFoundError.
 	Get func(ctx context.Context, key string) (Entry, error)
 	// Put writes value if the key's revision is ifRevision, and returns the key's new revision. It fails with
-	// ConflictError or LeaseLostError. An ifRevision of 0 creates the key. The entry is deleted when lease ends; an entry
-	// with an empty lease is kept.
-	Put func(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error)
+	// ConflictError or LeaseLostError. A zero ifRevision creates the key. The entry is deleted when lease ends; an entry
+	// with a zero lease is kept.
+	Put func(ctx context.Context, key string, value []byte, ifRevision Revision, lease Lease) (Revision, error)
 	// Delete deletes the key if its revision is ifRevision, or fails with ConflictError or NotFoundError.
-	Delete func(ctx context.Context, key string, ifRevision uint64) error
+	Delete func(ctx context.Context, key string, ifRevision Revision) error
 	// List returns all entries whose keys start with prefix, and the store's revision. The entries may already contain
 	// later changes, which a watch from that revision returns again.
-	List func(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	List func(ctx context.Context, prefix string) ([]Entry, Revision, error)
 	// Watch waits for up to the duration wait for changes under prefix after the given revision. It returns the changes,
 	// if there are any, and the store's revision. It fails with CompactedError if the store has compacted those changes;
 	// of the clients, platform.Store returns this error and keyvalue.Client does not.
-	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
+	Watch func(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error)
 	// Grant creates a lease with the given time to live and returns its ID.
-	Grant func(ctx context.Context, ttl time.Duration) (string, error)
+	Grant func(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew extends a lease by its time to live, or fails with LeaseLostError.
-	Renew func(ctx context.Context, lease string) error
+	Renew func(ctx context.Context, lease Lease) error
 	// Revoke ends a lease and deletes its entries, or fails with LeaseLostError.
-	Revoke func(ctx context.Context, lease string) error
+	Revoke func(ctx context.Context, lease Lease) error
 }
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -60,7 +60,7 @@
 
 // heldLease is the state of the lease from one acquisition until its loss. The zero value means that no lease is held.
 type heldLease struct {
-	id         string
+	id         kv.Lease
 	token      uint64
 	acquiredAt time.Time
 	// renewedAt is the time just before the last successful grant or renew call.
@@ -154,14 +154,14 @@
 		return 0, errors.Trace(err)
 	}
 	for {
-		revision, err := h.Store.Put(ctx, Key(h.Place), value, 0, held.id)
+		revision, err := h.Store.Put(ctx, Key(h.Place), value, kv.Revision{}, held.id)
 		if err == nil {
-			return revision, nil
+			return revision.Number(), nil
 		}
 		if _, unavailable := errors.AsType[kv.UnavailableError](err); !unavailable {
 			entry, getErr := h.Store.Get(ctx, Key(h.Place))
 			if getErr == nil && string(entry.Value()) == string(value) {
-				return entry.Revision(), nil
+				return entry.Revision().Number(), nil
 			}
 			if _, getUnavailable := errors.AsType[kv.UnavailableError](getErr); !getUnavailable {
 				return 0, err
@@ -204,7 +204,7 @@
 
 // revoke ends a lease early, so that other instances need not wait for it to expire. If the call fails, they wait for
 // the TTL.
-func (h *Holder) revoke(ctx context.Context, id string) {
+func (h *Holder) revoke(ctx context.Context, id kv.Lease) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
 	_ = h.Store.Revoke(ctx, id)
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -20,17 +20,17 @@
 // fakeStore is a key-value service with one key, and with leases that expire by the clock of the synctest bubble.
 type fakeStore struct {
 	mu              sync.Mutex
-	revision        uint64
+	revision        kv.Revision
 	entry           kv.Entry
-	leaseID         string
-	expiry          map[string]time.Time
-	ttl             map[string]time.Duration
+	leaseID         kv.Lease
+	expiry          map[kv.Lease]time.Time
+	ttl             map[kv.Lease]time.Duration
 	unavailable     bool
 	losePutResponse bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{expiry: map[string]time.Time{}, ttl: map[string]time.Duration{}}
+	return &fakeStore{expiry: map[kv.Lease]time.Time{}, ttl: map[kv.Lease]time.Duration{}}
 }
 
 var errUnavailable = kv.UnavailableError{Call: "call", MayHaveTakenEffect: true, Cause: io.ErrUnexpectedEOF}
@@ -40,7 +40,7 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	if !time.Now().Before(f.expiry[f.leaseID]) {
-		f.entry, f.leaseID = kv.Entry{}, ""
+		f.entry, f.leaseID = kv.Entry{}, kv.Lease{}
 	}
 	if f.unavailable {
 		return errUnavailable
@@ -51,55 +51,55 @@
 func (f *fakeStore) get(_ context.Context, key string) (kv.Entry, error) {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
-	if err == nil && f.leaseID == "" {
+	if err == nil && f.leaseID.IsZero() {
 		return kv.Entry{}, kv.NotFoundError{Key: key}
 	}
 	return f.entry, err
 }
 
-func (f *fakeStore) put(_ context.Context, key string, value []byte, _ uint64, id string) (uint64, error) {
+func (f *fakeStore) put(_ context.Context, key string, value []byte, _ kv.Revision, id kv.Lease) (kv.Revision, error) {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
-	if f.leaseID != "" {
-		return 0, kv.ConflictError{Key: key, Current: f.entry.Revision()}
+	if !f.leaseID.IsZero() {
+		return kv.Revision{}, kv.ConflictError{Key: key, Current: f.entry.Revision()}
 	}
 	if !time.Now().Before(f.expiry[id]) {
-		return 0, kv.LeaseLostError{Lease: id}
+		return kv.Revision{}, kv.LeaseLostError{Lease: id}
 	}
-	f.revision++
+	f.revision = f.revision.Next()
 	f.entry, f.leaseID = kv.NewEntry(key, value, f.revision, false), id
 	if f.losePutResponse {
 		f.losePutResponse = false
-		return 0, errUnavailable
+		return kv.Revision{}, errUnavailable
 	}
 	return f.revision, nil
 }
 
-func (f *fakeStore) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+func (f *fakeStore) watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; {
 		err := f.lockAndExpire()
 		changed := f.entry.Revision() != after
 		f.mu.Unlock()
 		if err != nil || changed {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	return nil, 0, ctx.Err()
+	return nil, kv.Revision{}, ctx.Err()
 }
 
-func (f *fakeStore) grant(_ context.Context, ttl time.Duration) (string, error) {
+func (f *fakeStore) grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
-	id := strconv.Itoa(len(f.expiry) + 1)
+	id := kv.NewLease(0, strconv.Itoa(len(f.expiry)+1))
 	f.expiry[id], f.ttl[id] = time.Now().Add(ttl), ttl
 	return id, err
 }
 
-func (f *fakeStore) renew(_ context.Context, id string) error {
+func (f *fakeStore) renew(_ context.Context, id kv.Lease) error {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
 	if err != nil {
@@ -112,7 +112,7 @@
 	return nil
 }
 
-func (f *fakeStore) revoke(_ context.Context, id string) error {
+func (f *fakeStore) revoke(_ context.Context, id kv.Lease) error {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
 	if err == nil {
@@ -186,7 +186,7 @@
 		store := f.store()
 		pause := make(chan struct{})
 		var paused atomic.Bool
-		store.Renew = func(ctx context.Context, id string) error {
+		store.Renew = func(ctx context.Context, id kv.Lease) error {
 			err := f.renew(ctx, id)
 			if paused.Load() {
 				<-pause
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"radishhollow/core/kv"
 	"radishhollow/core/quarantine"
 )
 
@@ -20,8 +21,8 @@
 	Revision uint64
 	Digest   string
 	// InstanceListRevision is the store's revision with which the daemon received its copy of the instance list. The list
-	// need not have changed at that revision. It is 0 if the list has no revision.
-	InstanceListRevision uint64
+	// need not have changed at that revision. It is zero if the list has no revision.
+	InstanceListRevision kv.Revision
 	Demand               []Demand
 	Marks                []Mark
 	Members              []Member
--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -18,31 +18,31 @@
 // fakeStore is a linearizable key-value service with one revision counter.
 type fakeStore struct {
 	mu        sync.Mutex
-	revision  uint64
+	revision  kv.Revision
 	entries   map[string]kv.Entry
 	log       []kv.Entry
-	compacted uint64
+	compacted kv.Revision
 	changed   chan struct{}
 	calls     map[string]int // by daemon
 	down      bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, entries: map[string]kv.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &fakeStore{revision: kv.NewRevision(0, 1), entries: map[string]kv.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
-func (s *fakeStore) put(key, value string) uint64 {
-	return s.write(func(revision uint64) kv.Entry { return kv.NewEntry(key, []byte(value), revision, false) })
+func (s *fakeStore) put(key, value string) kv.Revision {
+	return s.write(func(revision kv.Revision) kv.Entry { return kv.NewEntry(key, []byte(value), revision, false) })
 }
 
-func (s *fakeStore) remove(key string) uint64 {
-	return s.write(func(revision uint64) kv.Entry { return kv.NewEntry(key, nil, revision, true) })
+func (s *fakeStore) remove(key string) kv.Revision {
+	return s.write(func(revision kv.Revision) kv.Entry { return kv.NewEntry(key, nil, revision, true) })
 }
 
-func (s *fakeStore) write(entry func(revision uint64) kv.Entry) uint64 {
+func (s *fakeStore) write(entry func(revision kv.Revision) kv.Entry) kv.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision = s.revision.Next()
 	change := entry(s.revision)
 	if change.Deleted() {
 		delete(s.entries, change.Key())
@@ -77,7 +77,7 @@
 	return total
 }
 
-func (s *fakeStore) list(prefix string) ([]kv.Entry, uint64) {
+func (s *fakeStore) list(prefix string) ([]kv.Entry, kv.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []kv.Entry
@@ -89,15 +89,15 @@
 	return list, s.revision
 }
 
-func (s *fakeStore) changes(prefix string, after uint64) ([]kv.Entry, uint64, <-chan struct{}, error) {
+func (s *fakeStore) changes(prefix string, after kv.Revision) ([]kv.Entry, kv.Revision, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
-		return nil, 0, nil, kv.CompactedError{After: after}
+	if after.Before(s.compacted) {
+		return nil, kv.Revision{}, nil, kv.CompactedError{After: after}
 	}
 	var list []kv.Entry
 	for _, change := range s.log {
-		if change.Revision() > after && strings.HasPrefix(change.Key(), prefix) {
+		if change.Revision().After(after) && strings.HasPrefix(change.Key(), prefix) {
 			list = append(list, change)
 		}
 	}
@@ -117,7 +117,7 @@
 	mu sync.Mutex
 	// copy is what the daemon believes, and revisions all revisions that it was told in this incarnation.
 	copy      map[string]string
-	revisions []uint64
+	revisions []kv.Revision
 	// cut daemons do not reach the key-value service, silent ones answer no one and get no answer.
 	cut, silent bool
 	// disturbedAt is the end of the daemon's last fault.
@@ -195,7 +195,7 @@
 	d.stop()
 }
 
-func (d *fakeDaemon) apply(entries []kv.Entry, revision uint64, full bool) {
+func (d *fakeDaemon) apply(entries []kv.Entry, revision kv.Revision, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if full {
@@ -228,7 +228,7 @@
 func (d *fakeDaemon) neverWentBack() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.IsSorted(d.revisions)
+	return slices.IsSortedFunc(d.revisions, kv.Revision.Compare)
 }
 
 // setFault sets the daemon's faults. A daemon whose faults end is disturbed until then.
@@ -269,28 +269,28 @@
 	return nil
 }
 
-func (d *fakeDaemon) list(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
+func (d *fakeDaemon) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	if err := d.reach(ctx); err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	entries, revision := d.fleet.store.list(prefix)
 	return entries, revision, nil
 }
 
-func (d *fakeDaemon) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+func (d *fakeDaemon) watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
 	if err := d.reach(ctx); err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	deadline, expired := time.After(wait), false
 	for {
 		list, revision, changed, err := d.fleet.store.changes(prefix, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		if len(list) > 0 || expired {
 			// A response is lost if the daemon was cut off while the call waited.
 			if cut, silent := d.fault(); cut || silent {
-				return nil, 0, kv.UnavailableError{Call: "test", Cause: context.DeadlineExceeded}
+				return nil, kv.Revision{}, kv.UnavailableError{Call: "test", Cause: context.DeadlineExceeded}
 			}
 			return list, revision, nil
 		}
@@ -299,7 +299,7 @@
 		case <-deadline:
 			expired = true
 		case <-ctx.Done():
-			return nil, 0, errors.Trace(ctx.Err())
+			return nil, kv.Revision{}, errors.Trace(ctx.Err())
 		}
 	}
 }
--- a/core/relay/message.go
+++ b/core/relay/message.go
@@ -9,7 +9,7 @@
 // Request asks a reader for the changes under a prefix after a revision, or for a page of all entries.
 type Request struct {
 	Prefix string
-	After  uint64
+	After  kv.Revision
 	// Full asks for the entries whose keys follow AfterKey instead of changes.
 	Full     bool
 	AfterKey string
@@ -20,7 +20,7 @@
 // Response is a reader's answer: the changes after a revision, or a page of all entries.
 type Response struct {
 	Entries  []kv.Entry
-	Revision uint64
+	Revision kv.Revision
 	// Digest is the digest of all entries at Revision, or 0 if it does not apply to exactly that revision.
 	Digest uint64
 	// Age is the time since the key-value service confirmed Revision.
--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -27,11 +27,11 @@
 	// changeBytes is the size of the keys and values in changes.
 	changeBytes int
 	// floor is the revision after which changes is complete.
-	floor    uint64
-	revision uint64
+	floor    kv.Revision
+	revision kv.Revision
 	// newest is the highest revision of an entry. It exceeds revision after a list whose later pages contain changes made
 	// after the first one.
-	newest uint64
+	newest kv.Revision
 	// digest is the XOR of the digests of all entries, so that it can be updated with each change.
 	digest      uint64
 	synced      bool
@@ -40,7 +40,7 @@
 }
 
 // ApplyChanges applies the changes of a watch that the key-value service confirmed at the given time.
-func (r *Replica) ApplyChanges(changes []kv.Entry, revision uint64, confirmedAt time.Time) {
+func (r *Replica) ApplyChanges(changes []kv.Entry, revision kv.Revision, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, change := range changes {
@@ -50,7 +50,7 @@
 }
 
 // ApplyList replaces the entries with those of a list. Entries that the list lacks become deletions.
-func (r *Replica) ApplyList(entries []kv.Entry, revision uint64, confirmedAt time.Time) {
+func (r *Replica) ApplyList(entries []kv.Entry, revision kv.Revision, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.synced {
@@ -76,10 +76,10 @@
 		r.entries = map[string]kv.Entry{}
 	}
 	old, known := r.entries[change.Key()]
-	if known && change.Revision() <= old.Revision() && !change.Deleted() || !known && change.Deleted() {
+	if known && !change.Revision().After(old.Revision()) && !change.Deleted() || !known && change.Deleted() {
 		return
 	}
-	if known && change.Deleted() && change.Revision() < old.Revision() {
+	if known && change.Deleted() && change.Revision().Before(old.Revision()) {
 		return
 	}
 	if known {
@@ -90,7 +90,7 @@
 	} else {
 		r.entries[change.Key()] = change
 		r.digest ^= digestOf(change)
-		r.newest = max(r.newest, change.Revision())
+		r.newest = kv.Latest(r.newest, change.Revision())
 	}
 	r.changes = append(r.changes, change)
 	r.changeBytes += sizeOf(change)
@@ -103,7 +103,7 @@
 func (r *Replica) dropOldChanges() {
 	dropped := 0
 	for len(r.changes)-dropped > maxChanges/2 || r.changeBytes > maxChangeBytes/2 {
-		r.floor = max(r.floor, r.changes[dropped].Revision())
+		r.floor = kv.Latest(r.floor, r.changes[dropped].Revision())
 		r.changeBytes -= sizeOf(r.changes[dropped])
 		dropped++
 	}
@@ -112,8 +112,8 @@
 
 func sizeOf(entry kv.Entry) int { return len(entry.Key()) + len(entry.Value()) }
 
-func (r *Replica) confirm(revision uint64, at time.Time) {
-	r.revision = max(r.revision, revision)
+func (r *Replica) confirm(revision kv.Revision, at time.Time) {
+	r.revision = kv.Latest(r.revision, revision)
 	if at.After(r.confirmedAt) {
 		r.confirmedAt = at
 	}
@@ -125,19 +125,19 @@
 
 // changesAfter returns the changes after a revision and a channel that is closed at the next confirmation. It fails
 // with kv.CompactedError if the replica no longer has all of them.
-func (r *Replica) changesAfter(after uint64) (Response, <-chan struct{}, error) {
+func (r *Replica) changesAfter(after kv.Revision) (Response, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
-	if after < r.floor {
+	if after.Before(r.floor) {
 		return Response{}, nil, kv.CompactedError{After: after}
 	}
 	response := r.header()
 	size := 0
 	for _, change := range r.changes {
-		if change.Revision() > after {
+		if change.Revision().After(after) {
 			response.Entries = append(response.Entries, change)
 			size += sizeOf(change)
 		}
@@ -151,7 +151,7 @@
 
 func (r *Replica) header() Response {
 	response := Response{Revision: r.revision, Age: time.Since(r.confirmedAt)}
-	if r.newest <= r.revision {
+	if !r.newest.After(r.revision) {
 		response.Digest = r.digest
 	}
 	return response
@@ -165,7 +165,7 @@
 }
 
 // all returns all entries in no particular order.
-func (r *Replica) all() ([]kv.Entry, uint64) {
+func (r *Replica) all() ([]kv.Entry, kv.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]kv.Entry, 0, len(r.entries))
@@ -176,6 +176,6 @@
 }
 
 func digestOf(entry kv.Entry) uint64 {
-	raw := binary.BigEndian.AppendUint64([]byte(entry.Key()+"\x00"), entry.Revision())
+	raw := binary.BigEndian.AppendUint64([]byte(entry.Key()+"\x00"), entry.Revision().Number())
 	return xxhash.Sum64(raw)
 }
--- a/core/relay/replica_test.go
+++ b/core/relay/replica_test.go
@@ -16,20 +16,21 @@
 // the changes that they keep for followers.
 func TestReplicaBoundsTheMemoryOfChanges(t *testing.T) {
 	var r Replica
-	r.ApplyList(nil, 1, time.Now())
+	r.ApplyList(nil, kv.NewRevision(0, 1), time.Now())
 	value := make([]byte, 1<<20)
-	for revision := range uint64(200) {
-		r.ApplyChanges([]kv.Entry{kv.NewEntry("servers/odd", value, revision+2, false)}, revision+2, time.Now())
+	for i := range uint64(200) {
+		revision := kv.NewRevision(0, i+2)
+		r.ApplyChanges([]kv.Entry{kv.NewEntry("servers/odd", value, revision, false)}, revision, time.Now())
 	}
 	size := 0
 	for _, change := range r.changes {
 		size += len(change.Key()) + len(change.Value())
 	}
 	require.LessOrEqual(t, size, 16<<20)
-	_, _, err := r.changesAfter(1)
+	_, _, err := r.changesAfter(kv.NewRevision(0, 1))
 	_, compacted := errors.AsType[kv.CompactedError](err)
 	require.True(t, compacted, "a follower that is behind lists again")
-	response, _, err := r.changesAfter(200)
+	response, _, err := r.changesAfter(kv.NewRevision(0, 200))
 	require.NoError(t, err)
 	require.Len(t, response.Entries, 1)
 }
@@ -39,11 +40,11 @@
 	var r Replica
 	var entries []kv.Entry
 	for i := range 12_000 {
-		entries = append(entries, kv.NewEntry(fmt.Sprintf("servers/%s-%d", strings.Repeat("x", 180), i), []byte("x"), uint64(i+1), false))
+		entries = append(entries, kv.NewEntry(fmt.Sprintf("servers/%s-%d", strings.Repeat("x", 180), i), []byte("x"), kv.NewRevision(0, uint64(i+1)), false))
 	}
-	r.ApplyList(entries, 12_000, time.Now())
-	r.ApplyList(nil, 12_001, time.Now())
-	response, _, err := r.changesAfter(12_000)
+	r.ApplyList(entries, kv.NewRevision(0, 12_000), time.Now())
+	r.ApplyList(nil, kv.NewRevision(0, 12_001), time.Now())
+	response, _, err := r.changesAfter(kv.NewRevision(0, 12_000))
 	size := 0
 	for _, change := range response.Entries {
 		size += len(change.Key())
--- a/core/relay/serve.go
+++ b/core/relay/serve.go
@@ -50,7 +50,7 @@
 			return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
 		}
 		// A follower may be ahead after a call of its own to the key-value service. It waits for this copy to catch up.
-		ready := response.Revision >= request.After
+		ready := !response.Revision.Before(request.After)
 		remaining := time.Until(deadline)
 		if ready && (len(response.Entries) > 0 || remaining <= 0) {
 			return response, nil
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -97,7 +97,7 @@
 }
 
 // watch implements kv.Store.Watch.
-func (s *Store) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+func (s *Store) watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
 	f, timing, known := s.state(prefix)
 	if !known {
 		return s.Direct.Watch(ctx, prefix, after, wait)
@@ -105,11 +105,11 @@
 	wait = min(wait, timing.pollWait)
 	address, err := s.awaitSource(ctx, prefix, f)
 	if err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	if address != "" {
 		response, err := s.ask(ctx, address, f, timing, Request{Prefix: prefix, After: after, Wait: wait})
-		if err == nil && response.Revision < after {
+		if err == nil && response.Revision.Before(after) {
 			err = kv.OldRevisionError{Want: after, Got: response.Revision}
 		}
 		if err == nil {
@@ -118,7 +118,7 @@
 		// The daemon's own copy is not known to be current any more, so the next list must not be answered from it.
 		f.setConfirmed(false)
 		if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		s.suspend(address)
 		s.count(Fallback)
@@ -154,7 +154,7 @@
 
 // applyRelayed applies the changes of a reader's answer. Where the copies differ afterwards, or the answer removes a
 // large part of the entries, it fails with kv.CompactedError, so that the caller lists the prefix again.
-func (s *Store) applyRelayed(f *followed, after uint64, response Response) ([]kv.Entry, uint64, error) {
+func (s *Store) applyRelayed(f *followed, after kv.Revision, response Response) ([]kv.Entry, kv.Revision, error) {
 	removed := 0
 	for _, entry := range response.Entries {
 		if entry.Deleted() {
@@ -165,7 +165,7 @@
 		s.count(Implausible)
 		f.setConfirmed(false)
 		f.setVerifyDirect(true)
-		return nil, 0, errors.Trace(kv.CompactedError{After: after})
+		return nil, kv.Revision{}, errors.Trace(kv.CompactedError{After: after})
 	}
 	f.replica.ApplyChanges(response.Entries, response.Revision, time.Now().Add(-response.Age))
 	_, own, _ := f.replica.state()
@@ -174,7 +174,7 @@
 	if comparable && own.Digest != response.Digest {
 		s.count(Mismatch)
 		f.setVerifyDirect(true)
-		return nil, 0, errors.Trace(kv.CompactedError{After: after})
+		return nil, kv.Revision{}, errors.Trace(kv.CompactedError{After: after})
 	}
 	return response.Entries, response.Revision, nil
 }
@@ -184,15 +184,15 @@
 }
 
 func (s *Store) watchDirect(
-	ctx context.Context, prefix string, f *followed, timing Timing, after uint64, wait time.Duration,
-) ([]kv.Entry, uint64, error) {
+	ctx context.Context, prefix string, f *followed, timing Timing, after kv.Revision, wait time.Duration,
+) ([]kv.Entry, kv.Revision, error) {
 	s.count(Direct)
 	changes, revision, err := s.Direct.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		f.recordError(err)
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
-	if revision >= after {
+	if !revision.Before(after) {
 		f.replica.ApplyChanges(changes, revision, time.Now())
 	}
 	if len(changes) > 0 {
@@ -202,7 +202,7 @@
 }
 
 // list implements kv.Store.List.
-func (s *Store) list(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
+func (s *Store) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	f, timing, known := s.state(prefix)
 	if !known {
 		return s.Direct.List(ctx, prefix)
@@ -229,7 +229,7 @@
 	entries, revision, err := s.Direct.List(ctx, prefix)
 	if err != nil {
 		f.recordError(err)
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	f.replica.ApplyList(entries, revision, time.Now())
 	pause := timing.batchDelay
@@ -245,14 +245,14 @@
 // the revision of the first one.
 func (s *Store) listRelayed(
 	ctx context.Context, prefix string, f *followed, timing Timing, address string,
-) ([]kv.Entry, uint64, error) {
+) ([]kv.Entry, kv.Revision, error) {
 	var entries []kv.Entry
 	var first Response
 	request := Request{Prefix: prefix, Full: true}
 	for {
 		response, err := s.ask(ctx, address, f, timing, request)
 		if err != nil {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		if request.AfterKey == "" {
 			first = response
@@ -264,12 +264,12 @@
 		request.AfterKey = response.Entries[len(response.Entries)-1].Key()
 	}
 	known, own, _ := f.replica.state()
-	if first.Revision < own.Revision {
-		return nil, 0, errors.Trace(kv.OldRevisionError{Want: own.Revision, Got: first.Revision})
+	if first.Revision.Before(own.Revision) {
+		return nil, kv.Revision{}, errors.Trace(kv.OldRevisionError{Want: own.Revision, Got: first.Revision})
 	}
 	if removed := known - len(entries); isSuspicious(removed, known) {
 		s.count(Implausible)
-		return nil, 0, errors.Trace(ImplausibleError{Prefix: prefix, Removed: removed, Known: known})
+		return nil, kv.Revision{}, errors.Trace(ImplausibleError{Prefix: prefix, Removed: removed, Known: known})
 	}
 	f.replica.ApplyList(entries, first.Revision, time.Now().Add(-first.Age))
 	return entries, first.Revision, nil
--- a/core/relay/store_test.go
+++ b/core/relay/store_test.go
@@ -150,11 +150,14 @@
 	lies := map[string]func(Response) Response{
 		"emptied": func(r Response) Response {
 			for i := range 300 {
-				r.Entries = append(r.Entries, kv.NewEntry(fmt.Sprintf("%sengine-%d", testPrefix, i), nil, r.Revision+1, true))
+				r.Entries = append(r.Entries, kv.NewEntry(fmt.Sprintf("%sengine-%d", testPrefix, i), nil, r.Revision.Next(), true))
 			}
 			return r
 		},
-		"old revision": func(r Response) Response { r.Revision /= 2; return r },
+		"old revision": func(r Response) Response {
+			r.Revision = kv.NewRevision(r.Revision.Era(), r.Revision.Number()/2)
+			return r
+		},
 		"one endpoint removed": func(r Response) Response {
 			r.Entries = append(r.Entries, kv.NewEntry(testPrefix+"engine-3", nil, r.Revision, true))
 			return r
--- a/core/route/report.go
+++ b/core/route/report.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"radishhollow/core/kv"
+)
 
 // State is the readiness of an endpoint, as it or the platform's list reports it.
 type State string
@@ -28,9 +32,9 @@
 	// StartedAtMS is the Unix time, in milliseconds, of the endpoint's start. It distinguishes starts under the same
 	// incarnation; 0 if the list does not say.
 	StartedAtMS int64
-	// Revision is the revision of the registration, by which the newest one of an address is found; 0 if the list has
+	// Revision is the revision of the registration, by which the newest one of an address is found; zero if the list has
 	// none.
-	Revision uint64
+	Revision kv.Revision
 }
 
 // Report is a load report of an endpoint.
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -60,12 +60,12 @@
 	missingSince map[string]time.Time
 	// revision is the store's revision at the last full read that was not empty or the last watch with changes, or that
 	// of a list taken from a peer, whichever is the highest. A full read raises it even without a change of the list.
-	revision uint64
+	revision kv.Revision
 	// synced is set once the list has been read from the store or from a peer.
 	synced bool
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
 	// revision.
-	peerRevision   uint64
+	peerRevision   kv.Revision
 	peerAheadSince time.Time
 	lastResponse   time.Time
 	lastFailure    time.Time
@@ -84,14 +84,14 @@
 // Listings returns the list for peers and its revision, and false if there is no list yet. It omits registrations that
 // are kept only to give their endpoints time to register again: a peer would not know that and would keep them
 // indefinitely.
-func (l *endpointList) Listings() ([]route.Listing, uint64, bool) {
+func (l *endpointList) Listings() ([]route.Listing, kv.Revision, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.newestByAddress(false), l.revision, l.synced
 }
 
 // listRevision returns the revision of the list and the time since the store's last response.
-func (l *endpointList) listRevision() (revision uint64, age time.Duration) {
+func (l *endpointList) listRevision() (revision kv.Revision, age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.revision, time.Since(l.lastResponse)
@@ -105,7 +105,7 @@
 		if _, missing := l.missingSince[key]; missing && !includeMissing {
 			continue
 		}
-		if other, taken := newest[registration.Address]; !taken || registration.Revision > other.Revision {
+		if other, taken := newest[registration.Address]; !taken || registration.Revision.After(other.Revision) {
 			newest[registration.Address] = registration
 		}
 	}
@@ -115,17 +115,17 @@
 // apply applies a full read of the store or the changes of a watch, also if its revision is lower than that of a list
 // taken from a peer. An empty full read leaves the revision and removes all registrations, except those that
 // handleDeletion keeps for a time.
-func (l *endpointList) apply(entries []kv.Entry, revision uint64, full bool) {
+func (l *endpointList) apply(entries []kv.Entry, revision kv.Revision, full bool) {
 	l.isolation.RecordContact()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	if !l.lastFailure.IsZero() && l.lastResponse.Before(l.lastFailure) {
-		l.log.WithField("revision", revision).Info("store answers again")
+		l.log.WithField("revision", revision.String()).Info("store answers again")
 	}
 	l.lastResponse, l.synced = now, true
 	if len(entries) > 0 {
-		l.revision = max(revision, l.revision)
+		l.revision = kv.Latest(revision, l.revision)
 	}
 	seen := map[string]bool{}
 	for _, entry := range entries {
@@ -161,7 +161,7 @@
 	if old, known := l.registrations[entry.Key()]; !known || old.Leaving != registration.Leaving || old.Address != registration.Address {
 		l.log.WithFields(logrus.Fields{
 			"endpoint": registration.Incarnation, "address": registration.Address, "service": registration.Name, "leaving": registration.Leaving,
-			"revision": entry.Revision(),
+			"revision": entry.Revision().String(),
 		}).Info("endpoint registered")
 	}
 	l.registrations[entry.Key()] = registration
@@ -186,7 +186,7 @@
 }
 
 func (l *endpointList) drop(key string) {
-	l.log.WithFields(logrus.Fields{"endpoint": l.registrations[key].Incarnation, "revision": l.revision}).Info("endpoint gone")
+	l.log.WithFields(logrus.Fields{"endpoint": l.registrations[key].Incarnation, "revision": l.revision.String()}).Info("endpoint gone")
 	delete(l.registrations, key)
 	delete(l.missingSince, key)
 }
@@ -246,10 +246,10 @@
 	for clock.Sleep(ctx, peerListInterval) == nil {
 		l.mu.Lock()
 		outage := l.lastFailure.After(l.lastResponse) && time.Since(l.lastResponse) > peerListThreshold
-		behind := l.peerRevision > l.revision && time.Since(l.peerAheadSince) > peerListThreshold
-		stale, minRevision := outage || behind, l.revision+1
+		behind := l.peerRevision.After(l.revision) && time.Since(l.peerAheadSince) > peerListThreshold
+		stale, minRevision := outage || behind, l.revision.Next()
 		if !l.synced {
-			stale, minRevision = true, 0
+			stale, minRevision = true, kv.Revision{}
 		}
 		l.mu.Unlock()
 		if !stale {
@@ -263,21 +263,21 @@
 
 // recordPeerRevision records the revision of a peer's list. It shows that this daemon is behind if its watch stays
 // silent indefinitely although the store serves other daemons.
-func (l *endpointList) recordPeerRevision(revision uint64) {
+func (l *endpointList) recordPeerRevision(revision kv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision > l.revision && l.peerRevision <= l.revision {
+	if revision.After(l.revision) && !l.peerRevision.After(l.revision) {
 		l.peerAheadSince = time.Now()
 	}
-	l.peerRevision = max(revision, l.peerRevision)
+	l.peerRevision = kv.Latest(revision, l.peerRevision)
 }
 
 // replaceFromPeer replaces the list with a newer one from a peer. Registrations that the peer's list lacks are removed
 // at once, also those kept for reregistrationGrace.
-func (l *endpointList) replaceFromPeer(registrations []route.Listing, revision uint64) {
+func (l *endpointList) replaceFromPeer(registrations []route.Listing, revision kv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.synced && revision <= l.revision {
+	if l.synced && !revision.After(l.revision) {
 		return
 	}
 	l.registrations = make(map[string]route.Listing, len(registrations))
@@ -291,5 +291,5 @@
 	clear(l.missingSince)
 	l.revision, l.synced, l.newerAtPeer = revision, true, true
 	l.table.Sync(l.newestByAddress(true))
-	l.log.WithFields(logrus.Fields{"endpoints": len(registrations), "revision": revision}).Info("endpoint list received from a peer")
+	l.log.WithFields(logrus.Fields{"endpoints": len(registrations), "revision": revision.String()}).Info("endpoint list received from a peer")
 }
--- a/daemon/endpoint_list_test.go
+++ b/daemon/endpoint_list_test.go
@@ -32,7 +32,9 @@
 	}
 }
 
-func entry(key, port string) kv.Entry { return kv.NewEntry("e/"+key, []byte(port), 1, false) }
+func entry(key, port string) kv.Entry {
+	return kv.NewEntry("e/"+key, []byte(port), kv.NewRevision(0, 1), false)
+}
 
 func countEndpoints(l *endpointList) int {
 	l.dropOverdue()
@@ -45,18 +47,18 @@
 func TestEndpointListAroundAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newTestEndpointList()
-		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2"), entry("3", "3")}, 5, true)
-		l.apply([]kv.Entry{kv.NewEntry("e/3", nil, 6, true)}, 6, false)
+		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2"), entry("3", "3")}, kv.NewRevision(0, 5), true)
+		l.apply([]kv.Entry{kv.NewEntry("e/3", nil, kv.NewRevision(0, 6), true)}, kv.NewRevision(0, 6), false)
 		require.Equal(t, 2, countEndpoints(l), "without an outage, an endpoint is removed at once")
 		l.recordFailure(kv.UnavailableError{Call: "watch"})
 		time.Sleep(time.Second)
-		l.apply([]kv.Entry{entry("1", "1")}, 9, true)
+		l.apply([]kv.Entry{entry("1", "1")}, kv.NewRevision(0, 9), true)
 		require.Equal(t, 2, countEndpoints(l), "a registration that expired in the outage is kept for a while")
 		time.Sleep(time.Second)
-		l.apply([]kv.Entry{entry("2", "2")}, 10, false)
+		l.apply([]kv.Entry{entry("2", "2")}, kv.NewRevision(0, 10), false)
 		time.Sleep(time.Second)
 		require.Equal(t, 2, countEndpoints(l))
-		l.apply([]kv.Entry{kv.NewEntry("e/2", nil, 11, true)}, 11, false)
+		l.apply([]kv.Entry{kv.NewEntry("e/2", nil, kv.NewRevision(0, 11), true)}, kv.NewRevision(0, 11), false)
 		time.Sleep(reregistrationGrace)
 		require.Equal(t, 1, countEndpoints(l), "an endpoint that does not return is removed")
 	})
@@ -66,13 +68,13 @@
 func TestEndpointListTakenFromAPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newTestEndpointList()
-		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, 5, true)
+		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, kv.NewRevision(0, 5), true)
 		l.recordFailure(kv.UnavailableError{Call: "watch"})
 		listings, _, _ := l.Listings()
-		l.replaceFromPeer(listings, 7)
-		l.replaceFromPeer(nil, 6)
+		l.replaceFromPeer(listings, kv.NewRevision(0, 7))
+		l.replaceFromPeer(nil, kv.NewRevision(0, 6))
 		require.Equal(t, 2, countEndpoints(l), "an older list changes nothing")
-		l.apply([]kv.Entry{entry("1", "1")}, 9, true)
+		l.apply([]kv.Entry{entry("1", "1")}, kv.NewRevision(0, 9), true)
 		require.Equal(t, 1, countEndpoints(l))
 	})
 }
@@ -80,7 +82,7 @@
 // Guards against a malformed registration that removes other registrations, or whose key keeps its previous one.
 func TestEndpointListDropsMalformedRegistrations(t *testing.T) {
 	l := newTestEndpointList()
-	l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, 5, true)
+	l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, kv.NewRevision(0, 5), true)
 	parse := l.parse
 	l.parse = func(e kv.Entry) (route.Listing, error) {
 		if string(e.Value()) == "bad" {
@@ -88,7 +90,7 @@
 		}
 		return parse(e)
 	}
-	l.apply([]kv.Entry{entry("2", "bad"), entry("9", "bad")}, 6, false)
+	l.apply([]kv.Entry{entry("2", "bad"), entry("9", "bad")}, kv.NewRevision(0, 6), false)
 	require.Equal(t, 1, countEndpoints(l))
 }
 
@@ -97,9 +99,9 @@
 func TestEndpointListForPeersHasNoMissingEndpoints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newTestEndpointList()
-		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, 5, true)
+		l.apply([]kv.Entry{entry("1", "1"), entry("2", "2")}, kv.NewRevision(0, 5), true)
 		l.recordFailure(kv.UnavailableError{Call: "watch"})
-		l.apply([]kv.Entry{entry("1", "1")}, 9, true)
+		l.apply([]kv.Entry{entry("1", "1")}, kv.NewRevision(0, 9), true)
 		listings, _, _ := l.Listings()
 		require.Len(t, listings, 1)
 		kept, _ := l.table.Listings()
@@ -113,14 +115,14 @@
 func TestEndpointListTakesTheNewestOfAnAddress(t *testing.T) {
 	for range 50 {
 		l := newTestEndpointList()
-		crashed, successor := kv.NewEntry("e/old", []byte("1"), 3, false), kv.NewEntry("e/new", []byte("1"), 8, false)
-		l.apply([]kv.Entry{successor, crashed}, 9, true)
+		crashed, successor := kv.NewEntry("e/old", []byte("1"), kv.NewRevision(0, 3), false), kv.NewEntry("e/new", []byte("1"), kv.NewRevision(0, 8), false)
+		l.apply([]kv.Entry{successor, crashed}, kv.NewRevision(0, 9), true)
 		require.True(t, l.table.HasIncarnation("10.0.0.1:1", "new"))
 		listings, _, _ := l.Listings()
 		require.Len(t, listings, 1)
-		l.apply([]kv.Entry{kv.NewEntry("e/old", nil, 10, true)}, 10, false)
+		l.apply([]kv.Entry{kv.NewEntry("e/old", nil, kv.NewRevision(0, 10), true)}, kv.NewRevision(0, 10), false)
 		require.True(t, l.table.HasIncarnation("10.0.0.1:1", "new"))
-		l.apply([]kv.Entry{kv.NewEntry("e/old", []byte("1"), 11, false)}, 11, false)
+		l.apply([]kv.Entry{kv.NewEntry("e/old", []byte("1"), kv.NewRevision(0, 11), false)}, kv.NewRevision(0, 11), false)
 		require.True(t, l.table.HasIncarnation("10.0.0.1:1", "old"), "the latest registration applies, even under an earlier ID")
 	}
 }
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -118,7 +118,7 @@
 	return &configFollower{syncer: syncer, follower: &kv.Follower{
 		Store: store, Prefix: platform.ConfigPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.ConfigPoll.Duration,
-		Apply: func(entries []kv.Entry, _ uint64, full bool) {
+		Apply: func(entries []kv.Entry, _ kv.Revision, full bool) {
 			isolation.RecordContact()
 			for _, entry := range entries {
 				if entry.Key() != platform.ConfigKey || entry.Deleted() {
--- a/daemon/odd_entries_test.go
+++ b/daemon/odd_entries_test.go
@@ -136,8 +136,8 @@
 // newFollowerStore returns a relay of a daemon that is never a reader. After its first list it only asks the reader.
 func newFollowerStore(direct kv.Store, ask func(context.Context, string, relay.Request) (relay.Response, error)) kv.Store {
 	timings := map[string]relay.Timing{platform.ListingPrefix: relay.NewTiming(8 * time.Second)}
-	direct.Watch = func(context.Context, string, uint64, time.Duration) ([]kv.Entry, uint64, error) {
-		return nil, 0, kv.UnavailableError{Call: "watch"}
+	direct.Watch = func(context.Context, string, kv.Revision, time.Duration) ([]kv.Entry, kv.Revision, error) {
+		return nil, kv.Revision{}, kv.UnavailableError{Call: "watch"}
 	}
 	peers := make([]string, 400)
 	for i := range peers {
@@ -189,7 +189,7 @@
 		}, 20*time.Second, 10*time.Millisecond)
 	}
 	third := newPlatformList(direct, exchanger)
-	listings, revision, found := exchanger.Instances(ctx, 1)
+	listings, revision, found := exchanger.Instances(ctx, kv.NewRevision(0, 1))
 	require.True(t, found)
 	third.replaceFromPeer(listings, revision)
 	require.Equal(t, 2, countEndpoints(third))
@@ -219,7 +219,7 @@
 		entries, revision, err := store.List(t.Context(), platform.ListingPrefix)
 		require.NoError(t, err)
 		l.apply(entries, revision, true)
-		changes, revision, err := store.Watch(t.Context(), platform.ListingPrefix, 0, time.Millisecond)
+		changes, revision, err := store.Watch(t.Context(), platform.ListingPrefix, kv.Revision{}, time.Millisecond)
 		require.NoError(t, err)
 		l.apply(changes, revision, false)
 		require.True(t, l.table.HasIncarnation("10.1.0.9:1", "good-1"))
@@ -233,14 +233,14 @@
 	f.Add("servers/\n", []byte(`{"slots":1e400}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		entries := []kv.Entry{
-			kv.NewEntry("servers/good-1", []byte(registration(1)), 5, false), kv.NewEntry(key, value, 4, false),
-			kv.NewEntry("servers/good-2", []byte(registration(2)), 6, false),
+			kv.NewEntry("servers/good-1", []byte(registration(1)), kv.NewRevision(0, 5), false), kv.NewEntry(key, value, kv.NewRevision(0, 4), false),
+			kv.NewEntry("servers/good-2", []byte(registration(2)), kv.NewRevision(0, 6), false),
 		}
 		if strings.HasPrefix(key, "servers/good") {
 			return
 		}
 		l := newPlatformList(kv.Store{}, nil)
-		l.apply(entries, 6, true)
+		l.apply(entries, kv.NewRevision(0, 6), true)
 		require.True(t, l.table.HasIncarnation("10.1.0.9:1", "good-1"))
 		require.True(t, l.table.HasIncarnation("10.1.0.9:2", "good-2"))
 		listings, _ := l.table.Listings()
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -50,9 +50,9 @@
 		Draining:      drain.Draining,
 		PublishDemand: func() []member.Demand { return publishDemand(limiter) },
 		// The table's list has no revision. With settings.InterfaceForward, newEndpointList replaces this function.
-		Listings: func() ([]route.Listing, uint64, bool) {
+		Listings: func() ([]route.Listing, kv.Revision, bool) {
 			list, known := table.Listings()
-			return list, 0, known
+			return list, kv.Revision{}, known
 		},
 		Table: members, Store: documents, Isolation: isolation, Metrics: m,
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -94,7 +94,7 @@
 	if p.table.Synced() {
 		return
 	}
-	if endpoints, _, known := p.peers.Instances(ctx, 0); known {
+	if endpoints, _, known := p.peers.Instances(ctx, kv.Revision{}); known {
 		p.table.Sync(endpoints)
 		p.log.WithField("endpoints", len(endpoints)).Info("instance list received from a peer")
 	}
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -19,6 +19,7 @@
 	"radishhollow/core/failure"
 	"radishhollow/core/generation"
 	"radishhollow/core/guard"
+	"radishhollow/core/kv"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
 	"radishhollow/io/telemetry"
@@ -92,7 +93,7 @@
 	// ReturnRetry returns a retry that reached no endpoint to the budget.
 	ReturnRetry func(service string)
 	// InstanceListRevision returns the revision of the instance list and the time since the store last confirmed it.
-	InstanceListRevision func() (revision uint64, age time.Duration)
+	InstanceListRevision func() (revision kv.Revision, age time.Duration)
 	// DaemonCount returns the number of daemons that share the endpoints' connections.
 	DaemonCount func() int
 	// Closing reports whether the server closes the connections in use because the time to drain has passed. It may be nil.
@@ -227,7 +228,7 @@
 	revision, age := s.InstanceListRevision()
 	return logrus.Fields{
 		"endpoint": choice.Incarnation(), "address": choice.Address(), "load": choice.Load(), "prefill": choice.PrefillTokens(),
-		"candidates": choice.EligibleCount(), "listing": revision, "listing-age-ms": age.Milliseconds(),
+		"candidates": choice.EligibleCount(), "listing": revision.String(), "listing-age-ms": age.Milliseconds(),
 	}
 }
 
--- a/io/keyvalue/client.go
+++ b/io/keyvalue/client.go
@@ -72,6 +72,8 @@
 type Response struct {
 	Status int
 	Body   []byte
+	// Era is the era of the key-value service that sent the response, or 0 if it reports none.
+	Era uint64
 }
 
 // nonRewindableReader hides the concrete type of a body from net/http, which therefore cannot rewind and resend it.
--- a/io/keyvalue/client_test.go
+++ b/io/keyvalue/client_test.go
@@ -47,8 +47,8 @@
 		mayHaveTakenEffect bool
 	}{
 		{name: "ok", reply: reply(200, "", `{"revision":7}`)},
-		{name: "conflict", reply: reply(409, "", `{"revision":9}`), want: kv.ConflictError{Key: "a/b", Want: 3, Current: 9}},
-		{name: "lease", reply: reply(404, "", ``), want: kv.LeaseLostError{Lease: "l"}},
+		{name: "conflict", reply: reply(409, "", `{"revision":9}`), want: kv.ConflictError{Key: "a/b", Want: kv.NewRevision(0, 3), Current: kv.NewRevision(0, 9)}},
+		{name: "lease", reply: reply(404, "", ``), want: kv.LeaseLostError{Lease: kv.NewLease(0, "l")}},
 		{name: "refused before running", reply: reply(503, "1", ``)},
 		{name: "unavailable", reply: reply(503, "", ``), mayHaveTakenEffect: true},
 		{name: "redirect", reply: reply(307, "", ``), mayHaveTakenEffect: true},
@@ -68,13 +68,13 @@
 				tt.reply(w)
 			})
 			client.MaxResponseBytes = 1000
-			revision, err := client.Store().Put(t.Context(), "a/b", []byte("v"), 3, "l")
+			revision, err := client.Store().Put(t.Context(), "a/b", []byte("v"), kv.NewRevision(0, 3), kv.NewLease(0, "l"))
 			require.EqualValues(t, 1, calls.Load(), "a write must be sent exactly once")
 			unavailableError, unavailable := errors.AsType[kv.UnavailableError](err)
 			switch {
 			case tt.name == "ok":
 				require.NoError(t, err)
-				require.EqualValues(t, 7, revision)
+				require.Equal(t, kv.NewRevision(0, 7), revision)
 			case tt.want != nil:
 				require.ErrorIs(t, err, tt.want)
 			default:
@@ -92,7 +92,7 @@
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
 	client := &keyvalue.Client{Address: address, HTTP: keyvalue.NewHTTPClient()}
-	err = client.Store().Delete(t.Context(), "k", 1)
+	err = client.Store().Delete(t.Context(), "k", kv.NewRevision(0, 1))
 	unavailableError, ok := errors.AsType[kv.UnavailableError](err)
 	require.True(t, ok)
 	require.False(t, unavailableError.MayHaveTakenEffect)
@@ -112,9 +112,9 @@
 		_, _ = w.Write([]byte(`{"revision":1}`))
 	})
 	store := client.Store()
-	_, err := store.Put(t.Context(), "k", nil, 0, "")
+	_, err := store.Put(t.Context(), "k", nil, kv.Revision{}, kv.Lease{})
 	require.NoError(t, err)
-	_, err = store.Put(t.Context(), "k", nil, 1, "")
+	_, err = store.Put(t.Context(), "k", nil, kv.NewRevision(0, 1), kv.Lease{})
 	require.Error(t, err)
 	require.EqualValues(t, 2, puts.Load())
 }
@@ -151,19 +151,19 @@
 	store, ctx := client.Store(), context.Background()
 	entry, err := store.Get(ctx, "k")
 	require.NoError(t, err)
-	require.Equal(t, kv.NewEntry("k", []byte("v"), 4, false), entry)
+	require.Equal(t, kv.NewEntry("k", []byte("v"), kv.NewRevision(0, 4), false), entry)
 	_, err = store.Get(ctx, "other")
 	require.ErrorIs(t, err, kv.NotFoundError{Key: "other"})
 	entries, revision, err := store.List(ctx, "k")
 	require.NoError(t, err)
 	require.Len(t, entries, 1)
-	require.EqualValues(t, 8, revision)
-	entries, _, err = store.Watch(ctx, "k", 8, time.Millisecond)
+	require.Equal(t, kv.NewRevision(0, 8), revision)
+	entries, _, err = store.Watch(ctx, "k", kv.NewRevision(0, 8), time.Millisecond)
 	require.NoError(t, err)
 	require.True(t, entries[0].Deleted())
 	lease, err := store.Grant(ctx, time.Second)
 	require.NoError(t, err)
-	require.ErrorIs(t, store.Renew(ctx, lease), kv.LeaseLostError{Lease: "l1"})
+	require.ErrorIs(t, store.Renew(ctx, lease), kv.LeaseLostError{Lease: kv.NewLease(0, "l1")})
 	endpoints, daemons, err := client.Instances(ctx)
 	require.NoError(t, err)
 	require.Len(t, daemons, 1)
@@ -191,10 +191,10 @@
 		}),
 	}}
 	store := client.Store()
-	_, err := store.Put(t.Context(), "k", nil, 0, "")
+	_, err := store.Put(t.Context(), "k", nil, kv.Revision{}, kv.Lease{})
 	require.Error(t, err)
-	require.Error(t, store.Delete(t.Context(), "k", 1))
-	require.Error(t, store.Renew(t.Context(), "l"))
-	require.Error(t, store.Revoke(t.Context(), "l"))
+	require.Error(t, store.Delete(t.Context(), "k", kv.NewRevision(0, 1)))
+	require.Error(t, store.Renew(t.Context(), kv.NewLease(0, "l")))
+	require.Error(t, store.Revoke(t.Context(), kv.NewLease(0, "l")))
 	require.Equal(t, 4, calls)
 }
--- a/io/keyvalue/store.go
+++ b/io/keyvalue/store.go
@@ -55,7 +55,7 @@
 		if err := Decode(call, response, &it); err != nil {
 			return kv.Entry{}, err
 		}
-		return kv.NewEntry(key, it.Value, it.Revision, false), nil
+		return kv.NewEntry(key, it.Value, kv.NewRevision(response.Era, it.Revision), false), nil
 	case http.StatusNotFound:
 		return kv.Entry{}, errors.Trace(kv.NotFoundError{Key: key})
 	default:
@@ -63,32 +63,32 @@
 	}
 }
 
-func (c *Client) put(ctx context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+func (c *Client) put(ctx context.Context, key string, value []byte, ifRevision kv.Revision, lease kv.Lease) (kv.Revision, error) {
 	call := Call{Kind: CallPut, Method: http.MethodPut, Path: "/kv/" + key, Body: struct {
 		Value      []byte `json:"value"`
 		IfRevision uint64 `json:"if-revision"`
 		Lease      string `json:"lease"`
-	}{value, ifRevision, lease}}
+	}{value, ifRevision.Number(), lease.ID()}}
 	response, err := c.Do(ctx, call)
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	switch {
 	case response.Status == http.StatusOK || response.Status == http.StatusCreated:
 		var it item
 		err := Decode(call, response, &it)
-		return it.Revision, err
+		return kv.NewRevision(response.Era, it.Revision), err
 	case response.Status == http.StatusConflict:
-		return 0, conflictError(call, response, key, ifRevision)
-	case (response.Status == http.StatusNotFound || response.Status == http.StatusGone) && lease != "":
-		return 0, errors.Trace(kv.LeaseLostError{Lease: lease})
+		return kv.Revision{}, conflictError(call, response, key, ifRevision)
+	case (response.Status == http.StatusNotFound || response.Status == http.StatusGone) && !lease.IsZero():
+		return kv.Revision{}, errors.Trace(kv.LeaseLostError{Lease: lease})
 	default:
-		return 0, UnexpectedStatus(call, response)
+		return kv.Revision{}, UnexpectedStatus(call, response)
 	}
 }
 
-func (c *Client) delete(ctx context.Context, key string, ifRevision uint64) error {
-	query := url.Values{"if-revision": {strconv.FormatUint(ifRevision, 10)}}
+func (c *Client) delete(ctx context.Context, key string, ifRevision kv.Revision) error {
+	query := url.Values{"if-revision": {strconv.FormatUint(ifRevision.Number(), 10)}}
 	call := Call{Kind: CallDelete, Method: http.MethodDelete, Path: "/kv/" + key, Query: query}
 	response, err := c.Do(ctx, call)
 	if err != nil {
@@ -106,15 +106,15 @@
 	}
 }
 
-func conflictError(call Call, response Response, key string, want uint64) error {
+func conflictError(call Call, response Response, key string, want kv.Revision) error {
 	var it item
 	if err := Decode(call, response, &it); err != nil {
 		return err
 	}
-	return errors.Trace(kv.ConflictError{Key: key, Want: want, Current: it.Revision})
+	return errors.Trace(kv.ConflictError{Key: key, Want: want, Current: kv.NewRevision(response.Era, it.Revision)})
 }
 
-func (c *Client) list(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
+func (c *Client) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	call := Call{Kind: CallList, Method: http.MethodGet, Path: "/kv", Query: url.Values{"prefix": {prefix}}}
 	return c.readItems(ctx, call)
 }
@@ -122,66 +122,66 @@
 // watch implements kv.Store.Watch. It never returns kv.CompactedError, because each status other than 200 becomes a
 // kv.UnavailableError.
 func (c *Client) watch(
-	ctx context.Context, prefix string, after uint64, wait time.Duration,
-) ([]kv.Entry, uint64, error) {
+	ctx context.Context, prefix string, after kv.Revision, wait time.Duration,
+) ([]kv.Entry, kv.Revision, error) {
 	query := url.Values{
 		"prefix":  {prefix},
-		"after":   {strconv.FormatUint(after, 10)},
+		"after":   {strconv.FormatUint(after.Number(), 10)},
 		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	return c.readItems(ctx, Call{Kind: CallWatch, Method: http.MethodGet, Path: "/watch", Query: query, Wait: wait})
 }
 
-func (c *Client) readItems(ctx context.Context, call Call) ([]kv.Entry, uint64, error) {
+func (c *Client) readItems(ctx context.Context, call Call) ([]kv.Entry, kv.Revision, error) {
 	response, err := c.Do(ctx, call)
 	if err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	if response.Status != http.StatusOK {
-		return nil, 0, UnexpectedStatus(call, response)
+		return nil, kv.Revision{}, UnexpectedStatus(call, response)
 	}
 	var body struct {
 		Items    []item `json:"items"`
 		Revision uint64 `json:"revision"`
 	}
 	if err := Decode(call, response, &body); err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	entries := make([]kv.Entry, 0, len(body.Items))
 	for _, it := range body.Items {
-		entries = append(entries, kv.NewEntry(it.Key, it.Value, it.Revision, it.Deleted))
+		entries = append(entries, kv.NewEntry(it.Key, it.Value, kv.NewRevision(response.Era, it.Revision), it.Deleted))
 	}
-	return entries, body.Revision, nil
+	return entries, kv.NewRevision(response.Era, body.Revision), nil
 }
 
-func (c *Client) grant(ctx context.Context, ttl time.Duration) (string, error) {
+func (c *Client) grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
 	call := Call{Kind: CallGrant, Method: http.MethodPost, Path: "/leases", Body: struct {
 		TTL int64 `json:"ttl-ms"`
 	}{ttl.Milliseconds()}}
 	response, err := c.Do(ctx, call)
 	if err != nil {
-		return "", err
+		return kv.Lease{}, err
 	}
 	if response.Status != http.StatusOK && response.Status != http.StatusCreated {
-		return "", UnexpectedStatus(call, response)
+		return kv.Lease{}, UnexpectedStatus(call, response)
 	}
 	var body struct {
 		Lease string `json:"lease"`
 	}
 	err = Decode(call, response, &body)
-	return body.Lease, err
+	return kv.NewLease(response.Era, body.Lease), err
 }
 
-func (c *Client) renew(ctx context.Context, lease string) error {
-	path := "/leases/" + lease + "/renew"
+func (c *Client) renew(ctx context.Context, lease kv.Lease) error {
+	path := "/leases/" + lease.ID() + "/renew"
 	return c.doLeaseCall(ctx, lease, Call{Kind: CallRenew, Method: http.MethodPost, Path: path})
 }
 
-func (c *Client) revoke(ctx context.Context, lease string) error {
-	return c.doLeaseCall(ctx, lease, Call{Kind: CallRevoke, Method: http.MethodDelete, Path: "/leases/" + lease})
+func (c *Client) revoke(ctx context.Context, lease kv.Lease) error {
+	return c.doLeaseCall(ctx, lease, Call{Kind: CallRevoke, Method: http.MethodDelete, Path: "/leases/" + lease.ID()})
 }
 
-func (c *Client) doLeaseCall(ctx context.Context, lease string, call Call) error {
+func (c *Client) doLeaseCall(ctx context.Context, lease kv.Lease, call Call) error {
 	response, err := c.Do(ctx, call)
 	if err != nil {
 		return err
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -26,7 +26,7 @@
 type fakeKV struct {
 	mu       sync.Mutex
 	value    []byte
-	revision uint64
+	revision kv.Revision
 	down     bool
 }
 
@@ -36,19 +36,19 @@
 	if f.down {
 		return kv.Entry{}, kv.UnavailableError{Call: "get", Cause: io.EOF}
 	}
-	if f.revision == 0 {
+	if f.revision.IsZero() {
 		return kv.Entry{}, kv.NotFoundError{}
 	}
 	return kv.NewEntry(config.Key, f.value, f.revision, false), nil
 }
 
-func (f *fakeKV) put(_ context.Context, _ string, value []byte, ifRevision uint64, _ string) (uint64, error) {
+func (f *fakeKV) put(_ context.Context, _ string, value []byte, ifRevision kv.Revision, _ kv.Lease) (kv.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ifRevision != f.revision {
-		return 0, kv.ConflictError{Current: f.revision}
+		return kv.Revision{}, kv.ConflictError{Current: f.revision}
 	}
-	f.value, f.revision = value, f.revision+1
+	f.value, f.revision = value, f.revision.Next()
 	return f.revision, nil
 }
 
--- a/io/peer/changes.go
+++ b/io/peer/changes.go
@@ -25,7 +25,7 @@
 		return nil, twirp.NewError(twirp.Unimplemented, "this daemon passes on no changes")
 	}
 	response, err := s.Serve(ctx, relay.Request{
-		Prefix: r.GetPrefix(), After: r.GetAfter(), Full: r.GetFull(), AfterKey: r.GetAfterKey(), Wait: fromMS(r.GetWaitMs()),
+		Prefix: r.GetPrefix(), After: kv.NewRevision(0, r.GetAfter()), Full: r.GetFull(), AfterKey: r.GetAfterKey(), Wait: fromMS(r.GetWaitMs()),
 	})
 	if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
 		return nil, twirp.NewError(compactedCode, err.Error())
@@ -34,7 +34,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	list := &rpc.ChangeList{
-		Revision: response.Revision, Digest: response.Digest, AgeUs: uint64(response.Age.Microseconds()) + 1,
+		Revision: response.Revision.Number(), Digest: response.Digest, AgeUs: uint64(response.Age.Microseconds()) + 1,
 		HasMore: response.HasMore,
 	}
 	if response.FailureAge > 0 {
@@ -42,7 +42,7 @@
 	}
 	for _, e := range response.Entries {
 		list.Entries = append(list.Entries, &rpc.Entry{
-			Key: e.Key(), Value: e.Value(), Revision: e.Revision(), Deleted: e.Deleted(),
+			Key: e.Key(), Value: e.Value(), Revision: e.Revision().Number(), Deleted: e.Deleted(),
 		})
 	}
 	return list, nil
@@ -52,7 +52,7 @@
 // if that daemon no longer has the changes.
 func (x *Exchanger) Changes(ctx context.Context, address string, request relay.Request) (relay.Response, error) {
 	list, err := x.client(address).Changes(ctx, &rpc.ChangesRequest{
-		Prefix: request.Prefix, After: request.After, Full: request.Full, AfterKey: request.AfterKey,
+		Prefix: request.Prefix, After: request.After.Number(), Full: request.Full, AfterKey: request.AfterKey,
 		WaitMs: uint32(request.Wait.Milliseconds()),
 	})
 	if failed, ok := errors.AsType[twirp.Error](err); ok && failed.Code() == compactedCode {
@@ -63,11 +63,11 @@
 	}
 	x.Node.Isolation.RecordContact()
 	response := relay.Response{
-		Revision: list.GetRevision(), Digest: list.GetDigest(), Age: fromMicroseconds(list.GetAgeUs()),
+		Revision: kv.NewRevision(0, list.GetRevision()), Digest: list.GetDigest(), Age: fromMicroseconds(list.GetAgeUs()),
 		FailureAge: fromMicroseconds(list.GetFailureAgeUs()), HasMore: list.GetHasMore(),
 	}
 	for _, e := range list.GetEntries() {
-		response.Entries = append(response.Entries, kv.NewEntry(e.GetKey(), e.GetValue(), e.GetRevision(), e.GetDeleted()))
+		response.Entries = append(response.Entries, kv.NewEntry(e.GetKey(), e.GetValue(), kv.NewRevision(0, e.GetRevision()), e.GetDeleted()))
 	}
 	return response, nil
 }
--- a/io/peer/changes_test.go
+++ b/io/peer/changes_test.go
@@ -24,12 +24,12 @@
 	reader, _ := n.addNode(1)
 	_, follower := n.addNode(2)
 	sent := relay.Response{
-		Entries:  []kv.Entry{kv.NewEntry("servers/a", []byte{0, 255}, 7, false), kv.NewEntry("servers/b", nil, 8, true)},
-		Revision: 9, Digest: 1 << 63, Age: 3 * time.Microsecond, FailureAge: 5 * time.Second, HasMore: true,
+		Entries:  []kv.Entry{kv.NewEntry("servers/a", []byte{0, 255}, kv.NewRevision(0, 7), false), kv.NewEntry("servers/b", nil, kv.NewRevision(0, 8), true)},
+		Revision: kv.NewRevision(0, 9), Digest: 1 << 63, Age: 3 * time.Microsecond, FailureAge: 5 * time.Second, HasMore: true,
 	}
 	var got relay.Request
 	serveChanges(n, reader, func(_ context.Context, r relay.Request) (relay.Response, error) { got = r; return sent, nil })
-	request := relay.Request{Prefix: "servers/", After: 6, Full: true, AfterKey: "servers/", Wait: time.Second}
+	request := relay.Request{Prefix: "servers/", After: kv.NewRevision(0, 6), Full: true, AfterKey: "servers/", Wait: time.Second}
 	received, err := follower.Changes(t.Context(), reader.Address, request)
 	require.NoError(t, err)
 	require.Equal(t, request, got)
@@ -44,11 +44,11 @@
 	n := newNetwork()
 	reader, _ := n.addNode(1)
 	_, follower := n.addNode(2)
-	for _, failure := range []error{kv.CompactedError{After: 6}, relay.StaleError{}, kv.OldRevisionError{}} {
+	for _, failure := range []error{kv.CompactedError{After: kv.NewRevision(0, 6)}, relay.StaleError{}, kv.OldRevisionError{}} {
 		serveChanges(n, reader, func(context.Context, relay.Request) (relay.Response, error) {
 			return relay.Response{}, errors.Trace(failure)
 		})
-		_, err := follower.Changes(t.Context(), reader.Address, relay.Request{After: 6})
+		_, err := follower.Changes(t.Context(), reader.Address, relay.Request{After: kv.NewRevision(0, 6)})
 		require.Error(t, err)
 		_, want := failure.(kv.CompactedError) //nolint:errorlint // failure is not wrapped.
 		_, compacted := errors.AsType[kv.CompactedError](err)
@@ -62,8 +62,12 @@
 	n := newNetwork()
 	reader, _ := n.addNode(1)
 	stranger, strangerExchanger := n.addNode(2)
-	serveChanges(n, reader, func(context.Context, relay.Request) (relay.Response, error) { return relay.Response{Revision: 4}, nil })
-	serveChanges(n, stranger, func(context.Context, relay.Request) (relay.Response, error) { return relay.Response{Revision: 5}, nil })
+	serveChanges(n, reader, func(context.Context, relay.Request) (relay.Response, error) {
+		return relay.Response{Revision: kv.NewRevision(0, 4)}, nil
+	})
+	serveChanges(n, stranger, func(context.Context, relay.Request) (relay.Response, error) {
+		return relay.Response{Revision: kv.NewRevision(0, 5)}, nil
+	})
 	reader.Keys.Set([][]byte{[]byte("0123456789abcdef0123456789abcdef")})
 	_, err := strangerExchanger.Changes(t.Context(), reader.Address, relay.Request{})
 	require.Error(t, err)
@@ -75,5 +79,5 @@
 	require.True(t, unsigned, "%v", err)
 	response, err := memberExchanger.Changes(t.Context(), reader.Address, relay.Request{})
 	require.NoError(t, err)
-	require.EqualValues(t, 4, response.Revision)
+	require.Equal(t, kv.NewRevision(0, 4), response.Revision)
 }
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/io/peer/rpc"
 )
@@ -11,7 +12,7 @@
 func toWire(v member.View) *rpc.View {
 	w := &rpc.View{
 		Address: v.Address, Incarnation: v.Incarnation, Place: v.Place, Draining: v.Draining,
-		Revision: v.Revision, Digest: v.Digest, Listing: v.InstanceListRevision,
+		Revision: v.Revision, Digest: v.Digest, Listing: v.InstanceListRevision.Number(),
 	}
 	for _, d := range v.Demand {
 		w.Demand = append(w.Demand, &rpc.Demand{
@@ -37,7 +38,7 @@
 func fromWire(w *rpc.View) member.View {
 	v := member.View{
 		Address: w.GetAddress(), Incarnation: w.GetIncarnation(), Place: w.GetPlace(), Draining: w.GetDraining(),
-		Revision: w.GetRevision(), Digest: w.GetDigest(), InstanceListRevision: w.GetListing(),
+		Revision: w.GetRevision(), Digest: w.GetDigest(), InstanceListRevision: kv.NewRevision(0, w.GetListing()),
 	}
 	for _, d := range w.GetDemand() {
 		v.Demand = append(v.Demand, member.Demand{
--- a/io/peer/exchange_test.go
+++ b/io/peer/exchange_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/config"
+	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
 	"radishhollow/io/peer/rpc"
@@ -104,18 +105,18 @@
 // has not read one.
 func TestInstancesComeFromAPeerThatHasReadThem(t *testing.T) {
 	withoutList := newDaemon(t)
-	withoutList.Listings = func() ([]route.Listing, uint64, bool) { return nil, 0, false }
+	withoutList.Listings = func() ([]route.Listing, kv.Revision, bool) { return nil, kv.Revision{}, false }
 	_, err := (&Server{Node: withoutList.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
 	require.Error(t, err)
 	server := httptest.NewServer(rpc.NewPeerServer(&faultyPeer{}))
 	defer server.Close()
 	d := newDaemon(t, strings.TrimPrefix(server.URL, "http://"))
-	list, _, known := d.exchanger.Instances(t.Context(), 0)
+	list, _, known := d.exchanger.Instances(t.Context(), kv.Revision{})
 	require.True(t, known)
 	require.Equal(t, []route.Listing{{
 		Address: "127.0.0.1:2", Incarnation: "1", Place: "p", Kind: route.KindModel, Name: "briefing", Leaving: true,
 	}}, list)
-	d.Listings = func() ([]route.Listing, uint64, bool) { return list, 0, true }
+	d.Listings = func() ([]route.Listing, kv.Revision, bool) { return list, kv.Revision{}, true }
 	response, err := (&Server{Node: d.Node}).Instances(t.Context(), &rpc.InstancesRequest{})
 	require.NoError(t, err)
 	require.Len(t, response.GetInstances(), 1)
--- a/io/peer/instances.go
+++ b/io/peer/instances.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
 
+	"radishhollow/core/kv"
 	"radishhollow/core/route"
 	"radishhollow/io/peer/rpc"
 )
@@ -14,14 +15,14 @@
 // to unsigned callers.
 func (s *Server) Instances(_ context.Context, r *rpc.InstancesRequest) (*rpc.InstanceList, error) {
 	listings, revision, known := s.Node.Listings()
-	if !known || revision < r.GetAfter() {
+	if !known || revision.Before(kv.NewRevision(0, r.GetAfter())) {
 		return nil, twirp.NotFoundError("no instance list of this revision has been read yet")
 	}
-	list := &rpc.InstanceList{Revision: revision}
+	list := &rpc.InstanceList{Revision: revision.Number()}
 	for _, l := range listings {
 		list.Instances = append(list.Instances, &rpc.Instance{
 			Address: l.Address, Incarnation: l.Incarnation, Place: l.Place, Kind: string(l.Kind), Name: l.Name,
-			Leaving: l.Leaving, Slots: uint32(l.Slots), Born: l.StartedAtMS, Since: l.Revision,
+			Leaving: l.Leaving, Slots: uint32(l.Slots), Born: l.StartedAtMS, Since: l.Revision.Number(),
 		})
 	}
 	return list, nil
@@ -29,22 +30,22 @@
 
 // Instances requests an instance list of minRevision or a later revision from up to Fanout random peers, one after
 // another. It returns the first list received and its revision, and false if none of the peers has one.
-func (x *Exchanger) Instances(ctx context.Context, minRevision uint64) ([]route.Listing, uint64, bool) {
+func (x *Exchanger) Instances(ctx context.Context, minRevision kv.Revision) ([]route.Listing, kv.Revision, bool) {
 	for _, address := range x.randomAddresses() {
 		if list, revision, err := x.fetchInstances(ctx, address, minRevision); err == nil {
 			return list, revision, true
 		}
 	}
-	return nil, 0, false
+	return nil, kv.Revision{}, false
 }
 
-func (x *Exchanger) fetchInstances(ctx context.Context, address string, minRevision uint64) ([]route.Listing, uint64, error) {
+func (x *Exchanger) fetchInstances(ctx context.Context, address string, minRevision kv.Revision) ([]route.Listing, kv.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
 	// Despite its name, After is the lowest revision that the peer may send.
-	response, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{After: minRevision})
+	response, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{After: minRevision.Number()})
 	if err != nil {
-		return nil, 0, errors.Trace(err)
+		return nil, kv.Revision{}, errors.Trace(err)
 	}
 	list := make([]route.Listing, 0, len(response.GetInstances()))
 	for _, i := range response.GetInstances() {
@@ -54,8 +55,8 @@
 		list = append(list, route.Listing{
 			Address: i.GetAddress(), Incarnation: i.GetIncarnation(), Place: i.GetPlace(),
 			Kind: route.Kind(i.GetKind()), Name: i.GetName(), Leaving: i.GetLeaving(), Slots: int(i.GetSlots()),
-			StartedAtMS: i.GetBorn(), Revision: i.GetSince(),
+			StartedAtMS: i.GetBorn(), Revision: kv.NewRevision(0, i.GetSince()),
 		})
 	}
-	return list, response.GetRevision(), nil
+	return list, kv.NewRevision(0, response.GetRevision()), nil
 }
--- a/io/peer/keys_test.go
+++ b/io/peer/keys_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/kv"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
 )
@@ -60,7 +61,7 @@
 	require.EqualValues(t, 1, peer.Metrics.Value(telemetry.Exchanges, "failed"))
 	peer.exchanger.fetch(t.Context(), outsider.Address)
 	require.EqualValues(t, 1, peer.Store.Current().Revision(), "a forged configuration must not come into force")
-	_, _, known := peer.exchanger.Instances(t.Context(), 0)
+	_, _, known := peer.exchanger.Instances(t.Context(), kv.Revision{})
 	require.False(t, known)
 }
 
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"radishhollow/core/config"
+	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
@@ -45,11 +46,11 @@
 	// workspaces. It must return a new slice, because the caller reorders it.
 	PublishDemand func() []member.Demand
 	// Listings returns the endpoints of the platform's instance list and its revision, and false if no list has been
-	// read yet. The revision is 0 if the list has none. Listings may be nil if no peer calls Server.Instances; views then
-	// contain the revision 0.
-	Listings func() ([]route.Listing, uint64, bool)
+	// read yet. The revision is zero if the list has none. Listings may be nil if no peer calls Server.Instances; views then
+	// contain no revision.
+	Listings func() ([]route.Listing, kv.Revision, bool)
 	// OnInstanceListRevision is called with the revision of the instance list in each merged view. It may be nil.
-	OnInstanceListRevision func(revision uint64)
+	OnInstanceListRevision func(revision kv.Revision)
 	// Evidence returns the evidence to send, and MergeEvidence is called with that of each merged view that has any. They
 	// may be nil.
 	Evidence      func(maxEnds, maxClearances int) quarantine.Evidence
@@ -68,7 +69,7 @@
 	demand := n.PublishDemand()
 	rand.Shuffle(len(demand), func(i, j int) { demand[i], demand[j] = demand[j], demand[i] })
 	// A view contains only the revision of the list. A peer that needs the list itself calls Server.Instances.
-	var listRevision uint64
+	var listRevision kv.Revision
 	if n.Listings != nil {
 		_, listRevision, _ = n.Listings()
 	}
--- a/io/peer/odd_members_test.go
+++ b/io/peer/odd_members_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	value, err := json.Marshal(memberRegistration{Address: address, Incarnation: incarnation, Place: place})
 	require.NoError(t, err)
-	return kv.NewEntry(MembersPrefix+address, value, 2, false)
+	return kv.NewEntry(MembersPrefix+address, value, kv.NewRevision(0, 2), false)
 }
 
 // Guards against a registration of another writer among those of the daemons that makes peers refuse the views of every
@@ -30,10 +30,10 @@
 		"long incarnation":  memberEntry(t, "10.0.0.9:1", long, "a"),
 		"no address":        memberEntry(t, "", "7", "a"),
 		"unspecified":       memberEntry(t, "0.0.0.0:1", "7", "a"),
-		"port out of range": kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":"10.0.0.9:99999","incarnation":"7"}`), 2, false),
-		"number too large":  kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":1e400}`), 2, false),
-		"nested deeply":     kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(strings.Repeat("[", 100_000)), 2, false),
-		"not UTF-8":         kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte("{\"address\":\"10.0.0.9:1\",\"place\":\"\xff\"}"), 2, false),
+		"port out of range": kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":"10.0.0.9:99999","incarnation":"7"}`), kv.NewRevision(0, 2), false),
+		"number too large":  kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(`{"address":1e400}`), kv.NewRevision(0, 2), false),
+		"nested deeply":     kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte(strings.Repeat("[", 100_000)), kv.NewRevision(0, 2), false),
+		"not UTF-8":         kv.NewEntry(MembersPrefix+"10.0.0.9:1", []byte("{\"address\":\"10.0.0.9:1\",\"place\":\"\xff\"}"), kv.NewRevision(0, 2), false),
 	} {
 		n := newNetwork()
 		node, _ := n.addNode(1)
@@ -63,7 +63,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFakeKV()
-				_, err := f.put(t.Context(), sharedKeysKey, []byte(value), 0, "")
+				_, err := f.put(t.Context(), sharedKeysKey, []byte(value), kv.Revision{}, kv.Lease{})
 				require.NoError(t, err)
 				share := func(r *Registrar) { r.ShareKeys = true }
 				first, stop := startRegistrar(f, "127.0.0.1:1", share)
@@ -72,7 +72,7 @@
 				keys := first.Keys.all()
 				require.Len(t, keys, 2, "keys replace the odd value of the start")
 				require.Len(t, keys[0], keyBytes)
-				_, err = f.put(t.Context(), sharedKeysKey, []byte(value), f.items[sharedKeysKey].Revision(), "")
+				_, err = f.put(t.Context(), sharedKeysKey, []byte(value), f.items[sharedKeysKey].Revision(), kv.Lease{})
 				require.NoError(t, err)
 				time.Sleep(2 * time.Minute)
 				require.Equal(t, keys, first.Keys.all(), "known keys stay in use")
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -58,7 +58,7 @@
 func (r *Registrar) RunList(ctx context.Context) error { return guard.Run(ctx, r.runList) }
 
 func (r *Registrar) runRegister(ctx context.Context) {
-	lease := ""
+	lease := kv.Lease{}
 	for {
 		lease = r.renewOrRegister(ctx, lease)
 		if clock.Sleep(ctx, r.TTL/3) != nil {
@@ -70,8 +70,8 @@
 
 // renewOrRegister renews the lease, or registers again if there is none or it has expired. It returns the lease to
 // renew next, or an empty string.
-func (r *Registrar) renewOrRegister(ctx context.Context, lease string) string {
-	if lease != "" {
+func (r *Registrar) renewOrRegister(ctx context.Context, lease kv.Lease) kv.Lease {
+	if !lease.IsZero() {
 		err := r.KV.Renew(ctx, lease)
 		if err == nil {
 			r.Node.Isolation.RecordContact()
@@ -84,20 +84,20 @@
 	}
 	lease, err := r.KV.Grant(ctx, r.TTL)
 	if err != nil {
-		return ""
+		return kv.Lease{}
 	}
 	r.Node.Isolation.RecordContact()
 	if err := r.register(ctx, lease); err != nil {
 		// A lease without a registration has no use. The next call requests a new one.
 		r.revoke(ctx, lease)
-		return ""
+		return kv.Lease{}
 	}
 	return lease
 }
 
 // register writes the registration. It replaces an earlier one at this address, whose revision the store reports with
 // the conflict.
-func (r *Registrar) register(ctx context.Context, lease string) error {
+func (r *Registrar) register(ctx context.Context, lease kv.Lease) error {
 	key := MembersPrefix + r.Node.Address
 	value, err := json.Marshal(memberRegistration{
 		Address: r.Node.Address, Incarnation: r.Node.Incarnation, Place: r.Node.Place,
@@ -105,7 +105,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = r.KV.Put(ctx, key, value, 0, lease)
+	_, err = r.KV.Put(ctx, key, value, kv.Revision{}, lease)
 	if conflict, taken := errors.AsType[kv.ConflictError](err); taken {
 		_, err = r.KV.Put(ctx, key, value, conflict.Current, lease)
 	}
@@ -113,8 +113,8 @@
 }
 
 // revoke revokes the lease and thereby removes the registration, even if ctx has ended.
-func (r *Registrar) revoke(ctx context.Context, lease string) {
-	if lease == "" {
+func (r *Registrar) revoke(ctx context.Context, lease kv.Lease) {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -141,7 +141,7 @@
 }
 
 // follow applies changes until the watch fails, the platform returns a lower revision, or a full read is due.
-func (r *Registrar) follow(ctx context.Context, entries []kv.Entry, after uint64) {
+func (r *Registrar) follow(ctx context.Context, entries []kv.Entry, after kv.Revision) {
 	members := map[string]member.Member{}
 	r.apply(members, entries)
 	r.Node.Table.SetListed(memberList(members))
@@ -151,7 +151,7 @@
 	relistAt := time.Now().Add(r.RelistInterval)
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
 		changes, revision, err := r.KV.Watch(ctx, MembersPrefix, after, r.WatchWait)
-		if err != nil || revision < after {
+		if err != nil || revision.Before(after) {
 			return
 		}
 		r.Node.Isolation.RecordContact()
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,16 +21,16 @@
 type fakeKV struct {
 	mu         sync.Mutex
 	down       bool
-	revision   uint64
+	revision   kv.Revision
 	items      map[string]kv.Entry
 	events     []kv.Entry
-	leaseByKey map[string]string
-	leases     map[string]time.Time
+	leaseByKey map[string]kv.Lease
+	leases     map[kv.Lease]time.Time
 	ttl        time.Duration
 }
 
 func newFakeKV() *fakeKV {
-	return &fakeKV{items: map[string]kv.Entry{}, leaseByKey: map[string]string{}, leases: map[string]time.Time{}}
+	return &fakeKV{items: map[string]kv.Entry{}, leaseByKey: map[string]kv.Lease{}, leases: map[kv.Lease]time.Time{}}
 }
 
 // lock locks the service, ends expired leases and returns the function that unlocks the service. It fails if the
@@ -50,13 +49,13 @@
 	return f.mu.Unlock, nil
 }
 
-func (f *fakeKV) endLease(lease string) {
+func (f *fakeKV) endLease(lease kv.Lease) {
 	delete(f.leases, lease)
 	for key, holderLease := range f.leaseByKey {
 		if holderLease == lease {
 			delete(f.items, key)
 			delete(f.leaseByKey, key)
-			f.revision++
+			f.revision = f.revision.Next()
 			f.events = append(f.events, kv.NewEntry(key, nil, f.revision, true))
 		}
 	}
@@ -78,26 +77,26 @@
 	return kv.Entry{}, kv.NotFoundError{Key: key}
 }
 
-func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision uint64, lease string) (uint64, error) {
+func (f *fakeKV) put(_ context.Context, key string, value []byte, ifRevision kv.Revision, lease kv.Lease) (kv.Revision, error) {
 	unlock, err := f.lock()
 	if err != nil {
-		return 0, err
+		return kv.Revision{}, err
 	}
 	defer unlock()
 	if f.items[key].Revision() != ifRevision {
-		return 0, kv.ConflictError{Key: key, Want: ifRevision, Current: f.items[key].Revision()}
+		return kv.Revision{}, kv.ConflictError{Key: key, Want: ifRevision, Current: f.items[key].Revision()}
 	}
-	f.revision++
+	f.revision = f.revision.Next()
 	f.items[key] = kv.NewEntry(key, value, f.revision, false)
 	f.events = append(f.events, f.items[key])
 	f.leaseByKey[key] = lease
 	return f.revision, nil
 }
 
-func (f *fakeKV) list(_ context.Context, prefix string) ([]kv.Entry, uint64, error) {
+func (f *fakeKV) list(_ context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	unlock, err := f.lock()
 	if err != nil {
-		return nil, 0, err
+		return nil, kv.Revision{}, err
 	}
 	defer unlock()
 	var list []kv.Entry
@@ -109,18 +108,18 @@
 	return list, f.revision, nil
 }
 
-func (f *fakeKV) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]kv.Entry, uint64, error) {
+func (f *fakeKV) watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end); {
 		if err := clock.Sleep(ctx, 100*time.Millisecond); err != nil {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		unlock, err := f.lock()
 		if err != nil {
-			return nil, 0, err
+			return nil, kv.Revision{}, err
 		}
 		var changes []kv.Entry
 		for _, event := range f.events {
-			if event.Revision() > after {
+			if event.Revision().After(after) {
 				changes = append(changes, event)
 			}
 		}
@@ -133,20 +132,20 @@
 	return nil, after, nil
 }
 
-func (f *fakeKV) grant(_ context.Context, ttl time.Duration) (string, error) {
+func (f *fakeKV) grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
 	unlock, err := f.lock()
 	if err != nil {
-		return "", err
+		return kv.Lease{}, err
 	}
 	defer unlock()
-	f.revision++
+	f.revision = f.revision.Next()
 	f.ttl = ttl
-	lease := strconv.FormatUint(f.revision, 10)
+	lease := kv.NewLease(0, f.revision.String())
 	f.leases[lease] = time.Now().Add(ttl)
 	return lease, nil
 }
 
-func (f *fakeKV) renew(_ context.Context, lease string) error {
+func (f *fakeKV) renew(_ context.Context, lease kv.Lease) error {
 	unlock, err := f.lock()
 	if err != nil {
 		return err
@@ -159,7 +158,7 @@
 	return nil
 }
 
-func (f *fakeKV) revoke(_ context.Context, lease string) error {
+func (f *fakeKV) revoke(_ context.Context, lease kv.Lease) error {
 	unlock, err := f.lock()
 	if err != nil {
 		return err
@@ -233,7 +232,7 @@
 func TestRegistrationReplacesTheEarlierOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeKV()
-		_, err := f.put(t.Context(), MembersPrefix+"127.0.0.1:1", []byte("{}"), 0, "gone")
+		_, err := f.put(t.Context(), MembersPrefix+"127.0.0.1:1", []byte("{}"), kv.Revision{}, kv.NewLease(0, "gone"))
 		require.NoError(t, err)
 		_, stop := startRegistrar(f, "127.0.0.1:1")
 		time.Sleep(time.Second)
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -32,9 +32,9 @@
 type sharedKeys struct {
 	store kv.Store
 	keys  *Keys
-	// revision is the revision of the last change, or 0 if there are no keys. changedAt is the time at which this daemon
+	// revision is the revision of the last change, or zero if there are no keys. changedAt is the time at which this daemon
 	// received that change.
-	revision  uint64
+	revision  kv.Revision
 	changedAt time.Time
 	current   [][]byte
 	// malformed is set while the entry holds no usable keys.
@@ -43,7 +43,7 @@
 
 // applyEntry applies the entry at sharedKeysKey. It ignores all other entries and older revisions.
 func (s *sharedKeys) applyEntry(entry kv.Entry) {
-	if entry.Key() != sharedKeysKey || entry.Revision() < s.revision {
+	if entry.Key() != sharedKeysKey || entry.Revision().Before(s.revision) {
 		return
 	}
 	keys, usable := decodeKeys(entry.Value())
@@ -52,13 +52,13 @@
 		s.revision, s.malformed = entry.Revision(), true
 		return
 	}
-	if entry.Revision() > s.revision {
+	if entry.Revision().After(s.revision) {
 		s.changedAt = time.Now()
 	}
 	s.revision, s.current, s.malformed = entry.Revision(), keys, false
 	if entry.Deleted() {
 		// The last keys stay in use until there are new ones.
-		s.revision = 0
+		s.revision = kv.Revision{}
 		return
 	}
 	s.keys.Set(keys)
@@ -88,7 +88,7 @@
 	switch {
 	case s.malformed && len(s.current) > 0:
 		value.Keys = s.current
-	case s.revision == 0 || s.malformed:
+	case s.revision.IsZero() || s.malformed:
 		value.Keys = [][]byte{newKey(), newKey()}
 	case time.Since(s.changedAt) >= keyRotationInterval && len(s.current) > 1:
 		value.Keys = [][]byte{s.current[1], newKey(), s.current[0]}
@@ -101,7 +101,7 @@
 	}
 	// The error is ignored: if another daemon wrote first, the watch returns its keys, and if the key-value service is
 	// unavailable, a later call tries again.
-	_, _ = s.store.Put(ctx, sharedKeysKey, raw, s.revision, "")
+	_, _ = s.store.Put(ctx, sharedKeysKey, raw, s.revision, kv.Lease{})
 }
 
 func newKey() []byte {
--- a/test/config_write_test.go
+++ b/test/config_write_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/config"
+	"radishhollow/core/kv"
 	"radishhollow/io/keyvalue"
 	"radishhollow/standin/platform"
 	"radishhollow/test/harness"
@@ -80,7 +81,7 @@
 	time.Sleep(200 * time.Millisecond) // requireMonotonicRevisions must see revision 2 before the old state is restored.
 	now, err := store.Get(t.Context(), config.Key)
 	require.NoError(t, err)
-	_, err = store.Put(t.Context(), config.Key, old.Value(), now.Revision(), "")
+	_, err = store.Put(t.Context(), config.Key, old.Value(), now.Revision(), kv.Lease{})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		return d.Metric(t, 0, `radishhollow_revisions_total{class="older"}`) > 0 &&
