fix(kv): keep the eras of the store apart

Callers saw 404 on a route that had been added, or its old service, for 2.4 s after the store had come back from an older copy: kv.Follower refused each list and watch below the highest number that it had seen, until the new history reached that number. On a store that nobody writes to it never ended. Where the new history had passed the number already, the watch succeeded and what had been written in between was missing until the next list.

Cause: a revision was compared across two histories of the store; nothing read the number of the history, which all responses carry.

The clients read it now into each revision and lease, and kv.Eras guards all calls: a revision or lease of an earlier era isn't sent, a response of an earlier era or a list of two eras is refused, a watch answered in another era fails so that the caller lists anew, and a write made in another era than what it was based on is unknown.

--- a/core/kv/error.go
+++ b/core/kv/error.go
@@ -88,3 +88,15 @@
 func (e OldRevisionError) Code() string { return "old-revision" }
 
 func (e OldRevisionError) Outcome() failure.Outcome { return failure.NotRun }
+
+// EraEndedError reports a revision or a response of an era that the key-value service has ended by coming back from an
+// older copy. What was read in that era must be read anew.
+type EraEndedError struct{ Era, Current uint64 }
+
+func (e EraEndedError) Error() string {
+	return fmt.Sprintf("era %d of the key-value service has ended; it is in era %d", e.Era, e.Current)
+}
+
+func (e EraEndedError) Code() string { return "era-ended" }
+
+func (e EraEndedError) Outcome() failure.Outcome { return failure.NotRun }
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -61,7 +61,7 @@
 	s settings.Settings, id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
 ) *relay.Store {
 	store := &platform.Store{Client: &keyvalue.Client{
-		Address: s.Platform, HTTP: keyvalue.NewHTTPClient(), Timeout: s.Timeouts.Platform.Duration, IsNotRun: platform.IsRefusal,
+		Address: s.Platform, HTTP: keyvalue.NewHTTPClient(), Timeout: s.Timeouts.Platform.Duration, IsNotRun: platform.IsRefusal, ReadEra: platform.ReadEra,
 		OnCall: func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
 	}}
 	return &relay.Store{
--- a/io/keyvalue/client.go
+++ b/io/keyvalue/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -41,6 +42,11 @@
 	// IsNotRun reports whether an error response guarantees that the call had no effect. If it is nil, the header
 	// Not-Run decides.
 	IsNotRun func(status int, header http.Header) bool
+	// ReadEra returns the era of the key-value service from the header of a response, or 0 if there is none. If it is nil,
+	// the header Era is read.
+	ReadEra func(header http.Header) uint64
+	// Eras tracks the era of all responses.
+	Eras kv.Eras
 }
 
 // NewHTTPClient returns an HTTP client that follows no redirects and uses no proxy.
@@ -105,7 +111,20 @@
 		})
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
-	return c.readResponse(call, httpResponse)
+	era := c.readEra(httpResponse.Header)
+	c.Eras.Observe(era)
+	response, err := c.readResponse(call, httpResponse)
+	response.Era = era
+	return response, err
+}
+
+func (c *Client) readEra(header http.Header) uint64 {
+	if c.ReadEra != nil {
+		return c.ReadEra(header)
+	}
+	// A malformed header counts as none.
+	era, _ := strconv.ParseUint(header.Get("Era"), 10, 64)
+	return era
 }
 
 // newRequest returns a request that net/http sends at most once: without GetBody and with a body that it cannot rewind,
--- a/io/keyvalue/store.go
+++ b/io/keyvalue/store.go
@@ -37,10 +37,10 @@
 
 // Store returns the functions that call the platform's key-value service.
 func (c *Client) Store() kv.Store {
-	return kv.Store{
+	return c.Eras.Guard(kv.Store{
 		Get: c.get, Put: c.put, Delete: c.delete, List: c.list,
 		Watch: c.watch, Grant: c.grant, Renew: c.renew, Revoke: c.revoke,
-	}
+	})
 }
 
 func (c *Client) get(ctx context.Context, key string) (kv.Entry, error) {
