feat(standin): restore the key-value service from a copy

The stand-in could neither lose acknowledged writes nor report an era, so no test of the own interface could bring about a store that comes back from an older copy. POST /copy and POST /restore do; each restore raises the era in the header Era, gives revisions and lease IDs out again, and answers 410 to a watch from a revision that it no longer has, which the client reports as kv.CompactedError.

--- a/core/kv/store.go
+++ b/core/kv/store.go
@@ -23,8 +23,8 @@
 	// later changes, which a watch from that revision returns again.
 	List func(ctx context.Context, prefix string) ([]Entry, Revision, error)
 	// Watch waits for up to the duration wait for changes under prefix after the given revision. It returns the changes,
-	// if there are any, and the store's revision. It fails with CompactedError if the store has compacted those changes;
-	// of the clients, platform.Store returns this error and keyvalue.Client does not.
+	// if there are any, and the store's revision. It fails with CompactedError if the store does not have those changes,
+	// or not that revision.
 	Watch func(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error)
 	// Grant creates a lease with the given time to live and returns its ID.
 	Grant func(ctx context.Context, ttl time.Duration) (Lease, error)
--- a/io/keyvalue/store.go
+++ b/io/keyvalue/store.go
@@ -116,11 +116,9 @@
 
 func (c *Client) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
 	call := Call{Kind: CallList, Method: http.MethodGet, Path: "/kv", Query: url.Values{"prefix": {prefix}}}
-	return c.readItems(ctx, call)
+	return c.readItems(ctx, call, kv.Revision{})
 }
 
-// watch implements kv.Store.Watch. It never returns kv.CompactedError, because each status other than 200 becomes a
-// kv.UnavailableError.
 func (c *Client) watch(
 	ctx context.Context, prefix string, after kv.Revision, wait time.Duration,
 ) ([]kv.Entry, kv.Revision, error) {
@@ -129,14 +127,17 @@
 		"after":   {strconv.FormatUint(after.Number(), 10)},
 		"wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	return c.readItems(ctx, Call{Kind: CallWatch, Method: http.MethodGet, Path: "/watch", Query: query, Wait: wait})
+	return c.readItems(ctx, Call{Kind: CallWatch, Method: http.MethodGet, Path: "/watch", Query: query, Wait: wait}, after)
 }
 
-func (c *Client) readItems(ctx context.Context, call Call) ([]kv.Entry, kv.Revision, error) {
+func (c *Client) readItems(ctx context.Context, call Call, after kv.Revision) ([]kv.Entry, kv.Revision, error) {
 	response, err := c.Do(ctx, call)
 	if err != nil {
 		return nil, kv.Revision{}, err
 	}
+	if response.Status == http.StatusGone && call.Kind == CallWatch {
+		return nil, kv.Revision{}, errors.Trace(kv.CompactedError{After: after})
+	}
 	if response.Status != http.StatusOK {
 		return nil, kv.Revision{}, UnexpectedStatus(call, response)
 	}
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -55,6 +55,12 @@
 		if !standin.Sleep(s.stop, delay) || s.isDown() {
 			standin.AbortConnection()
 		}
+		if kind != kindWatch {
+			// The response belongs to one era. A watch waits and sets its era itself.
+			s.restoring.RLock()
+			defer s.restoring.RUnlock()
+		}
+		s.setEra(w)
 		if limit != nil && !limit.Allow() {
 			standin.WriteError(w, http.StatusTooManyRequests, "rate-limited")
 			return
--- a/standin/platform/kv.go
+++ b/standin/platform/kv.go
@@ -14,6 +14,7 @@
 const (
 	// maxValueBytes is the platform's limit for one value, 1 MB.
 	maxValueBytes = 1 << 20
+	kindWatch     = "watch"
 	// maxWatchWait is the longest duration of one long poll.
 	maxWatchWait = 60 * time.Second
 )
@@ -143,10 +144,17 @@
 		if !s.faults.FreezeState {
 			items, revision = s.itemsAfter(query.Get("prefix"), after, true), s.revision
 		}
+		// A restored store does not have the revisions that were given out after the copy.
+		gone := after > s.revision
+		w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if s.isDown() {
 			standin.AbortConnection()
 		}
+		if gone {
+			standin.WriteError(w, http.StatusGone, "revision-unknown")
+			return
+		}
 		if len(items) > 0 || timedOut {
 			standin.WriteJSON(w, http.StatusOK, map[string]any{"items": items, "revision": revision})
 			return
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -2,10 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/google/uuid"
-
 	"radishhollow/standin"
 )
 
@@ -29,13 +28,20 @@
 		standin.WriteError(w, http.StatusBadRequest, "malformed-request")
 		return
 	}
-	id, ttl := uuid.NewString(), time.Duration(body.TTLMS)*time.Millisecond
+	ttl := time.Duration(body.TTLMS) * time.Millisecond
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases[id] = &lease{ttl: ttl, deadline: time.Now().Add(ttl), timer: time.AfterFunc(ttl, func() { s.expireLease(id) })}
+	s.leaseCount++
+	id := "lease-" + strconv.Itoa(s.leaseCount)
+	s.startLease(id, ttl)
 	standin.WriteJSON(w, http.StatusOK, map[string]string{"lease": id})
 }
 
+// startLease adds a lease, or restarts the time to live of one that a copy brings back.
+func (s *Server) startLease(id string, ttl time.Duration) {
+	s.leases[id] = &lease{ttl: ttl, deadline: time.Now().Add(ttl), timer: time.AfterFunc(ttl, func() { s.expireLease(id) })}
+}
+
 func (s *Server) handleRenew(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -36,12 +36,19 @@
 	readLimiter   *rate.Limiter
 	writeLimiter  *rate.Limiter
 
+	// restoring is locked while a copy is restored. It is locked before mu.
+	restoring sync.RWMutex
 	// mu guards the fields below. Methods that use these without locking mu require the caller to hold it.
 	mu       sync.Mutex
 	revision uint64
 	// items includes deleted keys, so that watches report the deletions.
 	items  map[string]*item
 	leases map[string]*lease
+	// leaseCount is the number in the last lease ID. A restored copy gives out later numbers again.
+	leaseCount int
+	// era is the number of copies restored so far, plus one, and copy the copy to restore.
+	era  uint64
+	copy stateCopy
 	// changed is closed and replaced at each change of a key or of the faults.
 	changed   chan struct{}
 	snapshots []listSnapshot
@@ -67,6 +74,7 @@
 		items:                map[string]*item{},
 		leases:               map[string]*lease{},
 		changed:              make(chan struct{}),
+		era:                  1,
 		callCounts:           map[string]int{},
 	}
 }
@@ -102,7 +110,7 @@
 	handle("GET /kv/{key...}", "get", s.readLimiter, false, s.handleGet)
 	handle("PUT /kv/{key...}", "put", s.writeLimiter, true, s.handlePut)
 	handle("DELETE /kv/{key...}", "delete", s.writeLimiter, true, s.handleDelete)
-	handle("GET /watch", "watch", s.readLimiter, false, s.handleWatch)
+	handle("GET /watch", kindWatch, s.readLimiter, false, s.handleWatch)
 	handle("POST /leases", "grant", s.writeLimiter, true, s.handleGrant)
 	handle("POST /leases/{id}/renew", "renew", s.writeLimiter, true, s.handleRenew)
 	handle("DELETE /leases/{id}", "revoke", s.writeLimiter, true, s.handleRevoke)
@@ -111,6 +119,8 @@
 	handle("DELETE /instances", "delete-instance", nil, true, s.handleDeleteInstance)
 	handle("GET /weights/{model}/{version}", "weights", nil, false, s.handleWeights)
 	mux.HandleFunc("POST /faults", s.handleFaults)
+	mux.HandleFunc("POST /copy", s.handleCopy)
+	mux.HandleFunc("POST /restore", s.handleRestore)
 	mux.HandleFunc("GET /calls", s.handleCalls)
 	return mux
 }
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/kv"
+	"radishhollow/io/keyvalue"
 	"radishhollow/standin"
 	"radishhollow/standin/platform"
 )
@@ -143,3 +146,37 @@
 	call(t, http.MethodPost, url+"/faults", map[string]any{})
 	require.Equal(t, 2, rows())
 }
+
+// Guards against a stand-in that comes back without a new era, with the keys and leases written since the copy, or with
+// numbers that are not given out again.
+func TestRestore(t *testing.T) {
+	t.Parallel()
+	url := start(t, nil)
+	client := &keyvalue.Client{Address: strings.TrimPrefix(url, "http://"), HTTP: keyvalue.NewHTTPClient()}
+	store := client.Store()
+	kept, err := store.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	first, err := store.Put(t.Context(), "a", []byte("1"), kv.Revision{}, kept)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, statusOf(call(t, http.MethodPost, url+"/copy", nil)))
+	lost, err := store.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	second, err := store.Put(t.Context(), "b", []byte("1"), kv.Revision{}, lost)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, statusOf(call(t, http.MethodPost, url+"/restore", nil)))
+
+	_, _, err = store.Watch(t.Context(), "", second, time.Millisecond)
+	require.Error(t, err)
+	entries, revision, err := store.List(t.Context(), "")
+	require.NoError(t, err)
+	require.Len(t, entries, 1)
+	require.Equal(t, kv.NewRevision(2, first.Number()), revision)
+	repeated, err := store.Put(t.Context(), "c", []byte("1"), kv.Revision{}, kv.Lease{})
+	require.NoError(t, err)
+	require.Equal(t, kv.NewRevision(2, second.Number()), repeated)
+	again, err := store.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, lost.ID(), again.ID())
+	require.NotEqual(t, lost, again)
+	require.ErrorIs(t, store.Renew(t.Context(), lost), kv.LeaseLostError{Lease: lost})
+}
