fix(config): begin the watch again after the store has lost its revision

After the key-value service has come back from an older copy, the watch of the configuration kept asking after a revision of the earlier era, which is refused for ever; changes arrived with the next poll only. The watch now starts again from the key as it is.

Evidence: without the change, TestSyncerFollowsAStoreInANewEra fails (the new configuration is not in force after 2 s of paused time; the poll is blocked in the test), for numbers below, at and above the old one.

--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -73,14 +73,16 @@
 		if err != nil {
 			delay := min(minWatchRetryDelay<<min(failures, 10), maxWatchRetryDelay)
 			failures++
+			if !hasHistory(err) {
+				// The next watch returns the key as it is now.
+				afterStoreRevision = kv.Revision{}
+			}
 			if clock.Sleep(ctx, jitter(delay)) != nil {
 				return
 			}
 			continue
 		}
 		failures = 0
-		// After the key-value service has lost its state, it returns a lower revision. The watch continues from there,
-		// and the poll finds what was written up to that revision.
 		afterStoreRevision = storeRevision
 		s.OnContact()
 		for _, entry := range entries {
@@ -91,6 +93,13 @@
 	}
 }
 
+// hasHistory reports whether the key-value service may still have the revision of a failed watch.
+func hasHistory(err error) bool {
+	_, ended := errors.AsType[kv.EraEndedError](err)
+	_, compacted := errors.AsType[kv.CompactedError](err)
+	return !ended && !compacted
+}
+
 func (s *Syncer) runPoll(ctx context.Context) {
 	for ctx.Err() == nil {
 		entry, err := s.KV.Get(ctx, Key)
--- a/core/config/syncer_test.go
+++ b/core/config/syncer_test.go
@@ -123,3 +123,29 @@
 		require.EqualValues(t, 1, s.Current().Revision())
 	})
 }
+
+// Guards against a configuration that stays as it was after the store has come back from an older copy, whether its new
+// revisions are below, at or above the last one that the watch has seen.
+func TestSyncerFollowsAStoreInANewEra(t *testing.T) {
+	for _, number := range []uint64{1, 5, 9} {
+		f := &fakeKV{revision: kv.NewRevision(1, 4)}
+		var eras kv.Eras
+		store := eras.Guard(f.store())
+		store.Get = func(ctx context.Context, _ string) (kv.Entry, error) {
+			<-ctx.Done()
+			return kv.Entry{}, ctx.Err()
+		}
+		runSyncer(t, store, func(s *Store, _ *counts) {
+			putDocument(t, f, NewDocument(1, fieldsOf(1, "a")))
+			time.Sleep(2 * time.Second)
+			require.EqualValues(t, 1, s.Current().Revision())
+			f.mu.Lock()
+			f.revision = kv.NewRevision(2, number-1)
+			f.mu.Unlock()
+			eras.Observe(2)
+			putDocument(t, f, NewDocument(2, fieldsOf(2, "b")))
+			time.Sleep(2 * time.Second)
+			require.EqualValues(t, 2, s.Current().Revision())
+		})
+	}
+}
