fix(lease): end the place lease with the era of the store

After the key-value service has come back from an older copy, a place lease may be gone or another holder's. The holder kept sending orders until its next renewal, and the fencing token of the next holder, a revision, was lower than tokens that endpoints had already seen: those refuse the orders, or, without a check, a late order of the old holder wins.

Check now fails as soon as the daemon has seen a new era, and the token contains the era, so that it rises with each.

Evidence: TestHolderStopsInANewEra fails without the check of the era (no error), and without the era in the token (11 is not greater than 101).

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -51,6 +51,9 @@
 	// OrderTimeout is the longest time from the check before an order to the end of that order. Zero means
 	// DefaultOrderTimeout.
 	OrderTimeout time.Duration
+	// Era returns the current era of the key-value service. If it is nil, the service is taken never to come back from an
+	// older copy.
+	Era func() uint64
 	// Observe is called when the lease is acquired or lost. It may be nil.
 	Observe func(class string)
 
@@ -88,7 +91,14 @@
 	return held.token, nil
 }
 
-func (h *Holder) valid(held heldLease) bool { return held.token != 0 && h.withinTTL(held.renewedAt) }
+// valid reports whether a lease is still held. A key-value service that has come back from an older copy has lost the
+// lease, or gives it to another holder.
+func (h *Holder) valid(held heldLease) bool {
+	if h.Era != nil && h.Era() > held.id.Era() {
+		return false
+	}
+	return held.token != 0 && h.withinTTL(held.renewedAt)
+}
 
 // withinTTL reports whether a lease that was renewed at renewedAt is still valid with the safety margin. It uses only
 // this machine's clocks. Of the monotonic and the wall clock, the one with more elapsed time counts, because the
@@ -143,7 +153,7 @@
 	return held, nil
 }
 
-// claim creates the key and returns its revision as the fencing token. If the response to the write is lost, claim
+// claim creates the key and returns the fencing token of its revision. If the response to the write is lost, claim
 // retries and reads back the unique value to learn whether the write took effect, as long as the lease is valid.
 func (h *Holder) claim(ctx context.Context, held heldLease) (uint64, error) {
 	value, err := json.Marshal(struct {
@@ -156,12 +166,12 @@
 	for {
 		revision, err := h.Store.Put(ctx, Key(h.Place), value, kv.Revision{}, held.id)
 		if err == nil {
-			return revision.Number(), nil
+			return fencingToken(revision), nil
 		}
 		if _, unavailable := errors.AsType[kv.UnavailableError](err); !unavailable {
 			entry, getErr := h.Store.Get(ctx, Key(h.Place))
 			if getErr == nil && string(entry.Value()) == string(value) {
-				return entry.Revision().Number(), nil
+				return fencingToken(entry.Revision()), nil
 			}
 			if _, getUnavailable := errors.AsType[kv.UnavailableError](getErr); !getUnavailable {
 				return 0, err
@@ -173,6 +183,12 @@
 	}
 }
 
+// eraShift is the position of the era in a fencing token. It leaves room for a trillion revisions of an era.
+const eraShift = 40
+
+// fencingToken returns a number that rises with the revisions of all eras, because endpoints compare only numbers.
+func fencingToken(revision kv.Revision) uint64 { return revision.Era()<<eraShift | revision.Number() }
+
 // renewUntilLost renews the lease until it is lost, may have expired by this instance's own clocks, or ctx ends.
 func (h *Holder) renewUntilLost(ctx context.Context) {
 	for clock.Sleep(ctx, h.ttl()/5) == nil {
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -94,7 +94,7 @@
 func (f *fakeStore) grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
 	err := f.lockAndExpire()
 	defer f.mu.Unlock()
-	id := kv.NewLease(0, strconv.Itoa(len(f.expiry)+1))
+	id := kv.NewLease(f.revision.Era(), strconv.Itoa(len(f.expiry)+1))
 	f.expiry[id], f.ttl[id] = time.Now().Add(ttl), ttl
 	return id, err
 }
@@ -121,6 +121,13 @@
 	return err
 }
 
+// restore begins a new era from an empty copy.
+func (f *fakeStore) restore(revision kv.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.entry, f.leaseID = revision, kv.Entry{}, kv.Lease{}
+}
+
 func (f *fakeStore) store() kv.Store {
 	return kv.Store{Get: f.get, Put: f.put, Watch: f.watch, Grant: f.grant, Renew: f.renew, Revoke: f.revoke}
 }
@@ -294,3 +301,34 @@
 		}
 	})
 }
+
+// Guards against two holders, and against orders with a fencing token that an endpoint has already seen: after the store
+// has come back from an older copy, the lease may be another holder's, and revisions are given out again.
+func TestHolderStopsInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.revision = kv.NewRevision(1, 100)
+		var eras kv.Eras
+		eras.Observe(1)
+		h := &lease.Holder{Store: eras.Guard(store.store()), Place: "liberia", Era: eras.Current}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = h.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		before, err := h.Check(true)
+		require.NoError(t, err)
+		store.restore(kv.NewRevision(2, 10))
+		eras.Observe(2)
+		_, err = h.Check(true)
+		require.Error(t, err, "the lease belongs to the last era")
+		time.Sleep(time.Minute)
+		after, err := h.Check(true)
+		require.NoError(t, err)
+		require.Greater(t, after, before)
+		cancel()
+		<-done
+	})
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -12,6 +12,7 @@
 	"radishhollow/core/order"
 	"radishhollow/core/route"
 	"radishhollow/io/engine"
+	"radishhollow/io/keyvalue"
 	"radishhollow/io/settings"
 	"radishhollow/io/telemetry"
 )
@@ -22,9 +23,10 @@
 
 var controlProviders = fx.Provide(newLeaseHolder, newDispatcher)
 
-func newLeaseHolder(s settings.Settings, id Identity, store kv.Store, log *logrus.Logger) *lease.Holder {
+func newLeaseHolder(s settings.Settings, id Identity, store kv.Store, client *keyvalue.Client, log *logrus.Logger) *lease.Holder {
 	return &lease.Holder{
 		Store: store, Place: id.place, Address: id.address, TTL: s.Timeouts.LeaseTTL.Duration,
+		Era:    client.Eras.Current,
 		Margin: s.Timeouts.LeaseTTL.Duration / leaseMarginDivisor, OrderTimeout: s.Timeouts.Order.Duration,
 		Observe: func(class string) { log.WithField("place", id.place).WithField("lease", class).Info("place lease") },
 	}
