fix(claim): write records again that a restored store has lost

A booking with an idempotency key could run twice: after the key-value service had come back from an older copy, the record of a call that had run was missing, and a repeated request claimed the key anew. A released claim that the copy brought back could also hide the claim after it.

Cause: a record that was acknowledged was taken to be kept for ever.

Each daemon now keeps the records that it wrote in the last two minutes and writes them again when it sees a new era.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -31,6 +31,8 @@
 	storageKey string
 	record     record
 	addedAt    time.Time
+	// restored is set if the record was stored before, and the key-value service may have lost it.
+	restored bool
 }
 
 // backlog holds the records that could not be written, by claim ID.
@@ -59,6 +61,21 @@
 	b.writes[w.record.ClaimID] = w
 }
 
+// replace adds a write in place of an earlier one of the same claim.
+func (b *backlog) replace(w pendingWrite) {
+	b.remove(w.record.ClaimID)
+	b.add(w)
+}
+
+// dropOlder removes the writes that were added longer ago than the given age.
+func (b *backlog) dropOlder(age time.Duration) {
+	for _, w := range b.list() {
+		if ageOf(w.addedAt) > age {
+			b.remove(w.record.ClaimID)
+		}
+	}
+}
+
 func (b *backlog) remove(claimID string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -95,7 +112,7 @@
 func (r *Recorder) Run(ctx context.Context) error {
 	interval := passInterval
 	for {
-		if err := clock.Sleep(ctx, interval); err != nil {
+		if err := r.sleepUntilPass(ctx, interval); err != nil {
 			finalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalPassTimeout)
 			defer cancel()
 			_ = r.reconcileAll(finalCtx)
@@ -109,6 +126,19 @@
 	}
 }
 
+// sleepUntilPass sleeps for an interval, or until a new era of the key-value service is seen.
+func (r *Recorder) sleepUntilPass(ctx context.Context, interval time.Duration) error {
+	era := r.eras.current()
+	for slept := time.Duration(0); slept < interval && r.eras.current() == era; slept += passInterval {
+		if err := clock.Sleep(ctx, passInterval); err != nil {
+			return err
+		}
+		r.checkEra()
+		r.eras.recent.dropOlder(recentPeriod)
+	}
+	return nil
+}
+
 // reconcileAll makes one pass over the backlog. It stops when the key-value service is unavailable, because the next
 // write would most likely fail as well. After any error a record is kept for the next pass, until it has been in the
 // backlog for Recorder.Expiry.
@@ -142,12 +172,21 @@
 	if err != nil {
 		return err
 	}
-	if found.ClaimID != w.record.ClaimID || found.State == w.record.State {
+	if !w.replaces(found) {
 		return nil
 	}
 	return r.putRecord(ctx, w, entry.Revision())
 }
 
+// replaces reports whether a pending record is written over the stored one. A record that was stored before replaces one
+// of another claim that is not finished: the key-value service has brought back a claim that had been released.
+func (w pendingWrite) replaces(found record) bool {
+	if found.ClaimID != w.record.ClaimID {
+		return w.restored && w.record.State != stateNotRun && found.State != stateFinished && found.Digest == w.record.Digest
+	}
+	return found.State != w.record.State
+}
+
 func (r *Recorder) putRecord(ctx context.Context, w pendingWrite, revision kv.Revision) error {
 	data, err := w.record.encode()
 	if err != nil {
--- a/core/claim/error.go
+++ b/core/claim/error.go
@@ -37,6 +37,18 @@
 
 func (e OutcomeUnknownError) Outcome() failure.Outcome { return failure.Unknown }
 
+// SettlingError reports that the key-value service has come back from an older copy, and that records of earlier requests
+// may not be written again yet.
+type SettlingError struct{ Remaining time.Duration }
+
+func (e SettlingError) Error() string {
+	return fmt.Sprintf("the key-value service has lost recent records; keys can be claimed again in %s", e.Remaining)
+}
+
+func (e SettlingError) Code() string { return "claims-settling" }
+
+func (e SettlingError) Outcome() failure.Outcome { return failure.NotRun }
+
 // FailedError reports that no idempotency record could be created, so the request was not sent.
 type FailedError struct{ Cause error }
 
--- a/core/claim/recorder.go
+++ b/core/claim/recorder.go
@@ -61,11 +61,20 @@
 	SendWithin time.Duration
 	// Expiry is the minimum lifetime of a record. Zero means DefaultExpiry.
 	Expiry time.Duration
+	// Era returns the current era of the key-value service. If it is nil, the service is taken never to come back from an
+	// older copy.
+	Era func() uint64
+	// SettleTime is the time after the beginning of an era in which no key can be claimed, so that all daemons can write
+	// the records again that the service has lost. Zero means DefaultSettleTime.
+	SettleTime time.Duration
+	// OnEra, if not nil, is called when a new era is seen, with the number of records that are written again.
+	OnEra func(before, after uint64, records int)
 	// Observe, if not nil, is called with the class of each claim, one of the Class constants.
 	Observe func(class string)
 
 	leases  leaseCache
 	backlog backlog
+	eras    eraState
 }
 
 // Claim creates the record of a key and returns a Ticket that owns the key, or one that does not own it if an earlier
@@ -75,6 +84,10 @@
 func (r *Recorder) Claim(ctx context.Context, workspace, service, key, digest string) (Ticket, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(r.Timeout, DefaultTimeout))
 	defer cancel()
+	if err := r.checkSettled(); err != nil {
+		r.observe(Ticket{}, err)
+		return Ticket{}, err
+	}
 	p := &pendingClaim{
 		recorder:   r,
 		service:    service,
@@ -83,6 +96,12 @@
 		record:     record{ClaimID: uuid.NewString(), Digest: digest, State: stateOpen},
 	}
 	ticket, err := p.run(ctx)
+	if err == nil && ticket.owned {
+		// The write itself may be the first call of a new era.
+		if err = r.checkSettled(); err != nil {
+			ticket, p.mayBeWritten = Ticket{}, true
+		}
+	}
 	if err != nil && p.mayBeWritten {
 		// Until Run has written the release, only this Recorder can claim the key again (see statusOf).
 		r.backlog.add(pendingWrite{storageKey: p.storageKey, record: p.record.release()})
@@ -160,6 +179,7 @@
 	}
 	revision, err := p.recorder.put(ctx, p.storageKey, data, p.expectedRevision, lease)
 	if err == nil {
+		p.recorder.remember(pendingWrite{storageKey: p.storageKey, record: p.record})
 		return p.ownedTicket(revision), true, nil
 	}
 	if lost, ok := errors.AsType[kv.LeaseLostError](err); ok {
@@ -192,6 +212,7 @@
 	p.held = true
 	switch p.statusOf(found) {
 	case keyOwned:
+		p.recorder.remember(pendingWrite{storageKey: p.storageKey, record: p.record})
 		return p.ownedTicket(entry.Revision()), true, nil
 	case keyReused:
 		return Ticket{}, true, errors.Trace(KeyReusedError{Service: p.service})
--- a/core/claim/store_test.go
+++ b/core/claim/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,13 +13,16 @@
 
 // fakeStore is an in-memory key-value service that loses requests, loses responses and delays writes.
 type fakeStore struct {
-	mu        sync.Mutex
-	rng       *rand.Rand
-	faultRate float64
-	revision  kv.Revision
-	entries   map[string]kv.Entry
-	puts      int
-	grants    int
+	mu            sync.Mutex
+	rng           *rand.Rand
+	faultRate     float64
+	revision      kv.Revision
+	entries       map[string]kv.Entry
+	puts          int
+	grants        int
+	eras          kv.Eras
+	saved         map[string]kv.Entry
+	savedRevision kv.Revision
 	// fail sets the faults of the next calls in place of random ones, by kind of call.
 	fail map[string][]fault
 	// applyDelay is the delay of a delayed write. Zero means a random delay.
@@ -37,13 +41,31 @@
 
 func newFakeStore(seed uint64, faultRate float64) *fakeStore {
 	return &fakeStore{
-		rng: rand.New(rand.NewPCG(seed, 1)), faultRate: faultRate,
+		rng: rand.New(rand.NewPCG(seed, 1)), faultRate: faultRate, revision: kv.NewRevision(1, 0),
 		entries: map[string]kv.Entry{}, fail: map[string][]fault{},
 	}
 }
 
 func (f *fakeStore) store() kv.Store {
-	return kv.Store{Get: f.get, Put: f.put, Watch: f.watch, Grant: f.grant}
+	return f.eras.Guard(kv.Store{Get: f.get, Put: f.put, Watch: f.watch, Grant: f.grant})
+}
+
+// save copies the state, and restore replaces the state by the copy and begins a new era.
+func (f *fakeStore) save() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.saved, f.savedRevision = maps.Clone(f.entries), f.revision
+}
+
+func (f *fakeStore) restore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	era := f.revision.Era() + 1
+	f.revision, f.entries = kv.NewRevision(era, f.savedRevision.Number()), map[string]kv.Entry{}
+	for key, entry := range f.saved {
+		f.entries[key] = kv.NewEntry(key, entry.Value(), kv.NewRevision(era, entry.Revision().Number()), false)
+	}
+	f.eras.Observe(era)
 }
 
 // drawFault sleeps for the latency of one call and returns the fault of the call.
@@ -144,5 +166,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.grants++
-	return kv.NewLease(0, "lease"), nil
+	return kv.NewLease(f.revision.Era(), "lease"), nil
 }
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -30,14 +30,14 @@
 func (t Ticket) Owned() bool { return t.owned }
 
 // Check must succeed immediately before each send. It fails if the daemon was paused for so long that the record may
-// have expired. The age is measured with the monotonic and the wall clock, because the monotonic clock stops while the
+// have expired, or if the key-value service may have lost the record by coming back from an older copy. The age is measured with the monotonic and the wall clock, because the monotonic clock stops while the
 // machine is suspended.
 func (t Ticket) Check() error {
 	age := ageOf(t.claimedAt)
 	if !t.owned || age > cmp.Or(t.recorder.SendWithin, DefaultSendWithin) {
 		return errors.Trace(TicketExpiredError{Age: age})
 	}
-	return nil
+	return t.recorder.checkTicketEra(t.revision)
 }
 
 // Finish records the outcome of a call; the outcome NotRun releases the key. It waits for the writes, about
@@ -72,6 +72,7 @@
 	if err != nil {
 		r.backlog.add(w)
 	}
+	r.remember(w)
 	return err
 }
 
--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -20,6 +20,7 @@
 	"radishhollow/core/share"
 	"radishhollow/io/caller"
 	"radishhollow/io/engine"
+	"radishhollow/io/keyvalue"
 	"radishhollow/io/service"
 	"radishhollow/io/settings"
 	"radishhollow/io/telemetry"
@@ -27,12 +28,18 @@
 
 var callerProviders = fx.Provide(newClaimRecorder, newBookingSender, newAdmission, newCallerServer)
 
-func newClaimRecorder(s settings.Settings, store kv.Store, m *telemetry.Metrics) *claim.Recorder {
+func newClaimRecorder(
+	s settings.Settings, store kv.Store, client *keyvalue.Client, m *telemetry.Metrics, log *logrus.Logger,
+) *claim.Recorder {
 	return &claim.Recorder{
 		Store: store, AwaitTimeout: s.Timeouts.ClaimWait.Duration,
 		Expiry:      s.Timeouts.ClaimExpiry.Duration,
 		CallTimeout: min(s.Timeouts.Platform.Duration, claim.DefaultCallTimeout),
 		Observe:     func(class string) { m.Count(telemetry.Claims, class) },
+		Era:         client.Eras.Current,
+		OnEra: func(before, after uint64, records int) {
+			log.WithFields(logrus.Fields{"before": before, "era": after, "records": records}).Warn("idempotency records are written again")
+		},
 	}
 }
 
