fix(kv): take the first era of a client for no change

A fresh client's first read of a key that does not exist failed: the first era that is seen counted as a new one, so the missing key was doubted.

--- a/core/kv/eras.go
+++ b/core/kv/eras.go
@@ -85,7 +85,7 @@
 func (g *guard) get(ctx context.Context, key string) (Entry, error) {
 	before := g.eras.Current()
 	entry, err := g.store.Get(ctx, key)
-	if _, missing := errors.AsType[NotFoundError](err); missing && g.eras.Current() != before {
+	if _, missing := errors.AsType[NotFoundError](err); missing && before != 0 && g.eras.Current() != before {
 		// The response may be that of the earlier era, in which the key did not exist yet.
 		return Entry{}, errors.Trace(UnavailableError{Call: "get", Cause: EraEndedError{Era: before, Current: g.eras.Current()}})
 	}
--- a/core/kv/eras_test.go
+++ b/core/kv/eras_test.go
@@ -211,3 +211,22 @@
 		})
 	}
 }
+
+// Guards against a missing key that is reported as a failure of the store because it is the first response of all, and
+// against one that is believed although a new era has begun during the call.
+func TestGuardReportsAMissingKey(t *testing.T) {
+	var eras kv.Eras
+	era := uint64(7)
+	store := eras.Guard(kv.Store{Get: func(_ context.Context, key string) (kv.Entry, error) {
+		eras.Observe(era)
+		return kv.Entry{}, kv.NotFoundError{Key: key}
+	}})
+	for _, missing := range []bool{true, true, false, true} {
+		if !missing {
+			era++
+		}
+		_, err := store.Get(t.Context(), "k")
+		_, notFound := errors.AsType[kv.NotFoundError](err)
+		require.Equal(t, missing, notFound, "%v", err)
+	}
+}
