fix(forward): answer requests in flight at the end of a planned stop

Callers saw: a request that was sent before or during a planned stop, and whose endpoint had not answered at the end of the grace time, ended with a closed connection and no status.

Cause: the deadline of a request is shortened to the end of the daemon when it is taken, and only if the stop has begun by then. A request that is in flight since before the stop kept its own deadline and was cut by the close of its connection. A call that must not be repeated does not end with its context, so that canceling its context alone would not have helped.

Change: Drain offers a context that ends 150 ms before the connections are closed. It ends each request whose response has not begun; the caller gets 503 only if no endpoint can have run it, else 504, with code drain-timeout. A response that has begun goes on until its connection is closed and is then broken off. booking.Call has the context, too, and ends a non-idempotent call with an unknown outcome. Requests that are taken during the stop end in the same way; their deadline still tells endpoints when their work is in vain.

--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -61,6 +61,9 @@
 	Criteria route.Criteria
 	// Deadline is the deadline of all attempts together. Zero means Sender.Timeout for each attempt.
 	Deadline time.Time
+	// Ending ends all attempts of the call, also one of a non-idempotent call that is in flight, whose outcome is then
+	// unknown. It may be nil.
+	Ending context.Context
 	// MaxResponses limits the number of endpoints that respond to a non-idempotent call. Endpoints that cannot be
 	// reached do not count. Zero means no limit.
 	MaxResponses int
@@ -189,6 +192,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if call.Ending != nil {
+		defer context.AfterFunc(call.Ending, cancel)()
+	}
 	if err := beforeSend(choice.Address()); err != nil {
 		return attemptResult{err: err, outcome: failure.NotRun}
 	}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,9 @@
 	// beganAt is set before draining. stopGrace is the time after which the platform kills a stopping daemon, or zero.
 	beganAt   time.Time
 	stopGrace time.Duration
+	// ending ends statusMargin before the connections in use are closed, by a call of end.
+	ending context.Context
+	end    context.CancelFunc
 	// drainDelay is the time for which a stopping daemon still accepts requests, so that the load balancer can notice
 	// that it is not ready.
 	drainDelay time.Duration
@@ -33,31 +37,49 @@
 func newDrain(
 	s settings.Settings, documents *config.Store, table *route.Table, isolation *member.IsolationDetector,
 ) *Drain {
-	return &Drain{
+	d := &Drain{
 		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration,
 		documents: documents, table: table, isolation: isolation,
 		needsReports: s.Interface == settings.InterfaceOwn,
 	}
+	d.ending, d.end = context.WithCancel(context.Background())
+	return d
 }
 
-// killMargin is the part of the stop grace that is left for the end of the process after its last request.
-const killMargin = 300 * time.Millisecond
+const (
+	// killMargin is the part of the stop grace that is left for the end of the process after its last request.
+	killMargin = 300 * time.Millisecond
+	// statusMargin is the time in which the callers of the last requests get a status before their connections are closed.
+	statusMargin = 150 * time.Millisecond
+)
 
 // begin marks the daemon as stopping. It must be called once, before stop.
 func (d *Drain) begin() {
 	d.beganAt = time.Now()
 	d.draining.Store(true)
+	if left, limited := d.TimeLeft(); limited {
+		time.AfterFunc(left, d.end)
+	}
 }
 
 // TimeLeft returns the time in which a request must be complete, and false if that is not limited because no planned
 // stop has begun or the platform's time limit for it is not known.
 func (d *Drain) TimeLeft() (left time.Duration, limited bool) {
+	left, limited = d.untilClose()
+	return left - statusMargin, limited
+}
+
+// untilClose returns the time until the connections in use are closed, and false if that is not limited.
+func (d *Drain) untilClose() (left time.Duration, limited bool) {
 	if !d.draining.Load() || d.stopGrace <= 0 {
 		return 0, false
 	}
 	return time.Until(d.beganAt.Add(d.stopGrace - killMargin)), true
 }
 
+// Ending returns a context that ends when TimeLeft has passed.
+func (d *Drain) Ending() context.Context { return d.ending }
+
 // Draining reports whether a planned stop has begun. Requests are still accepted for a while.
 func (d *Drain) Draining() bool { return d.draining.Load() }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -187,7 +187,7 @@
 		Usable: table.Usable, CopyKVCache: kvCacheCopier(client), ReleaseKVCopy: kvCopyReleaser(client, log),
 		ObserveAttempt: streamObserver(table),
 		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
-		DaemonCount: window.Daemons, TimeLeft: drain.TimeLeft,
+		DaemonCount: window.Daemons, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
 		MaxBufferedBytes: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100,
 		Place:            s.Place, Metrics: m, Log: log,
 	}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -93,12 +93,13 @@
 // stop keeps serving until drainDelay has passed since begin. With a time limit it also accepts connections for as long as
 // requests in flight keep the daemon running anyway, because the load balancer may have no other daemon. It then waits for
 // the requests in flight, and until no connection can bring another one. A timeout of 0 waits without limit, except that
-// of TimeLeft. When the time is over, stop closes the remaining connections and waits for their handlers, up to
+// of untilClose. When the time is over, stop closes the remaining connections and waits for their handlers, up to
 // closeTimeout. Callers can resume their generations at another daemon; the idempotency record of a booking in flight may
 // stay without an outcome.
 func (d *Drain) stop(ctx context.Context, l *callerListener, timeout time.Duration, log *logrus.Logger) error {
+	defer d.end()
 	log.Info("draining")
-	if left, limited := d.TimeLeft(); limited {
+	if left, limited := d.untilClose(); limited {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, left)
 		defer cancel()
--- /dev/null
+++ b/io/forward/ending.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"radishhollow/core/failure"
+)
+
+// StoppedError reports a request without a response at the end of the daemon.
+type StoppedError struct {
+	// Result is the outcome that the error reports.
+	Result failure.Outcome
+	// Cause is the error with which the request ended, or nil.
+	Cause error
+}
+
+func (e StoppedError) Error() string { return "the daemon stops before the request has a response" }
+
+func (e StoppedError) Unwrap() error { return e.Cause }
+
+func (e StoppedError) Code() string { return drainTimeoutCode }
+
+func (e StoppedError) Outcome() failure.Outcome { return e.Result }
+
+// RetryAfter is that of DrainingError.
+func (e StoppedError) RetryAfter() time.Duration {
+	return drainingRetryAfter/2 + rand.N(drainingRetryAfter)
+}
+
+// drainTimeoutCode is the code of requests that the end of the daemon ends, with a response or without.
+const drainTimeoutCode = "drain-timeout"
+
+// withEnding returns a copy of the context that ends with a StoppedError as its cause when the daemon ends, provided that
+// mayEnd, which may be nil, then returns true.
+func (s *Server) withEnding(ctx context.Context, mayEnd func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if s.Ending == nil {
+		return ctx, func() { cancel(nil) }
+	}
+	stop := context.AfterFunc(s.Ending, func() {
+		if mayEnd == nil || mayEnd() {
+			cancel(StoppedError{})
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// endedByStop returns the error of a request whose context is one of withEnding: a StoppedError with the outcome if the
+// end of the daemon has ended the request, and otherwise err.
+func endedByStop(ctx context.Context, outcome failure.Outcome, err error) error {
+	if _, stopped := errors.AsType[StoppedError](context.Cause(ctx)); stopped {
+		return errors.Trace(StoppedError{Result: outcome, Cause: err})
+	}
+	return err
+}
--- /dev/null
+++ b/io/forward/ending_test.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/failure"
+)
+
+// Guards against a status that promises that a request has not run when the daemon ends while an endpoint may run it, and
+// against an end of the daemon that is taken for the caller's.
+func TestEndedByStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ending, end := context.WithCancel(t.Context())
+		s := &Server{Ending: ending}
+		caller, leave := context.WithCancel(t.Context())
+		stopped, cancelStopped := s.withEnding(t.Context(), nil)
+		defer cancelStopped()
+		begun, cancelBegun := s.withEnding(t.Context(), func() bool { return false })
+		defer cancelBegun()
+		left, cancelLeft := s.withEnding(caller, nil)
+		defer cancelLeft()
+		leave()
+		synctest.Wait()
+		end()
+		synctest.Wait()
+		require.NoError(t, begun.Err(), "a response that has begun goes on")
+		deadline := time.Now().Add(time.Minute)
+		for outcome, status := range map[failure.Outcome]int{
+			failure.NotRun: http.StatusServiceUnavailable, failure.Unknown: http.StatusGatewayTimeout,
+		} {
+			err := endedByStop(stopped, outcome, context.Canceled)
+			require.Equal(t, status, statusOf(err, deadline))
+			require.Equal(t, "drain-timeout", failure.Of(err).Code())
+		}
+		_, found := errors.AsType[StoppedError](endedByStop(left, failure.Unknown, context.Canceled))
+		require.False(t, found)
+	})
+}
--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -126,7 +126,7 @@
 	if f.Outcome() == failure.NotRun {
 		return http.StatusServiceUnavailable
 	}
-	if time.Until(deadline) <= 0 {
+	if _, stopped := errors.AsType[StoppedError](err); stopped || time.Until(deadline) <= 0 {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -48,8 +48,8 @@
 	meanRetryAfter = 500 * time.Millisecond
 )
 
-// Server is the HTTP server for callers. All fields must be set before the first request; only ObserveAttempt
-// and Closing may be nil.
+// Server is the HTTP server for callers. All fields must be set before the first request; the comments name those
+// that may be nil.
 type Server struct {
 	Format Format
 	// Document returns the current configuration.
@@ -71,6 +71,9 @@
 	// TimeLeft returns the time until the daemon stops, and false if no planned stop with a time limit has begun. It may
 	// be nil.
 	TimeLeft func() (left time.Duration, limited bool)
+	// Ending ends when TimeLeft has passed in a planned stop, shortly before the connections in use are closed. Requests
+	// without a response then get a final one. It may be nil.
+	Ending context.Context
 	// Admit returns an error if a stream whose prompt has these parts must not be sent. If the error has a method
 	// RetryAfter, the caller is told that time.
 	Admit func(parts []quarantine.Part) error
@@ -236,15 +239,17 @@
 func (s *Server) serveBuffered(c *gin.Context, q *request) error {
 	call := booking.Call{
 		Workspace: q.workspace.Name, Service: q.service, Request: q.endpointRequest(), Kind: q.route.Kind, Criteria: s.criteria(q),
-		Deadline: q.deadline, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
+		Deadline: q.deadline, Ending: s.Ending, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
 	}
 	if q.route.Kind == config.KindIdempotent {
 		call.MaxAttempts = q.route.Attempts
 		call.HedgeAfter = q.route.Target() * hedgeAfterPercent / 100
 	}
-	response, err := s.Do(c.Request.Context(), call)
+	ctx, cancel := s.withEnding(c.Request.Context(), nil)
+	defer cancel()
+	response, err := s.Do(ctx, call)
 	if err != nil {
-		return err
+		return endedByStop(ctx, failure.Of(err).Outcome(), err)
 	}
 	return writeResponse(c.Writer, response.Status, response.Header, response.Body)
 }
@@ -322,8 +327,9 @@
 // observeRequest logs a request and updates its metrics.
 func (s *Server) observeRequest(q *request, status int, callerGone bool, err error) {
 	code := "ok"
+	_, stopped := errors.AsType[StoppedError](err)
 	switch {
-	case callerGone:
+	case callerGone && !stopped:
 		code = "caller-gone"
 	case err != nil:
 		code = failure.Of(err).Code()
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -84,7 +85,9 @@
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
 	header     http.Header
-	headerSent bool
+	headerSent atomic.Bool
+	// mayHaveRun reports whether an engine may have run the request.
+	mayHaveRun bool
 	// errorResponse is the last error response of an engine. It is passed on if the stream fails before its first
 	// event.
 	errorResponse *booking.Response
@@ -107,13 +110,15 @@
 func (s *Server) serveStream(c *gin.Context, q *request) error {
 	// When the caller disconnects, ctx ends without CallerGoneError as its cause. The Driver has no Cancel function, and
 	// finish recognizes a disconnected caller by the context of the request.
-	ctx, cancel := context.WithDeadlineCause(c.Request.Context(), q.deadline, TimeoutError{
+	h := &streamHandler{server: s, c: c, controller: http.NewResponseController(c.Writer), request: q}
+	// A response that has begun goes on until its connection is closed.
+	ctx, cancelEnding := s.withEnding(c.Request.Context(), func() bool { return !h.headerSent.Load() })
+	defer cancelEnding()
+	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, TimeoutError{
 		After: time.Until(q.deadline), Result: failure.Unknown,
 	})
 	defer cancel()
-	h := &streamHandler{
-		server: s, c: c, controller: http.NewResponseController(c.Writer), request: q, ctx: ctx,
-	}
+	h.ctx = ctx
 	defer h.stopTracking()
 	maxRuns := 1
 	if q.route.Resumable {
@@ -145,10 +150,18 @@
 		}
 		return h.complete()
 	}
-	if h.errorResponse != nil && !h.headerSent {
+	if h.errorResponse != nil && !h.headerSent.Load() {
 		return writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
 	}
-	return err
+	return endedByStop(ctx, h.outcome(), err)
+}
+
+// outcome returns NotRun only if no engine can have run the request.
+func (h *streamHandler) outcome() failure.Outcome {
+	if h.mayHaveRun {
+		return failure.Unknown
+	}
+	return failure.NotRun
 }
 
 // pick prefers the engine that holds a copy of the run's KV cache, and avoids the place of the last lost engine, or of
@@ -187,6 +200,14 @@
 }
 
 func (h *streamHandler) open(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+	stream, err := h.sendRequest(ctx, address, start)
+	h.mayHaveRun = h.mayHaveRun || err == nil || failure.Of(err).Outcome() != failure.NotRun
+	return stream, err
+}
+
+func (h *streamHandler) sendRequest(
+	ctx context.Context, address string, start generation.Start,
+) (generation.Stream, error) {
 	f := h.server.Format
 	r := h.request.endpointRequest()
 	r.Header = r.Header.Clone()
@@ -274,10 +295,9 @@
 
 // sendHeader sends the response header of the first engine to the caller, once.
 func (h *streamHandler) sendHeader() error {
-	if h.headerSent {
+	if h.headerSent.Swap(true) {
 		return nil
 	}
-	h.headerSent = true
 	copyHeader(h.c.Writer.Header(), h.header)
 	h.c.Status(http.StatusOK)
 	h.c.Writer.WriteHeaderNow()
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -12,12 +12,9 @@
 // fraction of it; one that takes longer ends at its deadline, which checkTimeLeft shortens.
 const minTimeLeft = time.Second
 
-// statusMargin is the time before the end of the daemon in which the callers of the last requests get a status.
-const statusMargin = 150 * time.Millisecond
-
 // checkTimeLeft refuses a request that would be cut because the daemon stops before it is complete: another daemon can
-// still serve it. The deadline of any other request is brought forward to the end of the daemon, so that its caller gets
-// a status.
+// still serve it. The deadline of any other request is brought forward, so that endpoints do not work on it after the
+// end of the daemon. deadlineMargin lets Ending be the first to end the request.
 func (s *Server) checkTimeLeft(q *request) error {
 	if s.TimeLeft == nil {
 		return nil
@@ -36,8 +33,11 @@
 	if left < needed {
 		return errors.Trace(DrainingError{Left: left})
 	}
-	if end := time.Now().Add(left - statusMargin); end.Before(q.deadline) {
+	if end := time.Now().Add(left + deadlineMargin); end.Before(q.deadline) {
 		q.deadline = end
 	}
 	return nil
 }
+
+// deadlineMargin is above the lateness of a timer on a busy machine.
+const deadlineMargin = 100 * time.Millisecond
