fix(forward): refuse a request whose body is not complete when the daemon ends

Callers saw: a request whose body was still being read at the end of a planned stop ended with a closed connection and no status, although nothing had run.

Cause: the handler waits in the read of the body, which only the close of the connection ended.

Change: the end of the daemon interrupts the read.

A connection on which the header of a request is not complete at the end is closed without an answer as before: no request has been read.

--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,3 +61,24 @@
 	}
 	return err
 }
+
+// readBodyUntilEnd is readBody, but refuses a request whose body is not complete when the daemon ends. A read deadline
+// that were set after the body has been read would end the request's context, because net/http takes the failed read for the
+// end of the connection.
+func (s *Server) readBodyUntilEnd(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if s.Ending == nil || r.ContentLength == 0 {
+		return readBody(w, r, limit)
+	}
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(s.Ending, func() {
+		defer close(interrupted)
+		// An error means that the connection has ended, which the read reports.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	})
+	body, err := readBody(w, r, limit)
+	if stop() {
+		return body, err
+	}
+	<-interrupted
+	return nil, errors.Trace(StoppedError{Result: failure.NotRun, Cause: err})
+}
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -74,7 +74,7 @@
 	q.promptTokens, q.maxOutputTokens = s.Format.TokenCounts(r.Header)
 	q.parts = s.Format.Parts(r.Header)
 	var err error
-	q.body, err = readBody(w, r, int64(q.document.Limits().BodyBytes))
+	q.body, err = s.readBodyUntilEnd(w, r, int64(q.document.Limits().BodyBytes))
 	return q, err
 }
 
