fix(peer): send the era of each revision between daemons

A daemon that follows the store through a reader, or takes a list from a peer, got numbers without the history that they belong to. After the store had come back from an older copy, a higher number of the earlier history was newer than the current one.

Cause: ChangesRequest, ChangeList, View, InstancesRequest and InstanceList carried numbers only, and the receiver took them for revisions of era 0.

Change: each of the five messages has one new field with the era of all its revisions. A daemon of an earlier build ignores it and sends none; its revisions then are those of era 0, older than any known era. A list that is older than the requested one, as such a daemon sends it because it compares the numbers alone, is refused, and the next peer is asked. Before, the first answer was taken. A registration kept from an earlier era is passed on without a revision, since its number would mean something else in the list's era.

--- a/io/peer/changes.go
+++ b/io/peer/changes.go
@@ -25,7 +25,8 @@
 		return nil, twirp.NewError(twirp.Unimplemented, "this daemon passes on no changes")
 	}
 	response, err := s.Serve(ctx, relay.Request{
-		Prefix: r.GetPrefix(), After: kv.NewRevision(0, r.GetAfter()), Full: r.GetFull(), AfterKey: r.GetAfterKey(), Wait: fromMS(r.GetWaitMs()),
+		Prefix: r.GetPrefix(), After: kv.NewRevision(r.GetAfterEra(), r.GetAfter()), Full: r.GetFull(), AfterKey: r.GetAfterKey(),
+		Wait: fromMS(r.GetWaitMs()),
 	})
 	if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
 		return nil, twirp.NewError(compactedCode, err.Error())
@@ -34,8 +35,8 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	list := &rpc.ChangeList{
-		Revision: response.Revision.Number(), Digest: response.Digest, AgeUs: uint64(response.Age.Microseconds()) + 1,
-		HasMore: response.HasMore,
+		Era: response.Revision.Era(), Revision: response.Revision.Number(), Digest: response.Digest,
+		AgeUs: uint64(response.Age.Microseconds()) + 1, HasMore: response.HasMore,
 	}
 	if response.FailureAge > 0 {
 		list.FailureAgeUs = uint64(response.FailureAge.Microseconds()) + 1
@@ -52,8 +53,8 @@
 // if that daemon no longer has the changes.
 func (x *Exchanger) Changes(ctx context.Context, address string, request relay.Request) (relay.Response, error) {
 	list, err := x.client(address).Changes(ctx, &rpc.ChangesRequest{
-		Prefix: request.Prefix, After: request.After.Number(), Full: request.Full, AfterKey: request.AfterKey,
-		WaitMs: uint32(request.Wait.Milliseconds()),
+		Prefix: request.Prefix, After: request.After.Number(), AfterEra: request.After.Era(), Full: request.Full,
+		AfterKey: request.AfterKey, WaitMs: uint32(request.Wait.Milliseconds()),
 	})
 	if failed, ok := errors.AsType[twirp.Error](err); ok && failed.Code() == compactedCode {
 		return relay.Response{}, errors.Trace(kv.CompactedError{After: request.After})
@@ -63,11 +64,12 @@
 	}
 	x.Node.Isolation.RecordContact()
 	response := relay.Response{
-		Revision: kv.NewRevision(0, list.GetRevision()), Digest: list.GetDigest(), Age: fromMicroseconds(list.GetAgeUs()),
+		Revision: kv.NewRevision(list.GetEra(), list.GetRevision()), Digest: list.GetDigest(), Age: fromMicroseconds(list.GetAgeUs()),
 		FailureAge: fromMicroseconds(list.GetFailureAgeUs()), HasMore: list.GetHasMore(),
 	}
 	for _, e := range list.GetEntries() {
-		response.Entries = append(response.Entries, kv.NewEntry(e.GetKey(), e.GetValue(), kv.NewRevision(0, e.GetRevision()), e.GetDeleted()))
+		revision := kv.NewRevision(list.GetEra(), e.GetRevision())
+		response.Entries = append(response.Entries, kv.NewEntry(e.GetKey(), e.GetValue(), revision, e.GetDeleted()))
 	}
 	return response, nil
 }
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -13,6 +13,7 @@
 	w := &rpc.View{
 		Address: v.Address, Incarnation: v.Incarnation, Place: v.Place, Draining: v.Draining,
 		Revision: v.Revision, Digest: v.Digest, Listing: v.InstanceListRevision.Number(),
+		ListingEra: v.InstanceListRevision.Era(),
 	}
 	for _, d := range v.Demand {
 		w.Demand = append(w.Demand, &rpc.Demand{
@@ -38,7 +39,8 @@
 func fromWire(w *rpc.View) member.View {
 	v := member.View{
 		Address: w.GetAddress(), Incarnation: w.GetIncarnation(), Place: w.GetPlace(), Draining: w.GetDraining(),
-		Revision: w.GetRevision(), Digest: w.GetDigest(), InstanceListRevision: kv.NewRevision(0, w.GetListing()),
+		Revision: w.GetRevision(), Digest: w.GetDigest(),
+		InstanceListRevision: kv.NewRevision(w.GetListingEra(), w.GetListing()),
 	}
 	for _, d := range w.GetDemand() {
 		v.Demand = append(v.Demand, member.Demand{
--- a/io/peer/instances.go
+++ b/io/peer/instances.go
@@ -15,14 +15,19 @@
 // to unsigned callers.
 func (s *Server) Instances(_ context.Context, r *rpc.InstancesRequest) (*rpc.InstanceList, error) {
 	listings, revision, known := s.Node.Listings()
-	if !known || revision.Before(kv.NewRevision(0, r.GetAfter())) {
+	if !known || revision.Before(kv.NewRevision(r.GetAfterEra(), r.GetAfter())) {
 		return nil, twirp.NotFoundError("no instance list of this revision has been read yet")
 	}
-	list := &rpc.InstanceList{Revision: revision.Number()}
+	list := &rpc.InstanceList{Era: revision.Era(), Revision: revision.Number()}
 	for _, l := range listings {
+		// A registration that is kept from an earlier era has no revision in this one.
+		var since uint64
+		if l.Revision.SameEra(revision) {
+			since = l.Revision.Number()
+		}
 		list.Instances = append(list.Instances, &rpc.Instance{
 			Address: l.Address, Incarnation: l.Incarnation, Place: l.Place, Kind: string(l.Kind), Name: l.Name,
-			Leaving: l.Leaving, Slots: uint32(l.Slots), Born: l.StartedAtMS, Since: l.Revision.Number(),
+			Leaving: l.Leaving, Slots: uint32(l.Slots), Born: l.StartedAtMS, Since: since,
 		})
 	}
 	return list, nil
@@ -43,10 +48,15 @@
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
 	// Despite its name, After is the lowest revision that the peer may send.
-	response, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{After: minRevision.Number()})
+	response, err := x.client(address).Instances(ctx, &rpc.InstancesRequest{After: minRevision.Number(), AfterEra: minRevision.Era()})
 	if err != nil {
 		return nil, kv.Revision{}, errors.Trace(err)
 	}
+	revision := kv.NewRevision(response.GetEra(), response.GetRevision())
+	if revision.Before(minRevision) {
+		// A daemon of a build without eras compares the numbers alone.
+		return nil, kv.Revision{}, errors.Trace(kv.OldRevisionError{Want: minRevision, Got: revision})
+	}
 	list := make([]route.Listing, 0, len(response.GetInstances()))
 	for _, i := range response.GetInstances() {
 		if !route.IsAddress(i.GetAddress()) || !withinStringLimit(i.GetIncarnation(), i.GetPlace(), i.GetKind(), i.GetName()) {
@@ -55,8 +65,8 @@
 		list = append(list, route.Listing{
 			Address: i.GetAddress(), Incarnation: i.GetIncarnation(), Place: i.GetPlace(),
 			Kind: route.Kind(i.GetKind()), Name: i.GetName(), Leaving: i.GetLeaving(), Slots: int(i.GetSlots()),
-			StartedAtMS: i.GetBorn(), Revision: kv.NewRevision(0, i.GetSince()),
+			StartedAtMS: i.GetBorn(), Revision: kv.NewRevision(response.GetEra(), i.GetSince()),
 		})
 	}
-	return list, kv.NewRevision(0, response.GetRevision()), nil
+	return list, revision, nil
 }
