fix(daemon): keep the endpoint list's eras of the store apart

Callers were refused although an endpoint of their service was alive: after the store had come back from an older copy, a daemon dropped each endpoint that the copy lacks, until it had registered again.

Cause: an entry that a list lacks was kept only if a call of this daemon had failed in the last 3 s. A watch that ends with EraEndedError is no such call, and a list of a peer switched the grace off. Also, apply took any list, so that a reader that had not noticed the new era put the list of the earlier one back, and recordFailure counted the end of an era as an outage.

Evidence: the tests of endpoint_list_era_test.go on the code before: 1 of 3 endpoints left with the own list, a peer's list and both; none left after an expiry at the return; the list of a reader in era 1 in use after one of era 2.

Change: the first list of a later era, from the store or a peer, begins the era. What it lacks is kept for 2.5 s unless it is leaving, and deletions in the 3 s after it get the grace of an outage. Lists of earlier eras are ignored.

Result: the tests pass; package daemon under the race detector, 14 s.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -14,8 +14,11 @@
 	"radishhollow/core/guard"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
+	"radishhollow/core/relay"
 	"radishhollow/core/route"
 	"radishhollow/io/peer"
+	"radishhollow/io/settings"
+	"radishhollow/platform"
 )
 
 const (
@@ -27,13 +30,11 @@
 	// endpoint that really left in an outage got work 2,037 ms after its registration was removed, beyond the limit of
 	// 2 s.
 	reregistrationGrace = 1500 * time.Millisecond
-	// peerListThreshold is the time after which a daemon asks its peers for a newer list. It counts from the store's
-	// last response if a call has failed since, or from the time at which a peer got ahead, which also shows a watch
-	// that hangs without an error. It is longer than the batch delay of package relay, within which a change reaches the watches of all
-	// daemons.
-	peerListThreshold = 700 * time.Millisecond
-	// peerListInterval is the interval between two such requests.
-	peerListInterval = 300 * time.Millisecond
+	// restoreGrace is the time for which a registration is kept that is missing in the first list of a new era: it was
+	// written after the copy that the store came back from. The entries of endpoints that are alive are back about 2 s
+	// after the store's return, and reach this daemon a little later. No one has reported that these endpoints left, so
+	// the limit of reregistrationGrace does not apply.
+	restoreGrace = 2500 * time.Millisecond
 	// expiryInterval is the interval at which overdue registrations are removed.
 	expiryInterval = 100 * time.Millisecond
 )
@@ -51,16 +52,20 @@
 	// own holds the addresses of this daemon, which are never those of endpoints.
 	own ownAddresses
 
-	// mu guards the fields below. Callers of newestByAddress, add, handleDeletion and drop must hold it.
+	// mu guards the fields below. Callers of newestByAddress, beginEra, applyEntries, add, handleDeletion, deletionGrace
+	// and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
-	// missingSince holds, by key, the time at which the store reported a deletion that an outage may have caused. The
-	// registration is kept for reregistrationGrace after that.
-	missingSince map[string]time.Time
-	// revision is the store's revision at the last full read that was not empty or the last watch with changes, or that
+	// missingUntil holds, by key, the time until which a registration is kept whose deletion may be the effect of an
+	// outage, or that the copy lacks from which the store came back.
+	missingUntil map[string]time.Time
+	// revision is the store's revision at the last full read that was not empty, began a new era or the last watch with changes, or that
 	// of a list taken from a peer, whichever is the highest. A full read raises it even without a change of the list.
 	revision kv.Revision
+	// eraBeganAt is the time at which this daemon first received a list of the era of revision, from the store or from a
+	// peer. It is zero for the first era.
+	eraBeganAt time.Time
 	// synced is set once the list has been read from the store or from a peer.
 	synced bool
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
@@ -75,6 +80,26 @@
 	newerAtPeer bool
 }
 
+func newEndpointList(
+	s settings.Settings, store kv.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
+	isolation *member.IsolationDetector, log *logrus.Logger,
+) *endpointList {
+	l := &endpointList{
+		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, log: log,
+		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{}, own: newOwnAddresses(s),
+	}
+	l.follower = &kv.Follower{
+		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
+		RelistInterval: s.Timeouts.InstancePoll.Duration,
+		Apply:          l.apply, OnError: l.recordFailure,
+	}
+	relayed.OnFailure = l.recordReaderFailure
+	// Unlike the table's list, which newNode set, this list has a revision and omits endpoints kept after an outage. fx
+	// constructs all components before the first OnStart, so the node does not serve yet.
+	peers.Node.Listings, peers.Node.OnInstanceListRevision = l.Listings, l.recordPeerRevision
+	return l
+}
+
 // Run follows the store until ctx ends.
 func (l *endpointList) Run(ctx context.Context) error {
 	// The error of the follower is that of its context, which guard.Run returns, too.
@@ -102,7 +127,7 @@
 func (l *endpointList) newestByAddress(includeMissing bool) []route.Listing {
 	newest := make(map[string]route.Listing, len(l.registrations))
 	for key, registration := range l.registrations {
-		if _, missing := l.missingSince[key]; missing && !includeMissing {
+		if _, missing := l.missingUntil[key]; missing && !includeMissing {
 			continue
 		}
 		if other, taken := newest[registration.Address]; !taken || registration.Revision.After(other.Revision) {
@@ -113,38 +138,55 @@
 }
 
 // apply applies a full read of the store or the changes of a watch, also if its revision is lower than that of a list
-// taken from a peer. An empty full read leaves the revision and removes all registrations, except those that
-// handleDeletion keeps for a time.
+// taken from a peer in the same era. What was read in an earlier era is ignored: the store does not know it any more. An
+// empty full read leaves the revision and removes all registrations, except those that handleDeletion keeps for a time.
 func (l *endpointList) apply(entries []kv.Entry, revision kv.Revision, full bool) {
 	l.isolation.RecordContact()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if revision.Era() < l.revision.Era() {
+		return
+	}
 	now := time.Now()
 	if !l.lastFailure.IsZero() && l.lastResponse.Before(l.lastFailure) {
 		l.log.WithField("revision", revision.String()).Info("store answers again")
 	}
 	l.lastResponse, l.synced = now, true
-	if len(entries) > 0 {
+	newEra := l.beginEra(revision, now)
+	if len(entries) > 0 || newEra {
 		l.revision = kv.Latest(revision, l.revision)
 	}
-	seen := map[string]bool{}
+	seen := l.applyEntries(entries, now)
+	for key := range l.registrations {
+		if full && !seen[key] {
+			l.handleDeletion(key, now, newEra)
+		}
+	}
+	l.newerAtPeer = false
+	l.table.Sync(l.newestByAddress(true))
+}
+
+// beginEra reports whether a list belongs to a later era than the current one, and records that.
+func (l *endpointList) beginEra(revision kv.Revision, now time.Time) bool {
+	if l.revision.Era() == 0 || revision.Era() <= l.revision.Era() {
+		return false
+	}
+	l.eraBeganAt = now
+	return true
+}
+
+// applyEntries applies entries and returns their keys.
+func (l *endpointList) applyEntries(entries []kv.Entry, now time.Time) map[string]bool {
+	seen := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		seen[entry.Key()] = true
 		if entry.Deleted() {
-			l.handleDeletion(entry.Key(), now)
+			l.handleDeletion(entry.Key(), now, false)
 			continue
 		}
 		l.add(entry)
 	}
-	if full {
-		for key := range l.registrations {
-			if !seen[key] {
-				l.handleDeletion(key, now)
-			}
-		}
-	}
-	l.newerAtPeer = false
-	l.table.Sync(l.newestByAddress(true))
+	return seen
 }
 
 func (l *endpointList) add(entry kv.Entry) {
@@ -165,30 +207,48 @@
 		}).Info("endpoint registered")
 	}
 	l.registrations[entry.Key()] = registration
-	delete(l.missingSince, entry.Key())
+	delete(l.missingUntil, entry.Key())
 }
 
-// handleDeletion drops a registration that was deleted in the store. During an outage and shortly after it, the
-// registration may have expired although its endpoint is alive. It is then kept until the endpoint has had time to
+// handleDeletion drops a registration that was deleted in the store, or that the first list of a new era lacks. During
+// an outage and shortly after it, the registration may have expired although its endpoint is alive, and in a new era it
+// may have been written after the copy that the store came back from. It is then kept until the endpoint has had time to
 // register again.
-func (l *endpointList) handleDeletion(key string, now time.Time) {
+func (l *endpointList) handleDeletion(key string, now time.Time, newEra bool) {
 	registration, known := l.registrations[key]
 	if !known {
 		return
 	}
-	if !l.lastFailure.IsZero() && now.Sub(l.lastFailure) < postOutageWindow && !registration.Leaving && !l.newerAtPeer {
-		if _, missing := l.missingSince[key]; !missing {
-			l.missingSince[key] = now
+	if grace := l.deletionGrace(registration, now, newEra); grace > 0 {
+		if _, missing := l.missingUntil[key]; !missing {
+			l.missingUntil[key] = now.Add(grace)
 		}
 		return
 	}
 	l.drop(key)
 }
 
+// deletionGrace returns the time for which a missing registration is kept.
+func (l *endpointList) deletionGrace(registration route.Listing, now time.Time, newEra bool) time.Duration {
+	switch {
+	case registration.Leaving:
+		return 0
+	case newEra:
+		return restoreGrace
+	case now.Sub(l.eraBeganAt) < postOutageWindow:
+		// The outage may have been too short for a failed call of this daemon. A list taken from a peer says nothing
+		// about it.
+		return reregistrationGrace
+	case !l.lastFailure.IsZero() && now.Sub(l.lastFailure) < postOutageWindow && !l.newerAtPeer:
+		return reregistrationGrace
+	}
+	return 0
+}
+
 func (l *endpointList) drop(key string) {
 	l.log.WithFields(logrus.Fields{"endpoint": l.registrations[key].Incarnation, "revision": l.revision.String()}).Info("endpoint gone")
 	delete(l.registrations, key)
-	delete(l.missingSince, key)
+	delete(l.missingUntil, key)
 }
 
 func (l *endpointList) runExpiry(ctx context.Context) {
@@ -197,13 +257,13 @@
 	}
 }
 
-// dropOverdue removes the registrations that have been missing for reregistrationGrace.
+// dropOverdue removes the registrations that have been missing for too long.
 func (l *endpointList) dropOverdue() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	overdue := false
-	for key, since := range l.missingSince {
-		if time.Since(since) >= reregistrationGrace {
+	for key, until := range l.missingUntil {
+		if !time.Now().Before(until) {
 			l.drop(key)
 			overdue = true
 		}
@@ -214,9 +274,11 @@
 }
 
 // recordFailure records any failed call to the store, also one with an unexpected status or an old revision. A
-// CompactedError is a response and does not count.
+// CompactedError and an EraEndedError come from responses and do not count.
 func (l *endpointList) recordFailure(err error) {
-	if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
+	_, compacted := errors.AsType[kv.CompactedError](err)
+	_, ended := errors.AsType[kv.EraEndedError](err)
+	if compacted || ended {
 		return
 	}
 	l.mu.Lock()
@@ -239,57 +301,3 @@
 		l.lastFailure = at
 	}
 }
-
-// runPeerFetch asks peers for a newer list while this daemon has none, gets no response from the store after a failed
-// call, or is behind a peer.
-func (l *endpointList) runPeerFetch(ctx context.Context) {
-	for clock.Sleep(ctx, peerListInterval) == nil {
-		l.mu.Lock()
-		outage := l.lastFailure.After(l.lastResponse) && time.Since(l.lastResponse) > peerListThreshold
-		behind := l.peerRevision.After(l.revision) && time.Since(l.peerAheadSince) > peerListThreshold
-		stale, minRevision := outage || behind, l.revision.Next()
-		if !l.synced {
-			stale, minRevision = true, kv.Revision{}
-		}
-		l.mu.Unlock()
-		if !stale {
-			continue
-		}
-		if registrations, revision, found := l.peers.Instances(ctx, minRevision); found {
-			l.replaceFromPeer(registrations, revision)
-		}
-	}
-}
-
-// recordPeerRevision records the revision of a peer's list. It shows that this daemon is behind if its watch stays
-// silent indefinitely although the store serves other daemons.
-func (l *endpointList) recordPeerRevision(revision kv.Revision) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if revision.After(l.revision) && !l.peerRevision.After(l.revision) {
-		l.peerAheadSince = time.Now()
-	}
-	l.peerRevision = kv.Latest(revision, l.peerRevision)
-}
-
-// replaceFromPeer replaces the list with a newer one from a peer. Registrations that the peer's list lacks are removed
-// at once, also those kept for reregistrationGrace.
-func (l *endpointList) replaceFromPeer(registrations []route.Listing, revision kv.Revision) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.synced && !revision.After(l.revision) {
-		return
-	}
-	l.registrations = make(map[string]route.Listing, len(registrations))
-	for _, registration := range registrations {
-		if l.own.check(registration) != nil {
-			continue
-		}
-		// The parser takes the incarnation from the key, of which it is the part after the prefix.
-		l.registrations[l.follower.Prefix+registration.Incarnation] = registration
-	}
-	clear(l.missingSince)
-	l.revision, l.synced, l.newerAtPeer = revision, true, true
-	l.table.Sync(l.newestByAddress(true))
-	l.log.WithFields(logrus.Fields{"endpoints": len(registrations), "revision": revision.String()}).Info("endpoint list received from a peer")
-}
--- /dev/null
+++ b/daemon/endpoint_list_era_test.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/kv"
+	"radishhollow/core/route"
+)
+
+// registeredAs returns the entry of an endpoint at port 1 whose ID is "a", and so on.
+func registeredAs(id string, revision kv.Revision, sequence int, state string) kv.Entry {
+	value := fmt.Sprintf(`{"service":"s","address":"10.1.0.9:%d","zone":"z","version":"v","slots":4,"state":%q,"cold_left_ms":0,`+
+		`"sequence":%d,"born":17}`, id[0]-'a'+1, state, sequence)
+	return kv.NewEntry("servers/"+id, []byte(value), revision, false)
+}
+
+func readyAs(id string, revision kv.Revision) kv.Entry { return registeredAs(id, revision, 1, "ready") }
+
+func parsed(t *testing.T, l *endpointList, entries ...kv.Entry) []route.Listing {
+	var list []route.Listing
+	for _, entry := range entries {
+		listing, err := l.parse(entry)
+		require.NoError(t, err)
+		list = append(list, listing)
+	}
+	return list
+}
+
+// usable returns the IDs of the endpoints from a to e that may get work.
+func usable(l *endpointList) string {
+	l.dropOverdue()
+	ids := ""
+	for _, id := range "abcde" {
+		if l.table.Usable(fmt.Sprintf("10.1.0.9:%d", id-'a'+1), string(id)) {
+			ids += string(id)
+		}
+	}
+	return ids
+}
+
+// Guards against the loss of a living endpoint that registered after the copy from which the store came back. The daemon
+// may see the new era first in the store or at a peer, and without a failed call before.
+func TestEndpointListKeepsWhatArrivedInTheLostSeconds(t *testing.T) {
+	before, after := kv.NewRevision(1, 100), kv.NewRevision(2, 60)
+	copied := readyAs("a", kv.NewRevision(2, 10))
+	for name, begin := range map[string]func(l *endpointList){
+		"own list":  func(l *endpointList) { l.apply([]kv.Entry{copied}, after, true) },
+		"peer list": func(l *endpointList) { l.replaceFromPeer(parsed(t, l, copied), after) },
+		"both": func(l *endpointList) {
+			l.replaceFromPeer(parsed(t, l, copied), after)
+			time.Sleep(100 * time.Millisecond)
+			l.replaceFromPeer(parsed(t, l, copied), after.Next())
+			l.apply([]kv.Entry{copied}, after.Next().Next(), true)
+		},
+		"after a list of a peer": func(l *endpointList) {
+			l.replaceFromPeer(parsed(t, l, readyAs("a", before), readyAs("b", before), readyAs("c", before)), before.Next())
+			l.apply([]kv.Entry{copied}, after, true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPlatformList(kv.Store{}, nil)
+				l.apply([]kv.Entry{readyAs("a", before), readyAs("b", before), readyAs("c", before)}, before, true)
+				l.recordFailure(kv.UnavailableError{Call: "watch"})
+				l.apply(nil, before, false)
+				time.Sleep(time.Minute)
+				begin(l)
+				require.Equal(t, "abc", usable(l))
+				time.Sleep(2 * time.Second)
+				require.Equal(t, "abc", usable(l), "entries may be written again until then")
+				l.apply([]kv.Entry{readyAs("b", kv.NewRevision(2, 70))}, kv.NewRevision(2, 70), false)
+				time.Sleep(restoreGrace)
+				require.Equal(t, "ab", usable(l), "one that is not written again is gone")
+			})
+		})
+	}
+}
+
+// Guards against an endpoint that is dropped although it lives: its registration was not renewed while the store was
+// away, so that the restored store deletes it, and this daemon has not noticed the outage by a failed call.
+func TestEndpointListKeepsWhatExpiresAtTheReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPlatformList(kv.Store{}, nil)
+		l.apply([]kv.Entry{readyAs("a", kv.NewRevision(1, 10))}, kv.NewRevision(1, 100), true)
+		l.apply([]kv.Entry{readyAs("a", kv.NewRevision(2, 10))}, kv.NewRevision(2, 60), true)
+		deletion := kv.NewEntry("servers/a", nil, kv.NewRevision(2, 61), true)
+		l.apply([]kv.Entry{deletion}, deletion.Revision(), false)
+		require.Equal(t, "a", usable(l))
+		time.Sleep(reregistrationGrace)
+		require.Empty(t, usable(l), "the limit for endpoints that left in an outage holds")
+	})
+}
+
+// Guards against a list that goes back to an earlier era of the store, by a peer or a reader that has not noticed the
+// new one, and against a list of the new era that is refused because of its number.
+func TestEndpointListFollowsTheLaterEra(t *testing.T) {
+	for _, number := range []uint64{60, 100, 140} {
+		synctest.Test(t, func(t *testing.T) {
+			old, next := kv.NewRevision(1, 100), kv.NewRevision(2, number)
+			l := newPlatformList(kv.Store{}, nil)
+			l.apply([]kv.Entry{readyAs("a", old)}, old, true)
+			l.replaceFromPeer(parsed(t, l, readyAs("a", next), readyAs("b", next)), next)
+			require.Equal(t, "ab", usable(l))
+			l.replaceFromPeer(parsed(t, l, readyAs("c", old)), kv.NewRevision(1, 900))
+			l.apply([]kv.Entry{readyAs("d", old)}, kv.NewRevision(1, 901), true)
+			l.apply([]kv.Entry{kv.NewEntry("servers/a", nil, kv.NewRevision(1, 902), true)}, kv.NewRevision(1, 902), false)
+			time.Sleep(10 * time.Second)
+			require.Equal(t, "ab", usable(l))
+			_, revision, _ := l.Listings()
+			require.Equal(t, next, revision)
+		})
+	}
+}
+
+// Guards against a list that keeps the revision of an earlier era if the store came back empty, so that peers would
+// hand it over as current.
+func TestEndpointListTakesTheEraOfAnEmptyList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPlatformList(kv.Store{}, nil)
+		l.apply([]kv.Entry{readyAs("a", kv.NewRevision(1, 10))}, kv.NewRevision(1, 100), true)
+		l.apply(nil, kv.NewRevision(2, 1), true)
+		require.Equal(t, "a", usable(l))
+		_, revision, _ := l.Listings()
+		require.Equal(t, kv.NewRevision(2, 1), revision)
+	})
+}
+
+// Guards against an end of an era that is taken for a failure of the store: the daemon would log an outage and ask its
+// peers for what the store has.
+func TestEndpointListTakesANewEraForAResponse(t *testing.T) {
+	l := newPlatformList(kv.Store{}, nil)
+	l.recordFailure(kv.EraEndedError{Era: 1, Current: 2})
+	require.Zero(t, l.lastFailure)
+}
--- a/daemon/endpoint_list_test.go
+++ b/daemon/endpoint_list_test.go
@@ -28,7 +28,7 @@
 			}, nil
 		},
 		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, log: log,
-		registrations: map[string]route.Listing{}, missingSince: map[string]time.Time{},
+		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{},
 	}
 }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -13,7 +13,6 @@
 
 	"radishhollow/core/booking"
 	"radishhollow/core/config"
-	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/relay"
@@ -99,61 +98,6 @@
 	return policy
 }
 
-// configFollower keeps the configuration up to date with the store. The Follower lists and watches; of the Syncer, only
-// Offer is used.
-type configFollower struct {
-	follower *kv.Follower
-	syncer   *config.Syncer
-}
-
-func newConfigFollower(
-	s settings.Settings, store kv.Store, documents *config.Store, isolation *member.IsolationDetector,
-	m *telemetry.Metrics, log *logrus.Logger,
-) *configFollower {
-	syncer := &config.Syncer{
-		Store: documents, Decode: platform.DecodeConfig,
-		Count:    func(class string) { m.Count(telemetry.Revisions, class) },
-		OnReject: func(err error) { log.WithError(err).Warn("configuration rejected; keeping the previous one") },
-	}
-	return &configFollower{syncer: syncer, follower: &kv.Follower{
-		Store: store, Prefix: platform.ConfigPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
-		RelistInterval: s.Timeouts.ConfigPoll.Duration,
-		Apply: func(entries []kv.Entry, _ kv.Revision, full bool) {
-			isolation.RecordContact()
-			for _, entry := range entries {
-				if entry.Key() != platform.ConfigKey || entry.Deleted() {
-					continue
-				}
-				class := config.FromWatch
-				if full {
-					class = config.FromPoll
-				}
-				syncer.Offer(entry.Value(), class)
-			}
-		},
-	}}
-}
-
-func newEndpointList(
-	s settings.Settings, store kv.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
-	isolation *member.IsolationDetector, log *logrus.Logger,
-) *endpointList {
-	l := &endpointList{
-		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, log: log,
-		registrations: map[string]route.Listing{}, missingSince: map[string]time.Time{}, own: newOwnAddresses(s),
-	}
-	l.follower = &kv.Follower{
-		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
-		RelistInterval: s.Timeouts.InstancePoll.Duration,
-		Apply:          l.apply, OnError: l.recordFailure,
-	}
-	relayed.OnFailure = l.recordReaderFailure
-	// Unlike the table's list, which newNode set, this list has a revision and omits endpoints kept after an outage. fx
-	// constructs all components before the first OnStart, so the node does not serve yet.
-	peers.Node.Listings, peers.Node.OnInstanceListRevision = l.Listings, l.recordPeerRevision
-	return l
-}
-
 func newRetryWindow(s settings.Settings, members *member.Table) *retry.Window {
 	f := s.Forward
 	return &retry.Window{
