fix(daemon): keep departed endpoints away after a return of the store

A runner was reached after its leaving had been acknowledged (rule DRAIN): it had left in the seconds that the store lost, and the copy from which the store came back has it as ready.

Cause: a list replaced what the daemon knew of an endpoint, also what the endpoint had said after the copy was made, and a removed registration was forgotten at once. Peers handed the departed endpoint over as ready, too.

In a list of a later era, a registration of the same start whose sequence is not higher is ignored; one that is older than a known registration does not replace it. A higher sequence, another start and each change that a watch of the new era returns count as the endpoint's newer word. Peers do not pass on the sequence, so their lists do not end a departure.

--- a/core/route/report.go
+++ b/core/route/report.go
@@ -32,6 +32,8 @@
 	// StartedAtMS is the Unix time, in milliseconds, of the endpoint's start. It distinguishes starts under the same
 	// incarnation; 0 if the list does not say.
 	StartedAtMS int64
+	// Sequence numbers the endpoint's own reports since its start; 0 if the list does not say.
+	Sequence uint64
 	// Revision is the revision of the registration, by which the newest one of an address is found; zero if the list has
 	// none.
 	Revision kv.Revision
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -52,14 +52,15 @@
 	// own holds the addresses of this daemon, which are never those of endpoints.
 	own ownAddresses
 
-	// mu guards the fields below. Callers of newestByAddress, beginEra, applyEntries, add, handleDeletion, deletionGrace
-	// and drop must hold it.
+	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
+	// handleDeletion, handleMissingAtPeer, deletionGrace and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
 	// missingUntil holds, by key, the time until which a registration is kept whose deletion may be the effect of an
 	// outage, or that the copy lacks from which the store came back.
 	missingUntil map[string]time.Time
+	departed     departures
 	// revision is the store's revision at the last full read that was not empty, began a new era or the last watch with changes, or that
 	// of a list taken from a peer, whichever is the highest. A full read raises it even without a change of the list.
 	revision kv.Revision
@@ -156,7 +157,7 @@
 	if len(entries) > 0 || newEra {
 		l.revision = kv.Latest(revision, l.revision)
 	}
-	seen := l.applyEntries(entries, now)
+	seen := l.applyEntries(entries, now, full)
 	for key := range l.registrations {
 		if full && !seen[key] {
 			l.handleDeletion(key, now, newEra)
@@ -175,21 +176,21 @@
 	return true
 }
 
-// applyEntries applies entries and returns their keys.
-func (l *endpointList) applyEntries(entries []kv.Entry, now time.Time) map[string]bool {
+// applyEntries applies the entries of a full read or changes, and returns the keys of those that are present.
+func (l *endpointList) applyEntries(entries []kv.Entry, now time.Time, full bool) map[string]bool {
 	seen := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		seen[entry.Key()] = true
 		if entry.Deleted() {
 			l.handleDeletion(entry.Key(), now, false)
 			continue
 		}
-		l.add(entry)
+		seen[entry.Key()] = l.add(entry, full)
 	}
 	return seen
 }
 
-func (l *endpointList) add(entry kv.Entry) {
+// add applies one entry and reports whether its endpoint is present.
+func (l *endpointList) add(entry kv.Entry, full bool) bool {
 	registration, err := l.parse(entry)
 	if err == nil {
 		err = l.own.check(registration)
@@ -198,16 +199,49 @@
 		// The key has no valid registration any more, so its endpoint is removed.
 		l.log.WithField("key", entry.Key()).WithError(err).Warn("registration is malformed")
 		delete(l.registrations, entry.Key())
-		return
+		delete(l.missingUntil, entry.Key())
+		return true
+	}
+	if full {
+		return l.merge(entry.Key(), registration, entry.Revision().Era())
+	}
+	l.set(entry.Key(), registration)
+	return true
+}
+
+// merge applies a registration from a list of the given era, and reports whether its endpoint is present. Such a list
+// may contain what the endpoint had written before the copy was made from which the store came back, and what this
+// daemon knows to be out of date. A change that a watch returns was written in the new era.
+func (l *endpointList) merge(key string, registration route.Listing, era uint64) bool {
+	if l.departed.covers(key, registration, era) {
+		return false
 	}
-	if old, known := l.registrations[entry.Key()]; !known || old.Leaving != registration.Leaving || old.Address != registration.Address {
+	known, found := l.registrations[key]
+	older := found && known.Revision.Era() < era && known.StartedAtMS == registration.StartedAtMS &&
+		(registration.Sequence < known.Sequence || registration.Sequence == known.Sequence && known.Leaving)
+	if older && !registration.Leaving {
+		delete(l.missingUntil, key)
+		return true
+	}
+	l.set(key, registration)
+	return true
+}
+
+// set applies a registration that the endpoint has written after the last known one.
+func (l *endpointList) set(key string, registration route.Listing) {
+	old, known := l.registrations[key]
+	if !known || old.Leaving != registration.Leaving || old.Address != registration.Address {
 		l.log.WithFields(logrus.Fields{
 			"endpoint": registration.Incarnation, "address": registration.Address, "service": registration.Name, "leaving": registration.Leaving,
-			"revision": entry.Revision().String(),
+			"revision": registration.Revision.String(),
 		}).Info("endpoint registered")
 	}
-	l.registrations[entry.Key()] = registration
-	delete(l.missingUntil, entry.Key())
+	if known && old.StartedAtMS != registration.StartedAtMS {
+		l.departed.record(key, old, l.revision.Era())
+	}
+	l.departed.forget(key, registration)
+	l.registrations[key] = registration
+	delete(l.missingUntil, key)
 }
 
 // handleDeletion drops a registration that was deleted in the store, or that the first list of a new era lacks. During
@@ -247,6 +281,7 @@
 
 func (l *endpointList) drop(key string) {
 	l.log.WithFields(logrus.Fields{"endpoint": l.registrations[key].Incarnation, "revision": l.revision.String()}).Info("endpoint gone")
+	l.departed.record(key, l.registrations[key], l.revision.Era())
 	delete(l.registrations, key)
 	delete(l.missingUntil, key)
 }
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -71,9 +71,11 @@
 		}
 		// The parser takes the incarnation from the key, of which it is the part after the prefix.
 		key := l.follower.Prefix + registration.Incarnation
-		seen[key] = true
-		l.registrations[key] = registration
-		delete(l.missingUntil, key)
+		if known := l.registrations[key]; known.StartedAtMS == registration.StartedAtMS {
+			// Peers do not pass on the sequence.
+			registration.Sequence = max(registration.Sequence, known.Sequence)
+		}
+		seen[key] = l.merge(key, registration, revision.Era())
 	}
 	for key := range l.registrations {
 		if !seen[key] {
