fix(daemon): prefer the later start at an address across eras

A daemon addressed the endpoint at an address by the incarnation of its crashed predecessor, which answers 421, until the endpoint had registered again.

Cause: of two registrations at one address the one with the later revision was taken. In a new era, the predecessor's entry, which the copy still has, gets a revision of that era.

Change: where the eras differ, the times of the starts decide, which one machine has written. Without them, and within one era, the revision decides as before.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -131,13 +131,24 @@
 		if _, missing := l.missingUntil[key]; missing && !includeMissing {
 			continue
 		}
-		if other, taken := newest[registration.Address]; !taken || registration.Revision.After(other.Revision) {
+		if other, taken := newest[registration.Address]; !taken || isNewer(registration, other) {
 			newest[registration.Address] = registration
 		}
 	}
 	return slices.Collect(maps.Values(newest))
 }
 
+// isNewer reports whether a registration is newer than another one at the same address. Revisions of different eras do
+// not tell: a restored registration has one of the later era although it was written before the other. The times of the
+// starts do, since both were taken from the clock of the machine at this address.
+func isNewer(registration, other route.Listing) bool {
+	sameEra := registration.Revision.SameEra(other.Revision)
+	if sameEra || registration.StartedAtMS == other.StartedAtMS || registration.StartedAtMS == 0 || other.StartedAtMS == 0 {
+		return registration.Revision.After(other.Revision)
+	}
+	return registration.StartedAtMS > other.StartedAtMS
+}
+
 // apply applies a full read of the store or the changes of a watch, also if its revision is lower than that of a list
 // taken from a peer in the same era. What was read in an earlier era is ignored: the store does not know it any more. An
 // empty full read leaves the revision and removes all registrations, except those that handleDeletion keeps for a time.
--- a/daemon/endpoint_list_era_test.go
+++ b/daemon/endpoint_list_era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,29 @@
 	l.recordFailure(kv.EraEndedError{Era: 1, Current: 2})
 	require.Zero(t, l.lastFailure)
 }
+
+// Guards against addressing the endpoint at an address by the incarnation of its crashed predecessor, which the copy
+// still has, while the entry of the successor was written after it and is not back yet.
+func TestEndpointListTakesTheNewestOfAnAddressAcrossEras(t *testing.T) {
+	at := func(id string, revision kv.Revision, born int) kv.Entry {
+		entry := registeredAs("a", revision, 1, "ready")
+		value := strings.Replace(string(entry.Value()), `"born":17`, fmt.Sprintf(`"born":%d`, born), 1)
+		return kv.NewEntry("servers/"+id, []byte(value), revision, false)
+	}
+	for name, known := range map[string][]kv.Entry{
+		"predecessor known":     {at("old", kv.NewRevision(1, 10), 17), at("new", kv.NewRevision(1, 95), 900)},
+		"predecessor not known": {at("new", kv.NewRevision(1, 95), 900)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPlatformList(kv.Store{}, nil)
+				l.apply(known, kv.NewRevision(1, 95), true)
+				require.True(t, l.table.HasIncarnation("10.1.0.9:1", "new"))
+				l.apply([]kv.Entry{at("old", kv.NewRevision(2, 10), 17)}, kv.NewRevision(2, 60), true)
+				require.True(t, l.table.HasIncarnation("10.1.0.9:1", "new"))
+				l.apply([]kv.Entry{at("next", kv.NewRevision(2, 61), 950)}, kv.NewRevision(2, 61), false)
+				require.True(t, l.table.HasIncarnation("10.1.0.9:1", "next"))
+			})
+		})
+	}
+}
