fix(peer): register again at once in a new era of the store

A daemon was missing in the list of daemons, or listed with a lease that nobody renewed, for up to a third of the time to live after the store had come back from an older copy. A daemon that stopped before it had noticed the return ended the lease of whoever had got its ID meanwhile, and so removed another daemon's registration.

Cause: only a refused renewal led to a new registration, and the stop revoked the lease without knowing the era. After a watch that ended with the era, the list of daemons was read again only after a tenth to a fifth of the time to live.

Change: each list of daemons, and each change of it, shows whether the registration is of an earlier era or missing; it is then written again after a random pause of at most a tenth of the time to live, which spreads the writes of a fleet. A lease of an earlier era is neither renewed nor ended. A stop renews its lease before it ends it, because the answer shows the era.

--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -42,13 +42,8 @@
 	OnListed func()
 
 	shared *sharedKeys
-}
-
-// memberRegistration is the value at members/{address}.
-type memberRegistration struct {
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
-	Place       string `json:"place"`
+	// registration is what runRegister has written, for runList to notice that the store has lost it.
+	registration registrationState
 }
 
 // Run keeps the registration alive until ctx ends, and then removes it.
@@ -57,72 +52,6 @@
 // RunList keeps the list of daemons up to date until ctx ends. It may run longer than Run.
 func (r *Registrar) RunList(ctx context.Context) error { return guard.Run(ctx, r.runList) }
 
-func (r *Registrar) runRegister(ctx context.Context) {
-	lease := kv.Lease{}
-	for {
-		lease = r.renewOrRegister(ctx, lease)
-		if clock.Sleep(ctx, r.TTL/3) != nil {
-			r.revoke(ctx, lease)
-			return
-		}
-	}
-}
-
-// renewOrRegister renews the lease, or registers again if there is none or it has expired. It returns the lease to
-// renew next, or an empty string.
-func (r *Registrar) renewOrRegister(ctx context.Context, lease kv.Lease) kv.Lease {
-	if !lease.IsZero() {
-		err := r.KV.Renew(ctx, lease)
-		if err == nil {
-			r.Node.Isolation.RecordContact()
-			return lease
-		}
-		if _, ended := errors.AsType[kv.LeaseLostError](err); !ended {
-			// The platform is unavailable, but the lease may still be alive. The next renewal will show it.
-			return lease
-		}
-	}
-	lease, err := r.KV.Grant(ctx, r.TTL)
-	if err != nil {
-		return kv.Lease{}
-	}
-	r.Node.Isolation.RecordContact()
-	if err := r.register(ctx, lease); err != nil {
-		// A lease without a registration has no use. The next call requests a new one.
-		r.revoke(ctx, lease)
-		return kv.Lease{}
-	}
-	return lease
-}
-
-// register writes the registration. It replaces an earlier one at this address, whose revision the store reports with
-// the conflict.
-func (r *Registrar) register(ctx context.Context, lease kv.Lease) error {
-	key := MembersPrefix + r.Node.Address
-	value, err := json.Marshal(memberRegistration{
-		Address: r.Node.Address, Incarnation: r.Node.Incarnation, Place: r.Node.Place,
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	_, err = r.KV.Put(ctx, key, value, kv.Revision{}, lease)
-	if conflict, taken := errors.AsType[kv.ConflictError](err); taken {
-		_, err = r.KV.Put(ctx, key, value, conflict.Current, lease)
-	}
-	return errors.Trace(err)
-}
-
-// revoke revokes the lease and thereby removes the registration, even if ctx has ended.
-func (r *Registrar) revoke(ctx context.Context, lease kv.Lease) {
-	if lease.IsZero() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-	defer cancel()
-	// The error is ignored because the lease expires in any case.
-	_ = r.KV.Revoke(ctx, lease)
-}
-
 // runList lists the daemons and follows the changes. During an outage of the platform the last list stays in use.
 // Unlike kv.Follower, runList accepts a list with a lower revision than the one before.
 func (r *Registrar) runList(ctx context.Context) {
@@ -131,20 +60,35 @@
 		entries, revision, err := r.KV.List(ctx, MembersPrefix)
 		if err == nil {
 			r.Node.Isolation.RecordContact()
-			r.follow(ctx, entries, revision)
+			err = r.follow(ctx, entries, revision)
 		}
 		// The random part spreads the calls of many daemons.
-		if clock.Sleep(ctx, r.TTL/10+rand.N(r.TTL/10+1)) != nil {
+		pause := r.TTL/10 + rand.N(r.TTL/10+1)
+		if isNewHistory(err) {
+			pause = rand.N(min(maxRelistPause, r.TTL/10) + 1)
+		}
+		if clock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
-// follow applies changes until the watch fails, the platform returns a lower revision, or a full read is due.
-func (r *Registrar) follow(ctx context.Context, entries []kv.Entry, after kv.Revision) {
+// maxRelistPause limits the pause after a watch whose revision the store does not have any more.
+const maxRelistPause = 200 * time.Millisecond
+
+// isNewHistory reports whether a watch failed because the store has come back from an older copy, or has compacted the
+// changes. Only the next list then shows what has changed.
+func isNewHistory(err error) bool {
+	_, ended := errors.AsType[kv.EraEndedError](err)
+	_, compacted := errors.AsType[kv.CompactedError](err)
+	return ended || compacted
+}
+
+// follow applies changes until the watch fails, the platform returns a lower revision, or a full read is due. It returns
+// the error of the watch.
+func (r *Registrar) follow(ctx context.Context, entries []kv.Entry, after kv.Revision) error {
 	members := map[string]member.Member{}
-	r.apply(members, entries)
-	r.Node.Table.SetListed(memberList(members))
+	r.applyList(members, entries, after)
 	if r.OnListed != nil {
 		r.OnListed()
 	}
@@ -152,20 +96,34 @@
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
 		changes, revision, err := r.KV.Watch(ctx, MembersPrefix, after, r.WatchWait)
 		if err != nil || revision.Before(after) {
-			return
+			return err
 		}
 		r.Node.Isolation.RecordContact()
 		after = revision
 		if len(changes) > 0 {
 			r.apply(members, changes)
-			r.Node.Table.SetListed(memberList(members))
+			r.setListed(members, revision)
 			if clock.Sleep(ctx, r.BatchDelay) != nil {
-				return
+				return nil
 			}
 		}
 		// Not before the first watch: daemons that start together would not know each other yet, and all write.
 		r.rotateKeys(ctx, len(members))
 	}
+	return nil
+}
+
+// applyList applies a full list to empty members.
+func (r *Registrar) applyList(members map[string]member.Member, entries []kv.Entry, revision kv.Revision) {
+	r.apply(members, entries)
+	r.setListed(members, revision)
+}
+
+// setListed passes the daemons on. It also shows whether the store has lost this daemon's own registration.
+func (r *Registrar) setListed(members map[string]member.Member, revision kv.Revision) {
+	r.Node.Table.SetListed(memberList(members))
+	_, listed := members[r.Node.Address]
+	r.registration.observe(revision, listed)
 }
 
 func (r *Registrar) rotateKeys(ctx context.Context, daemons int) {
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -19,18 +21,20 @@
 
 // fakeKV is an in-memory key-value service with leases.
 type fakeKV struct {
-	mu         sync.Mutex
-	down       bool
-	revision   kv.Revision
-	items      map[string]kv.Entry
-	events     []kv.Entry
-	leaseByKey map[string]kv.Lease
-	leases     map[kv.Lease]time.Time
+	mu       sync.Mutex
+	down     bool
+	revision kv.Revision
+	items    map[string]kv.Entry
+	events   []kv.Entry
+	// Leases are known by their IDs, which are given out again in a later era.
+	leaseByKey map[string]string
+	leases     map[string]time.Time
 	ttl        time.Duration
+	calls      map[string]int
 }
 
 func newFakeKV() *fakeKV {
-	return &fakeKV{items: map[string]kv.Entry{}, leaseByKey: map[string]kv.Lease{}, leases: map[kv.Lease]time.Time{}}
+	return &fakeKV{revision: kv.NewRevision(1, 0), items: map[string]kv.Entry{}, leaseByKey: map[string]string{}, leases: map[string]time.Time{}, calls: map[string]int{}}
 }
 
 // lock locks the service, ends expired leases and returns the function that unlocks the service. It fails if the
@@ -49,7 +53,7 @@
 	return f.mu.Unlock, nil
 }
 
-func (f *fakeKV) endLease(lease kv.Lease) {
+func (f *fakeKV) endLease(lease string) {
 	delete(f.leases, lease)
 	for key, holderLease := range f.leaseByKey {
 		if holderLease == lease {
@@ -61,8 +65,78 @@
 	}
 }
 
+// store returns the calls of one daemon, which learns of a new era only from the responses to its own calls.
 func (f *fakeKV) store() kv.Store {
-	return kv.Store{Get: f.get, Put: f.put, List: f.list, Watch: f.watch, Grant: f.grant, Renew: f.renew, Revoke: f.revoke}
+	eras := &kv.Eras{}
+	return eras.Guard(kv.Store{
+		Get: func(ctx context.Context, key string) (kv.Entry, error) {
+			defer f.observe(eras, "get")
+			return f.get(ctx, key)
+		},
+		Put: func(ctx context.Context, key string, value []byte, ifRevision kv.Revision, lease kv.Lease) (kv.Revision, error) {
+			defer f.observe(eras, "put")
+			return f.put(ctx, key, value, ifRevision, lease)
+		},
+		List: func(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+			defer f.observe(eras, "list")
+			return f.list(ctx, prefix)
+		},
+		Watch: func(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
+			defer f.observe(eras, "watch")
+			return f.watch(ctx, prefix, after, wait)
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
+			defer f.observe(eras, "grant")
+			return f.grant(ctx, ttl)
+		},
+		Renew: func(ctx context.Context, lease kv.Lease) error {
+			defer f.observe(eras, "renew")
+			return f.renew(ctx, lease)
+		},
+		Revoke: func(ctx context.Context, lease kv.Lease) error {
+			defer f.observe(eras, "revoke")
+			return f.revoke(ctx, lease)
+		},
+	})
+}
+
+func (f *fakeKV) observe(eras *kv.Eras, kind string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[kind]++
+	if !f.down {
+		eras.Observe(f.revision.Era())
+	}
+}
+
+// copyKV is a copy of the state of a fakeKV.
+type copyKV struct {
+	number     uint64
+	items      map[string]kv.Entry
+	leaseByKey map[string]string
+	leases     map[string]time.Time
+}
+
+func (f *fakeKV) copy() copyKV {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return copyKV{f.revision.Number(), maps.Clone(f.items), maps.Clone(f.leaseByKey), maps.Clone(f.leases)}
+}
+
+// restore begins a new era with a copy, whose leases have their whole time left. Its number may be raised, to that of
+// the earlier era and above.
+func (f *fakeKV) restore(c copyKV, raise uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	era := f.revision.Era() + 1
+	f.revision = kv.NewRevision(era, c.number+raise)
+	f.items, f.leaseByKey, f.leases, f.events = map[string]kv.Entry{}, maps.Clone(c.leaseByKey), map[string]time.Time{}, nil
+	for key, entry := range c.items {
+		f.items[key] = kv.NewEntry(key, entry.Value(), kv.NewRevision(era, entry.Revision().Number()), false)
+	}
+	for lease := range c.leases {
+		f.leases[lease] = time.Now().Add(f.ttl)
+	}
 }
 
 func (f *fakeKV) get(_ context.Context, key string) (kv.Entry, error) {
@@ -83,13 +157,13 @@
 		return kv.Revision{}, err
 	}
 	defer unlock()
-	if f.items[key].Revision() != ifRevision {
+	if f.items[key].Revision().Number() != ifRevision.Number() {
 		return kv.Revision{}, kv.ConflictError{Key: key, Want: ifRevision, Current: f.items[key].Revision()}
 	}
 	f.revision = f.revision.Next()
 	f.items[key] = kv.NewEntry(key, value, f.revision, false)
 	f.events = append(f.events, f.items[key])
-	f.leaseByKey[key] = lease
+	f.leaseByKey[key] = lease.ID()
 	return f.revision, nil
 }
 
@@ -109,7 +183,7 @@
 }
 
 func (f *fakeKV) watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
-	for end := time.Now().Add(wait); time.Now().Before(end); {
+	for end := time.Now().Add(wait); time.Now().Before(end) && !f.beganEraAfter(after); {
 		if err := clock.Sleep(ctx, 100*time.Millisecond); err != nil {
 			return nil, kv.Revision{}, err
 		}
@@ -119,7 +193,7 @@
 		}
 		var changes []kv.Entry
 		for _, event := range f.events {
-			if event.Revision().After(after) {
+			if event.Revision().Number() > after.Number() {
 				changes = append(changes, event)
 			}
 		}
@@ -129,7 +203,18 @@
 			return changes, revision, nil
 		}
 	}
-	return nil, after, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if after.Number() > f.revision.Number() {
+		return nil, kv.Revision{}, kv.CompactedError{After: after}
+	}
+	return nil, kv.NewRevision(f.revision.Era(), after.Number()), nil
+}
+
+func (f *fakeKV) beganEraAfter(revision kv.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision.Era() > revision.Era()
 }
 
 func (f *fakeKV) grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
@@ -140,8 +225,8 @@
 	defer unlock()
 	f.revision = f.revision.Next()
 	f.ttl = ttl
-	lease := kv.NewLease(0, f.revision.String())
-	f.leases[lease] = time.Now().Add(ttl)
+	lease := kv.NewLease(f.revision.Era(), strconv.FormatUint(f.revision.Number(), 10))
+	f.leases[lease.ID()] = time.Now().Add(ttl)
 	return lease, nil
 }
 
@@ -151,10 +236,10 @@
 		return err
 	}
 	defer unlock()
-	if _, found := f.leases[lease]; !found {
+	if _, found := f.leases[lease.ID()]; !found {
 		return kv.LeaseLostError{Lease: lease}
 	}
-	f.leases[lease] = time.Now().Add(f.ttl)
+	f.leases[lease.ID()] = time.Now().Add(f.ttl)
 	return nil
 }
 
@@ -164,7 +249,7 @@
 		return err
 	}
 	defer unlock()
-	f.endLease(lease)
+	f.endLease(lease.ID())
 	return nil
 }
 
