fix(forward): refuse calls that may outlast a planned stop

Callers saw: in a planned stop, requests that came late in the grace time were passed on and cut by its end, among them requests that must not be repeated. Their callers got 504 or nothing, and don't know whether they have run.

Cause: only streams were refused by how long they may last. Any other request was taken as long as 1 s was left, and its deadline was brought forward to the end, whatever its endpoint usually needs. Streams, in turn, were refused although their own deadline preceded the end, at which they have a status in any case.

Change: a request is refused (503, code draining, Retry-After of about 0.1 s) while its expected duration exceeds what is left. That is its deadline at most, and by service and kind of route the 99th percentile of the last one to two thousand calls for a call that must not be repeated and the 95th for one that may be, at least 1 s as before; with under 100 calls the route's latency objective counts, too. Streams keep the decaying maximum, with half as much more where they can't resume.

Ruled out: the deadline or the route's timeout as the expected duration. It would refuse nearly everything from SIGTERM on; where all daemons stop at about the same time, callers would have no daemon for seconds although most calls take a fraction of their time limit. docs/design.md has the reasons.

--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -112,6 +112,7 @@
 	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
 	durations     streamDurations
+	callDurations callDurations
 	ends          endDetector
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
@@ -247,7 +248,12 @@
 	}
 	ctx, cancel := s.withEnding(c.Request.Context(), nil)
 	defer cancel()
+	sentAt := time.Now()
 	response, err := s.Do(ctx, call)
+	if err == nil || time.Until(q.deadline) <= 0 {
+		// Without the calls that reach their deadline, the estimate would be too short.
+		s.callDurations.record(q.callKey(), time.Since(sentAt))
+	}
 	if err != nil {
 		return endedByStop(ctx, failure.Of(err).Outcome(), err)
 	}
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -8,13 +8,24 @@
 	"radishhollow/core/config"
 )
 
-// minTimeLeft is the time that a request whose response is not a stream needs before a daemon stops. Most take a
-// fraction of it; one that takes longer ends at its deadline, which checkTimeLeft shortens.
-const minTimeLeft = time.Second
+const (
+	// minTimeLeft is the shortest time that a request is assumed to take if its deadline allows it.
+	minTimeLeft = time.Second
+	// oncePercent and idempotentPercent are the shares of the calls that are complete within the estimated duration. A
+	// refused caller is served by another daemon after a short wait. One that is cut has waited in vain and, for a call that
+	// must not be repeated, does not learn whether it has run.
+	oncePercent, idempotentPercent = 99, 95
+	// unresumablePercent is the factor by which a stream is assumed to exceed the longest one where its caller could not
+	// go on with the rest at another daemon.
+	unresumablePercent = 150
+	// deadlineMargin is the time by which the deadline of a request exceeds the end of the daemon, so that Ending is the
+	// first to end it. It is above the lateness of a timer on a busy machine.
+	deadlineMargin = 100 * time.Millisecond
+)
 
 // checkTimeLeft refuses a request that would be cut because the daemon stops before it is complete: another daemon can
 // still serve it. The deadline of any other request is brought forward, so that endpoints do not work on it after the
-// end of the daemon. deadlineMargin lets Ending be the first to end the request.
+// end of the daemon.
 func (s *Server) checkTimeLeft(q *request) error {
 	if s.TimeLeft == nil {
 		return nil
@@ -23,14 +34,7 @@
 	if !limited {
 		return nil
 	}
-	needed := minTimeLeft
-	if q.route.Kind == config.KindStream {
-		var known bool
-		if needed, known = s.durations.longest(q.service.Name); !known {
-			return errors.Trace(DrainingError{Left: left})
-		}
-	}
-	if left < needed {
+	if left < s.timeNeeded(q) {
 		return errors.Trace(DrainingError{Left: left})
 	}
 	if end := time.Now().Add(left + deadlineMargin); end.Before(q.deadline) {
@@ -39,5 +43,29 @@
 	return nil
 }
 
-// deadlineMargin is above the lateness of a timer on a busy machine.
-const deadlineMargin = 100 * time.Millisecond
+// timeNeeded returns the time within which a request is expected to be complete. That is its deadline at the latest, at
+// which it has a status in any case.
+func (s *Server) timeNeeded(q *request) time.Duration {
+	untilDeadline := time.Until(q.deadline)
+	if q.route.Kind == config.KindStream {
+		longest, known := s.durations.longest(q.service.Name)
+		if !known {
+			return untilDeadline
+		}
+		if !q.route.Resumable {
+			longest = longest * unresumablePercent / 100
+		}
+		return min(longest, untilDeadline)
+	}
+	percent := float64(oncePercent)
+	if q.route.Kind == config.KindIdempotent {
+		percent = idempotentPercent
+	}
+	expected, calls := s.callDurations.quantile(q.callKey(), percent)
+	if calls < minKnownCalls {
+		expected = max(expected, q.route.Target())
+	}
+	return min(max(expected, minTimeLeft), untilDeadline)
+}
+
+func (q *request) callKey() callKey { return callKey{service: q.service.Name, kind: q.route.Kind} }
