fix(forward): start no retry that a planned stop would cut

Callers saw: in a planned stop, a request that an endpoint had refused or lost was sent to another endpoint moments before the end of the daemon and cut there, so that a request that had not run until then ended with an unknown outcome.

Cause: the time that is left was compared once, when a request was taken. Retries, hedged attempts, streams that wait for an endpoint, and moves of silent streams did not look at it again.

Change: booking.Call.Admit is called before each attempt but the first, and the admission of a stream's attempt looks at the time that is left. A call that has not run is refused with 503 and code draining; one that may have run ends as it would without another attempt; a hedged attempt is left out.

--- a/core/booking/ending_test.go
+++ b/core/booking/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,3 +37,46 @@
 		})
 	}
 }
+
+type ending struct{ unreachable }
+
+func (ending) Code() string { return "ending" }
+
+// Guards against a retry or a hedged attempt that starts too late to be complete before the daemon ends, and against the
+// loss of the answer or the outcome of the attempt before it.
+func TestAdmit(t *testing.T) {
+	slow := func(_ context.Context) (booking.Response, error) {
+		time.Sleep(time.Second)
+		return booking.Response{Status: 200}, nil
+	}
+	for _, tt := range []struct {
+		name    string
+		kind    config.RouteKind
+		step    func(context.Context) (booking.Response, error)
+		code    string
+		outcome failure.Outcome
+	}{
+		{"once, did not run", config.KindOnce, failWith(unreachable{}), "ending", failure.NotRun},
+		{"idempotent, did not run", config.KindIdempotent, failWith(unreachable{}), "ending", failure.NotRun},
+		{"idempotent, may have run", config.KindIdempotent, failWith(context.DeadlineExceeded), "outcome-unknown", failure.Unknown},
+		{"idempotent, still runs", config.KindIdempotent, slow, "", failure.Ran},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fakeEndpoints{steps: steps{tt.step}}
+				response, err := f.sender(true).Do(t.Context(), booking.Call{
+					Kind: tt.kind, HedgeAfter: 100 * time.Millisecond, Deadline: time.Now().Add(time.Minute),
+					Admit: func() error { return ending{} },
+				})
+				require.Len(t, f.sent, 1, "no further attempt is admitted")
+				if tt.code == "" {
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.Status)
+					return
+				}
+				require.Equal(t, tt.code, failure.Of(err).Code())
+				require.Equal(t, tt.outcome, failure.Of(err).Outcome())
+			})
+		})
+	}
+}
--- a/core/booking/idempotent.go
+++ b/core/booking/idempotent.go
@@ -18,13 +18,16 @@
 	results  chan attemptResult
 	started  int
 	inFlight int
+	// refused is the error of Call.Admit, after which no further attempt is made.
+	refused error
 
 	mu    sync.Mutex
 	tried map[string]bool // addresses of the endpoints that were sent to; guarded by mu
 }
 
 // sendIdempotent sends an idempotent call, with retries and hedging within the retry budget. It returns the first
-// response whose outcome is Ran, or else the result of the last attempt that was sent, or of the last one if none was.
+// response whose outcome is Ran, or else the result of the last attempt that was sent, or of the last one if none was. If
+// that has not run because Call.Admit refused another attempt, it returns the error of Admit.
 func (s *Sender) sendIdempotent(ctx context.Context, call Call) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -56,6 +59,9 @@
 			}
 		}
 	}
+	if last.outcome == failure.NotRun && c.refused != nil {
+		return Response{}, c.refused
+	}
 	if last.err == nil && last.outcome == failure.Unknown {
 		// A response such as 500 is passed on, because the caller may repeat an idempotent call.
 		return last.response, nil
@@ -63,9 +69,12 @@
 	return last.toResponse(call.Service.Name)
 }
 
-// startNext starts another attempt if the maximum number of attempts and the retry budget allow it.
+// startNext starts another attempt if the maximum number of attempts, Call.Admit and the retry budget allow it.
 func (c *idempotentCall) startNext(ctx context.Context) {
-	if c.started < c.sender.maxAttempts(c.call) && c.sender.TakeRetry(c.call) {
+	if c.started >= c.sender.maxAttempts(c.call) {
+		return
+	}
+	if c.refused = c.call.admit(); c.refused == nil && c.sender.TakeRetry(c.call) {
 		c.start(ctx)
 	}
 }
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -64,6 +64,9 @@
 	// Ending ends all attempts of the call, also one of a non-idempotent call that is in flight, whose outcome is then
 	// unknown. It may be nil.
 	Ending context.Context
+	// Admit is called before each attempt but the first. Its error, whose outcome must be failure.NotRun, prevents that
+	// attempt. It may be nil.
+	Admit func() error
 	// MaxResponses limits the number of endpoints that respond to a non-idempotent call. Endpoints that cannot be
 	// reached do not count. Zero means no limit.
 	MaxResponses int
@@ -79,6 +82,13 @@
 	return Idempotent(c.Service.Calls, c.Request)
 }
 
+func (c Call) admit() error {
+	if c.Admit == nil {
+		return nil
+	}
+	return c.Admit()
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	address  string
@@ -136,15 +146,20 @@
 }
 
 // sendNonIdempotent sends a non-idempotent call. It tries another endpoint only if the previous one did not execute the
-// request. The result is that of the last attempt that was sent, or of the first attempt if it was not sent. beforeSend
-// is that of attempt.
+// request and Call.Admit permits. The result is the error of Admit, or that of the last attempt that was sent, or of the
+// first attempt if it was not sent. beforeSend is that of attempt.
 func (s *Sender) sendNonIdempotent(ctx context.Context, call Call, beforeSend func(address string) error) attemptResult {
 	exclude := map[string]bool{}
 	var last attemptResult
 	responses := 0
 	for n := range s.maxAttempts(call) {
-		if n > 0 && !s.TakeRetry(call) {
-			break
+		if n > 0 {
+			if err := call.admit(); err != nil {
+				return attemptResult{err: err, outcome: failure.NotRun}
+			}
+			if !s.TakeRetry(call) {
+				break
+			}
 		}
 		res := s.attempt(ctx, call, exclude, beforeSend)
 		if !res.sent && n > 0 {
--- a/io/forward/evidence.go
+++ b/io/forward/evidence.go
@@ -17,10 +17,14 @@
 // maxAdmitCalls bounds the calls of Admit for one attempt, because a group may change again while it settles.
 const maxAdmitCalls = 4
 
-// admit returns an error if the request must not be sent because of the parts of its prompt. It waits while the verdict on
-// them is not settled, so that a sound request is not refused because of evidence that is incomplete.
+// admit returns an error if the request must not be sent because of the parts of its prompt, or because the daemon stops.
+// It waits while the verdict on the parts is not settled, so that a sound request is not refused because of evidence that
+// is incomplete.
 func (h *streamHandler) admit(ctx context.Context) error {
-	var err error
+	err := h.checkTimeLeft()
+	if err != nil {
+		return err
+	}
 	for range maxAdmitCalls {
 		err = h.server.Admit(h.request.parts)
 		suspect, refused := errors.AsType[quarantine.SuspectError](err)
@@ -35,7 +39,12 @@
 }
 
 // admitMove is admit for the move of a silent stream, which is kept while the verdict is not settled.
-func (h *streamHandler) admitMove() error { return h.server.Admit(h.request.parts) }
+func (h *streamHandler) admitMove() error {
+	if err := h.checkTimeLeft(); err != nil {
+		return err
+	}
+	return h.server.Admit(h.request.parts)
+}
 
 // trackStart starts to track the run of an attempt that is about to be sent.
 func (h *streamHandler) trackStart() {
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -197,6 +197,7 @@
 		err = s.checkTimeLeft(q)
 	}
 	if err == nil {
+		s.limitDeadline(q)
 		s.RecordRequest(q.service.Name)
 		if q.route.Kind == config.KindStream {
 			err = s.serveStream(c, q)
@@ -240,7 +241,8 @@
 func (s *Server) serveBuffered(c *gin.Context, q *request) error {
 	call := booking.Call{
 		Workspace: q.workspace.Name, Service: q.service, Request: q.endpointRequest(), Kind: q.route.Kind, Criteria: s.criteria(q),
-		Deadline: q.deadline, Ending: s.Ending, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
+		Deadline: q.deadline, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
+		Ending: s.Ending, Admit: func() error { return s.checkTimeLeft(q) },
 	}
 	if q.route.Kind == config.KindIdempotent {
 		call.MaxAttempts = q.route.Attempts
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -23,24 +23,46 @@
 	deadlineMargin = 100 * time.Millisecond
 )
 
-// checkTimeLeft refuses a request that would be cut because the daemon stops before it is complete: another daemon can
-// still serve it. The deadline of any other request is brought forward, so that endpoints do not work on it after the
-// end of the daemon.
+// checkTimeLeft refuses a request, or a further attempt of it, that would be cut because the daemon stops before it is
+// complete: another daemon can still serve it.
 func (s *Server) checkTimeLeft(q *request) error {
-	if s.TimeLeft == nil {
-		return nil
-	}
-	left, limited := s.TimeLeft()
-	if !limited {
-		return nil
+	if left, limited := s.timeLeft(); limited && left < s.timeNeeded(q) {
+		return errors.Trace(DrainingError{Left: left})
 	}
-	if left < s.timeNeeded(q) {
+	return nil
+}
+
+// checkTimeForRun refuses a further run of a stream whose response has begun if hardly an event would follow: its caller
+// can go on with the rest at another daemon.
+func (s *Server) checkTimeForRun() error {
+	if left, limited := s.timeLeft(); limited && left < minTimeLeft {
 		return errors.Trace(DrainingError{Left: left})
 	}
-	if end := time.Now().Add(left + deadlineMargin); end.Before(q.deadline) {
+	return nil
+}
+
+// checkTimeLeft returns an error if no further run may start because the daemon stops.
+func (h *streamHandler) checkTimeLeft() error {
+	if h.headerSent.Load() {
+		return h.server.checkTimeForRun()
+	}
+	return h.server.checkTimeLeft(h.request)
+}
+
+func (s *Server) timeLeft() (left time.Duration, limited bool) {
+	if s.TimeLeft == nil {
+		return 0, false
+	}
+	return s.TimeLeft()
+}
+
+// limitDeadline brings the deadline of a request forward if the daemon stops before, so that endpoints do not work on it
+// after the end of the daemon.
+func (s *Server) limitDeadline(q *request) {
+	left, limited := s.timeLeft()
+	if end := time.Now().Add(left + deadlineMargin); limited && end.Before(q.deadline) {
 		q.deadline = end
 	}
-	return nil
 }
 
 // timeNeeded returns the time within which a request is expected to be complete. That is its deadline at the latest, at
