--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -112,6 +112,7 @@
 	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
 	durations     streamDurations
+	callDurations callDurations
 	ends          endDetector
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
@@ -196,6 +197,7 @@
 		err = s.checkTimeLeft(q)
 	}
 	if err == nil {
+		s.limitDeadline(q)
 		s.RecordRequest(q.service.Name)
 		if q.route.Kind == config.KindStream {
 			err = s.serveStream(c, q)
@@ -239,7 +241,8 @@
 func (s *Server) serveBuffered(c *gin.Context, q *request) error {
 	call := booking.Call{
 		Workspace: q.workspace.Name, Service: q.service, Request: q.endpointRequest(), Kind: q.route.Kind, Criteria: s.criteria(q),
-		Deadline: q.deadline, Ending: s.Ending, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
+		Deadline: q.deadline, MaxAttempts: maxAttempts, MaxResponses: q.route.Attempts,
+		Ending: s.Ending, Admit: func() error { return s.checkTimeLeft(q) },
 	}
 	if q.route.Kind == config.KindIdempotent {
 		call.MaxAttempts = q.route.Attempts
@@ -247,7 +250,12 @@
 	}
 	ctx, cancel := s.withEnding(c.Request.Context(), nil)
 	defer cancel()
+	sentAt := time.Now()
 	response, err := s.Do(ctx, call)
+	if err == nil || time.Until(q.deadline) <= 0 {
+		// Without the calls that reach their deadline, the estimate would be too short.
+		s.callDurations.record(q.callKey(), time.Since(sentAt))
+	}
 	if err != nil {
 		return endedByStop(ctx, failure.Of(err).Outcome(), err)
 	}
