fix(forward): an engine that stops after its head ends no stream

What callers saw: a 200 with Content-Length 0 and the engine's signature, which is complete by its framing, for a stream of which no engine had produced an event. Where the stream could be resumed, no other engine was asked.

Cause: an answer may state neither a length nor chunks, and then ends with its connection. The answer of the first engine was passed on as it was, so that an engine which stopped directly after its head looked like one with an empty stream.

As the answer of a resumed attempt, it was rejected already.

Change: an answer that states no end and has no event is lost (NothingAddedError). It never ends a stream of which nothing was delivered to the caller, now or before. For a caller that returns with the id of its last event, the stream ends where a second engine has nothing to add either, as for resumed attempts; with a single engine such a caller gets 502. Empty answers with a length or chunks are passed on as before.

--- a/io/forward/resumed_answer.go
+++ b/io/forward/resumed_answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 
@@ -14,8 +13,9 @@
 	"radishhollow/io/sse"
 )
 
-// NothingAddedError reports an answer to a resumed stream that ended without a new event. Such an end is a true one only
-// if the lost engine had sent the last event, which nothing in the events shows. Offset is the number of events delivered.
+// NothingAddedError reports an answer that ended without a new event, to a resumed stream or without stating its end. Such
+// an end is a true one only if the last event had been sent before, which nothing in the events shows. Offset is the number
+// of events delivered.
 type NothingAddedError struct {
 	Endpoint string
 	Offset   int
@@ -85,11 +85,11 @@
 	return value
 }
 
-// newChunker returns the chunker for the body of an attempt. It must be called before the first header is kept.
-func (h *streamHandler) newChunker(address string, start generation.Start, body io.Reader) *eventChunker {
+// newChunker returns the chunker for the response to an attempt. It must be called before the first header is kept.
+func (h *streamHandler) newChunker(address string, start generation.Start, response *http.Response) *eventChunker {
 	return &eventChunker{
-		reader: sse.NewEventReader(body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
-		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset),
+		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
+		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset, statesEnd(response)),
 		mustContinue: h.header != nil || h.request.route.Resumable,
 	}
 }
@@ -101,11 +101,20 @@
 	}
 }
 
+// statesEnd reports whether the end of a response's body is stated by a length or chunks. Without these, the body ends with
+// the connection, also where the endpoint broke off.
+func statesEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // emptyEnd returns the error for an answer that ends without a new event, or nil where that is the end of the stream: in
-// the answer of the first engine, which is passed on as it is, and where a second engine has nothing to add either.
-func (h *streamHandler) emptyEnd(address string, offset int) error {
+// the answer of the first engine, which is passed on as it is, and where a second engine has nothing to add either. An
+// answer that does not state its end may have broken off after its head. It never ends a stream without events, and as the
+// answer of the first engine it needs that of a second one.
+func (h *streamHandler) emptyEnd(address string, offset int, statesEnd bool) error {
 	other := h.nothingAdded
-	if h.header == nil || (other.Endpoint != "" && other.Endpoint != address && other.Offset == offset) {
+	confirmed := other.Endpoint != "" && other.Endpoint != address && other.Offset == offset
+	if (h.header == nil && statesEnd) || (confirmed && (statesEnd || offset > 0)) {
 		return nil
 	}
 	return errors.Trace(NothingAddedError{Endpoint: address, Offset: offset})
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -220,7 +220,7 @@
 		cancel()
 		return generation.Stream{}, err
 	}
-	next := h.newChunker(address, start, response.Body).next
+	next := h.newChunker(address, start, response).next
 	if h.header == nil {
 		h.header = response.Header
 	}
