fix(forward): pass no part of a large error response on as a whole one

What callers saw: the first 1,048,576 bytes of an engine's error response to a stream, with the engine's status and signature and a Content-Length that matched.

Cause: readErrorResponse read the body through a reader that ends after 1 MiB, so that a longer one looked complete.

Evidence, on: TestForwardLargeErrorResponsesAreNotCut sends 1,048,577 bytes with status 400 and got 400 with 1,048,576 bytes in place of 502.

Change: a response above the limit is not kept, as one that broke off; the caller gets 502.

Measured: the test passes for 1,048,576 bytes (passed on) and 1,048,577 (502).

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -229,17 +229,18 @@
 }
 
 // readErrorResponse reads a response that is not a stream and returns the matching error. It keeps a complete response
-// that the endpoint produced in errorResponse, unless it is a refusal.
+// that the endpoint produced in errorResponse, unless it is a refusal. One above maxErrorBodyBytes is not kept, because its
+// first part would look complete to the caller.
 func (h *streamHandler) readErrorResponse(ctx context.Context, address string, response *http.Response) error {
 	f := h.server.Format
 	// The context of Open does not bound the read of the body.
 	defer context.AfterFunc(ctx, func() { _ = response.Body.Close() })()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes+1))
 	_ = response.Body.Close()
 	if f.isRefusal(response.StatusCode, response.Header) {
 		return errors.Trace(RefusedError{Endpoint: address, Status: response.StatusCode})
 	}
-	if err == nil && response.Header.Get(f.Signature) != "" {
+	if err == nil && len(body) <= maxErrorBodyBytes && response.Header.Get(f.Signature) != "" {
 		h.errorResponse = &booking.Response{Status: response.StatusCode, Header: response.Header, Body: body}
 	}
 	return errors.Trace(EndpointError{Endpoint: address, Status: response.StatusCode})
