fix(peer): reject a large response instead of a part of it

What daemons saw: the first 2 MiB of a peer's instance list as a whole list, without the other endpoints and with revision 0.

Cause: the body of a response was read through a reader that ends at the limit. A protobuf message that is cut between two fields decodes as a whole one. Signed responses failed by their signature, with UnsignedError as a misleading reason; without keys, as when the store is away at the start, nothing noticed.

Change: a read beyond the limit fails with TooLargeError.

--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"radishhollow/io/telemetry"
 )
 
@@ -61,7 +63,8 @@
 	return countingListener{Listener: l, metrics: m}
 }
 
-// limitedTransport truncates response bodies after maxResponseBytes.
+// limitedTransport fails reads of response bodies beyond maxResponseBytes. A truncated message may decode as a whole one
+// without its last fields.
 type limitedTransport struct{ http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
@@ -70,15 +73,29 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.LimitReader(response.Body, maxResponseBytes), response.Body}
+	response.Body = &limitedBody{ReadCloser: response.Body, address: request.URL.Host, left: maxResponseBytes + 1}
 	return response, nil
 }
 
-// NewHTTPClient returns a client for calls to peers. It counts its bytes as control traffic, truncates response bodies
-// after maxResponseBytes and does not follow redirects.
+// limitedBody is a response body that fails once left bytes have been read.
+type limitedBody struct {
+	io.ReadCloser
+	address string
+	left    int64
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if b.left <= 0 {
+		return n, errors.Trace(TooLargeError{Address: b.address, Limit: maxResponseBytes})
+	}
+	return n, err
+}
+
+// NewHTTPClient returns a client for calls to peers. It counts its bytes as control traffic, accepts response bodies
+// of up to maxResponseBytes and does not follow redirects.
 func NewHTTPClient(m *telemetry.Metrics) *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &http.Client{
