test(relay): let the store of the model come back from an older copy

The model of the fleet had a store that never loses a write, so nothing showed what daemons that follow it through readers do after its return from an older copy.

fakeStore has eras now, compares numbers alone as the store does, and goes back to a copy: watches are cut, or wait on until their end and are then answered in the new era. TestRandomHistories plays it among its faults: from copies 2 s to 30 s old, with and without an outage, twice within seconds, with writes below, up to and beyond the earlier number, and as the last event with no write after it. All its promises hold for each daemon as before. Returns are played in addition to the other faults of each history, whose number and shares are unchanged.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,95 +14,6 @@
 
 const testPrefix = "servers/"
 
-// fakeStore is a linearizable key-value service with one revision counter.
-type fakeStore struct {
-	mu        sync.Mutex
-	revision  kv.Revision
-	entries   map[string]kv.Entry
-	log       []kv.Entry
-	compacted kv.Revision
-	changed   chan struct{}
-	calls     map[string]int // by daemon
-	down      bool
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{revision: kv.NewRevision(0, 1), entries: map[string]kv.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
-}
-
-func (s *fakeStore) put(key, value string) kv.Revision {
-	return s.write(func(revision kv.Revision) kv.Entry { return kv.NewEntry(key, []byte(value), revision, false) })
-}
-
-func (s *fakeStore) remove(key string) kv.Revision {
-	return s.write(func(revision kv.Revision) kv.Entry { return kv.NewEntry(key, nil, revision, true) })
-}
-
-func (s *fakeStore) write(entry func(revision kv.Revision) kv.Entry) kv.Revision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision = s.revision.Next()
-	change := entry(s.revision)
-	if change.Deleted() {
-		delete(s.entries, change.Key())
-	} else {
-		s.entries[change.Key()] = change
-	}
-	s.log = append(s.log, change)
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return s.revision
-}
-
-func (s *fakeStore) compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.compacted, s.log = s.revision, nil
-}
-
-func (s *fakeStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
-func (s *fakeStore) totalCalls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := 0
-	for _, n := range s.calls {
-		total += n
-	}
-	return total
-}
-
-func (s *fakeStore) list(prefix string) ([]kv.Entry, kv.Revision) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []kv.Entry
-	for key, entry := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, entry)
-		}
-	}
-	return list, s.revision
-}
-
-func (s *fakeStore) changes(prefix string, after kv.Revision) ([]kv.Entry, kv.Revision, <-chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if after.Before(s.compacted) {
-		return nil, kv.Revision{}, nil, kv.CompactedError{After: after}
-	}
-	var list []kv.Entry
-	for _, change := range s.log {
-		if change.Revision().After(after) && strings.HasPrefix(change.Key(), prefix) {
-			list = append(list, change)
-		}
-	}
-	return list, s.revision, s.changed, nil
-}
-
 // callTimeout is the time after which a call to the key-value service without a response fails.
 const callTimeout = 300 * time.Millisecond
 
@@ -118,6 +28,7 @@
 	// copy is what the daemon believes, and revisions all revisions that it was told in this incarnation.
 	copy      map[string]string
 	revisions []kv.Revision
+	eras      *kv.Eras
 	// cut daemons do not reach the key-value service, silent ones answer no one and get no answer.
 	cut, silent bool
 	// disturbedAt is the end of the daemon's last fault.
@@ -175,8 +86,10 @@
 	ctx, d.stop = context.WithCancel(ctx)
 	d.mu.Lock()
 	d.copy, d.revisions, d.alive = map[string]string{}, nil, true
+	d.eras = &kv.Eras{}
+	direct := fakeClient{daemon: d, eras: d.eras}
 	d.relay = &Store{
-		Direct: kv.Store{List: d.list, Watch: d.watch}, Self: d.address,
+		Direct: d.eras.Guard(kv.Store{List: direct.list, Watch: direct.watch}), Self: d.address,
 		Peers: func() []string { return d.fleet.addresses(d.address) }, Ask: d.ask,
 		Timings: map[string]Timing{testPrefix: NewTiming(d.fleet.bound)},
 	}
@@ -269,30 +182,48 @@
 	return nil
 }
 
-func (d *fakeDaemon) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
-	if err := d.reach(ctx); err != nil {
+// fakeClient calls the key-value service for one incarnation of a daemon.
+type fakeClient struct {
+	daemon *fakeDaemon
+	eras   *kv.Eras
+}
+
+func (c fakeClient) list(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	if err := c.daemon.reach(ctx); err != nil {
 		return nil, kv.Revision{}, err
 	}
-	entries, revision := d.fleet.store.list(prefix)
+	store := c.daemon.fleet.store
+	entries, revision := store.list(prefix)
+	time.Sleep(store.delay())
+	c.eras.Observe(revision.Era())
 	return entries, revision, nil
 }
 
-func (d *fakeDaemon) watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
-	if err := d.reach(ctx); err != nil {
+func (c fakeClient) watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
+	if err := c.daemon.reach(ctx); err != nil {
 		return nil, kv.Revision{}, err
 	}
+	store := c.daemon.fleet.store
+	era := store.era()
 	deadline, expired := time.After(wait), false
 	for {
-		list, revision, changed, err := d.fleet.store.changes(prefix, after)
-		if err != nil {
+		list, revision, changed, err := store.changes(prefix, after)
+		cut, hung := store.wasRestored(era)
+		if cut {
+			return nil, kv.Revision{}, kv.UnavailableError{Call: "test", Cause: context.Canceled}
+		}
+		if err != nil && !hung {
+			c.eras.Observe(revision.Era())
 			return nil, kv.Revision{}, err
 		}
-		if len(list) > 0 || expired {
+		if len(list) > 0 && !hung || expired {
 			// A response is lost if the daemon was cut off while the call waited.
-			if cut, silent := d.fault(); cut || silent {
+			if cut, silent := c.daemon.fault(); cut || silent {
 				return nil, kv.Revision{}, kv.UnavailableError{Call: "test", Cause: context.DeadlineExceeded}
 			}
-			return list, revision, nil
+			time.Sleep(store.delay())
+			c.eras.Observe(revision.Era())
+			return list, revision, err
 		}
 		select {
 		case <-changed:
--- a/core/relay/store_test.go
+++ b/core/relay/store_test.go
@@ -181,8 +181,8 @@
 }
 
 // Guards against a daemon that goes back in revision, stays without a change past the bound although it reaches the
-// key-value service, or differs from it in the end, in random histories of silent, killed and cut daemons, compactions
-// and outages.
+// key-value service, or differs from it in the end, in random histories of silent, killed and cut daemons, compactions,
+// outages, and returns of the service from an older copy.
 func TestRandomHistories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -209,8 +209,17 @@
 	fl.start(ctx)
 	time.Sleep(2 * time.Second)
 	var pending []pendingChange
+	copies := []storeCopy{fl.store.copy()}
 	outageEnd := time.Now()
 	for step := range 60 {
+		copies = append(copies, fl.store.copy())
+		if random.IntN(20) == 0 {
+			for range 1 + random.IntN(2) {
+				pending = restoreRandomly(fl, random, copies)
+				outageEnd = time.Now()
+				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			}
+		}
 		d := fl.daemons[random.IntN(size)]
 		switch random.IntN(8) {
 		case 0:
@@ -243,6 +252,9 @@
 	for _, d := range fl.daemons {
 		d.setFault(false, false)
 	}
+	if random.IntN(2) == 0 {
+		restoreRandomly(fl, random, copies)
+	}
 	time.Sleep(2*bound + 2*time.Second)
 	entries, _ := fl.store.list(testPrefix)
 	for _, d := range fl.daemons {
@@ -255,6 +267,40 @@
 	}
 }
 
+// restoreRandomly lets the store come back from a copy that is 2 s to 30 s old, in some cases after an outage and with
+// writes up to or beyond the earlier revision. It returns what each daemon must know since then.
+func restoreRandomly(fl *fleet, random *rand.Rand, copies []storeCopy) []pendingChange {
+	wasDown := fl.store.setDown(random.IntN(2) == 0)
+	time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	fl.store.setAnswerDelay(time.Duration(random.IntN(2)) * 50 * time.Millisecond)
+	depth := time.Duration(2000+random.IntN(28_000)) * time.Millisecond
+	restored := copies[0]
+	for _, c := range copies {
+		if time.Since(c.at) >= depth {
+			restored = c
+		}
+	}
+	_, before := fl.store.list(testPrefix)
+	fl.store.restore(restored, random.IntN(2) == 0)
+	fl.store.setDown(wasDown)
+	if landing := random.IntN(3); landing > 0 {
+		for range int(before.Number()-restored.revision.Number()) + (landing-1)*(1+random.IntN(5)) {
+			fl.store.put(fmt.Sprintf("%sengine-%d", testPrefix, random.IntN(20)), "written again")
+		}
+	}
+	values := map[string]string{}
+	entries, _ := fl.store.list(testPrefix)
+	for _, entry := range entries {
+		values[entry.Key()] = string(entry.Value())
+	}
+	var pending []pendingChange
+	for i := range 20 {
+		key := fmt.Sprintf("%sengine-%d", testPrefix, i)
+		pending = append(pending, pendingChange{key, values[key], time.Now()})
+	}
+	return pending
+}
+
 // checkPending requires that each daemon in touch knows the changes that are older than the bound, and returns those
 // that are not due yet. A daemon is in touch if it and the key-value service were undisturbed for a second more than the
 // bound, as on the operators' platform.
