fix(relay): keep the eras of a daemon's copy apart

A reader whose copy had moved to a new era of the store passed on the difference between its own two copies as changes after any revision of the earlier era. A follower whose earlier copy differed from the reader's kept what that difference did not name until a digest or a list showed it, and a page of a list could be labelled with the era before its entries.

Cause: Replica compared revisions but had no notion of an era: floor, changes, newest and digest continued across it.

Change: a list of a new era replaces the copy and its history. After a revision of an earlier era the reader answers as for lost history, so that the follower lists it; one of a later era is refused with OtherEraError, and so is one without an era, as a daemon of an earlier build sends it: told to list, it would list the reader again after each call, refused, it calls the store. The digest includes the era, unless it is 0. Lists and changes of an earlier era are ignored, a list with pages of two eras is refused, and a page has the header of the state that its entries are from. EraEndedError is a response, not a failed call to the store.

Evidence, on the earlier code: a replica passed on 3 changes after revision 1/100 at 2/60, gave the same digest to entries with the same numbers in eras 1 and 3, and applied an entry of 1/200 from a late list; TestRelayedListOfTwoErasIsRefused got entries of two eras; TestFollowersWithoutErasAreRefused got CompactedError. All pass now. TestReadersWithoutErasAreLeftOut and TestReplicaKeepsChangesOfTheNewEra pass before and after; they hold what follows from comparing by era.

--- a/core/relay/eras_test.go
+++ b/core/relay/eras_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/kv"
 )
 
 // requireStoreState requires that a daemon's copy equals the store.
@@ -92,3 +96,127 @@
 		require.LessOrEqual(t, fl.store.totalCalls()-before, 5*len(fl.daemons))
 	})
 }
+
+// Guards against a rolling upgrade in which daemons of a build without eras and newer ones mislead each other: readers
+// whose answers have no era must not make a daemon go back, and it must learn each change from the store.
+func TestReadersWithoutErasAreLeftOut(t *testing.T) {
+	runFleet(t, 40, 2*time.Second, func(fl *fleet) {
+		fl.setCorrupt(func(r Response) Response {
+			r.Revision = kv.NewRevision(0, r.Revision.Number()+1000)
+			for i, entry := range r.Entries {
+				r.Entries[i] = kv.NewEntry(entry.Key(), entry.Value(), kv.NewRevision(0, entry.Revision().Number()+1000), entry.Deleted())
+			}
+			return r
+		})
+		for i := range 20 {
+			fl.store.put(testPrefix+"engine-7", fmt.Sprint(i))
+			time.Sleep(2 * time.Second)
+			for _, d := range fl.daemons {
+				requireStoreState(t, fl, d)
+			}
+		}
+	})
+}
+
+// Guards against a follower of a build without eras that lists a reader again and again: it is refused, so that it turns
+// to the store. It may still list the reader.
+func TestFollowersWithoutErasAreRefused(t *testing.T) {
+	runFleet(t, 9, 2*time.Second, func(fl *fleet) {
+		reader := fl.find(readers(testPrefix, fl.addresses(""))[0])
+		_, err := reader.relay.Serve(context.Background(), Request{Prefix: testPrefix, After: kv.NewRevision(0, 301)})
+		_, refused := errors.AsType[OtherEraError](err)
+		require.True(t, refused, "%v", err)
+		response, err := reader.relay.Serve(context.Background(), Request{Prefix: testPrefix, Full: true})
+		require.NoError(t, err)
+		require.Len(t, response.Entries, 300)
+	})
+}
+
+// Guards against a list that is put together from pages of two eras.
+func TestRelayedListOfTwoErasIsRefused(t *testing.T) {
+	revision := kv.NewRevision(1, 8)
+	entry := func(key string) kv.Entry { return kv.NewEntry(testPrefix+key, nil, revision, false) }
+	eras := &kv.Eras{}
+	peers := make([]string, 40)
+	for i := range peers {
+		peers[i] = fmt.Sprintf("10.0.1.%d:1", i+1)
+	}
+	s := &Store{
+		Direct: eras.Guard(kv.Store{
+			List: func(context.Context, string) ([]kv.Entry, kv.Revision, error) {
+				eras.Observe(revision.Era())
+				return []kv.Entry{entry("a"), entry("b")}, revision, nil
+			},
+			Watch: func(context.Context, string, kv.Revision, time.Duration) ([]kv.Entry, kv.Revision, error) {
+				eras.Observe(revision.Era())
+				return nil, revision, nil
+			},
+		}),
+		Timings: map[string]Timing{testPrefix: NewTiming(time.Second)},
+		Ask: func(_ context.Context, _ string, request Request) (Response, error) {
+			if request.AfterKey == "" {
+				return Response{Entries: []kv.Entry{entry("a")}, Revision: revision, HasMore: true}, nil
+			}
+			revision = kv.NewRevision(2, 4)
+			return Response{Entries: []kv.Entry{entry("lost")}, Revision: revision}, nil
+		},
+	}
+	// The daemon is no reader.
+	s.Self, s.Peers = "10.0.0.1:1", func() []string { return peers }
+	for range 2 {
+		entries, listed, err := s.KV().List(t.Context(), testPrefix)
+		require.NoError(t, err)
+		require.Len(t, entries, 2)
+		for _, e := range entries {
+			require.True(t, e.Revision().SameEra(listed))
+			require.NotContains(t, e.Key(), "lost")
+		}
+	}
+	require.EqualValues(t, 2, revision.Era(), "no page of a later era was sent")
+}
+
+// Guards against a copy that mixes two eras: an entry with a higher number of the earlier era that is kept, one that the
+// restored store lacks, changes passed on after a number of the earlier era, and digests that agree by number alone.
+func TestReplicaReplacesAnEra(t *testing.T) {
+	entry := func(key string, era, number uint64) kv.Entry {
+		return kv.NewEntry(testPrefix+key, nil, kv.NewRevision(era, number), false)
+	}
+	var r Replica
+	r.ApplyList([]kv.Entry{entry("a", 1, 90), entry("lost", 1, 95)}, kv.NewRevision(1, 100), time.Now())
+	_, before, _ := r.state()
+	r.ApplyList([]kv.Entry{entry("a", 2, 50), entry("back", 2, 51)}, kv.NewRevision(2, 60), time.Now())
+	entries, header := r.all()
+	require.ElementsMatch(t, []kv.Entry{entry("a", 2, 50), entry("back", 2, 51)}, entries)
+	require.Equal(t, kv.NewRevision(2, 60), header.Revision)
+
+	_, _, err := r.changesAfter(kv.NewRevision(1, 100))
+	_, compacted := errors.AsType[kv.CompactedError](err)
+	require.True(t, compacted, "no change leads from one era to the next: %v", err)
+	for _, after := range []kv.Revision{kv.NewRevision(3, 1), kv.NewRevision(0, 200)} {
+		_, _, err = r.changesAfter(after)
+		_, refused := errors.AsType[OtherEraError](err)
+		require.True(t, refused, "%v", err)
+	}
+
+	r.ApplyChanges([]kv.Entry{entry("lost", 1, 200)}, kv.NewRevision(1, 200), time.Now())
+	r.ApplyList([]kv.Entry{entry("lost", 1, 200)}, kv.NewRevision(1, 200), time.Now())
+	_, after, _ := r.state()
+	require.Equal(t, header.Revision, after.Revision, "a late answer of the earlier era was applied")
+	require.Equal(t, header.Digest, after.Digest)
+
+	r.ApplyList([]kv.Entry{entry("a", 3, 90), entry("lost", 3, 95)}, kv.NewRevision(3, 100), time.Now())
+	_, after, _ = r.state()
+	require.NotEqual(t, before.Digest, after.Digest)
+}
+
+// Guards against a large answer in place of the changes after a revision that the copy still has.
+func TestReplicaKeepsChangesOfTheNewEra(t *testing.T) {
+	var r Replica
+	r.ApplyList(nil, kv.NewRevision(1, 100), time.Now())
+	r.ApplyList(nil, kv.NewRevision(2, 60), time.Now())
+	change := kv.NewEntry(testPrefix+"a", []byte(strings.Repeat("x", 10)), kv.NewRevision(2, 61), false)
+	r.ApplyChanges([]kv.Entry{change}, kv.NewRevision(2, 61), time.Now())
+	response, _, err := r.changesAfter(kv.NewRevision(2, 60))
+	require.NoError(t, err)
+	require.Equal(t, []kv.Entry{change}, response.Entries)
+}
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -30,6 +30,20 @@
 
 func (e PrefixError) Outcome() failure.Outcome { return failure.NotRun }
 
+// OtherEraError reports a revision of another era of the key-value service than that of the copy.
+type OtherEraError struct {
+	Prefix    string
+	Want, Got uint64
+}
+
+func (e OtherEraError) Error() string {
+	return fmt.Sprintf("the copy of %q is of era %d, not %d", e.Prefix, e.Got, e.Want)
+}
+
+func (e OtherEraError) Code() string { return "era-differs" }
+
+func (e OtherEraError) Outcome() failure.Outcome { return failure.NotRun }
+
 // ImplausibleError reports a reader's answer that would remove a large part of the entries.
 type ImplausibleError struct {
 	Prefix         string
--- a/core/relay/followed.go
+++ b/core/relay/followed.go
@@ -38,10 +38,11 @@
 	f.pausedUntil = until
 }
 
-// recordError records a failed call to the key-value service. A CompactedError is a response.
+// recordError records a failed call to the key-value service. A CompactedError or an EraEndedError is a response.
 func (f *followed) recordError(err error) {
 	f.setConfirmed(false)
-	if _, compacted := errors.AsType[kv.CompactedError](err); !compacted {
+	_, compacted := errors.AsType[kv.CompactedError](err)
+	if _, ended := errors.AsType[kv.EraEndedError](err); !compacted && !ended {
 		f.recordFailure(time.Now())
 	}
 }
--- a/core/relay/message.go
+++ b/core/relay/message.go
@@ -19,7 +19,8 @@
 
 // Response is a reader's answer: the changes after a revision, or a page of all entries.
 type Response struct {
-	Entries  []kv.Entry
+	Entries []kv.Entry
+	// Revision is of the same era as those of all entries.
 	Revision kv.Revision
 	// Digest is the digest of all entries at Revision, or 0 if it does not apply to exactly that revision.
 	Digest uint64
--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -18,8 +18,8 @@
 // bytes, and bounds the memory that another writer's large entries take.
 const maxChangeBytes = 8 << 20
 
-// Replica is a copy of the entries under a prefix, with the recent changes in the order in which they were received. It
-// is safe for concurrent use.
+// Replica is a copy of the entries under a prefix, with the recent changes in the order in which they were received. All
+// of it is of one era of the key-value service. It is safe for concurrent use.
 type Replica struct {
 	mu      sync.Mutex
 	entries map[string]kv.Entry
@@ -39,22 +39,31 @@
 	changed     chan struct{}
 }
 
-// ApplyChanges applies the changes of a watch that the key-value service confirmed at the given time.
+// ApplyChanges applies the changes of a watch that the key-value service confirmed at the given time. Changes of another
+// era than that of the copy are ignored.
 func (r *Replica) ApplyChanges(changes []kv.Entry, revision kv.Revision, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.synced && !revision.SameEra(r.revision) {
+		return
+	}
 	for _, change := range changes {
 		r.apply(change)
 	}
 	r.confirm(revision, confirmedAt)
 }
 
-// ApplyList replaces the entries with those of a list. Entries that the list lacks become deletions.
+// ApplyList replaces the entries with those of a list. Entries that the list lacks become deletions, unless the list
+// begins a new era: no change leads from one era to the next, so followers must list the copy. A list of an earlier era
+// is ignored.
 func (r *Replica) ApplyList(entries []kv.Entry, revision kv.Revision, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.synced {
-		r.floor = revision
+	if r.synced && revision.Era() < r.revision.Era() {
+		return
+	}
+	if !r.synced || !revision.SameEra(r.revision) {
+		r.reset(revision)
 	}
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -70,6 +79,12 @@
 	r.confirm(revision, confirmedAt)
 }
 
+// reset drops the entries and changes of the earlier era. The copy then begins at the given revision.
+func (r *Replica) reset(revision kv.Revision) {
+	r.entries, r.changes, r.changeBytes = nil, nil, 0
+	r.floor, r.revision, r.newest, r.digest = revision, revision, kv.Revision{}, 0
+}
+
 // apply applies one change, unless the entry is already known at that revision or a later one.
 func (r *Replica) apply(change kv.Entry) {
 	if r.entries == nil {
@@ -124,13 +139,18 @@
 }
 
 // changesAfter returns the changes after a revision and a channel that is closed at the next confirmation. It fails
-// with kv.CompactedError if the replica no longer has all of them.
+// with kv.CompactedError if the replica no longer has all of them, also after an earlier era, and with OtherEraError
+// after a revision of a later era.
 func (r *Replica) changesAfter(after kv.Revision) (Response, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
+	// A daemon of an earlier build sends no era and would list the copy again after each call, so it is refused.
+	if after.Era() > r.revision.Era() || after.Era() == 0 && r.revision.Era() != 0 {
+		return Response{}, nil, OtherEraError{Want: after.Era(), Got: r.revision.Era()}
+	}
 	if after.Before(r.floor) {
 		return Response{}, nil, kv.CompactedError{After: after}
 	}
@@ -164,18 +184,23 @@
 	return len(r.entries), r.header(), r.synced
 }
 
-// all returns all entries in no particular order.
-func (r *Replica) all() ([]kv.Entry, kv.Revision) {
+// all returns all entries in no particular order, with the header of the state that they are from.
+func (r *Replica) all() ([]kv.Entry, Response) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]kv.Entry, 0, len(r.entries))
 	for _, entry := range r.entries {
 		list = append(list, entry)
 	}
-	return list, r.revision
+	return list, r.header()
 }
 
+// digestOf includes the era, because the same key may have the same number in two eras. It leaves era 0 out, as the
+// builds without eras do.
 func digestOf(entry kv.Entry) uint64 {
 	raw := binary.BigEndian.AppendUint64([]byte(entry.Key()+"\x00"), entry.Revision().Number())
+	if era := entry.Revision().Era(); era != 0 {
+		raw = binary.BigEndian.AppendUint64(raw, era)
+	}
 	return xxhash.Sum64(raw)
 }
--- a/core/relay/serve.go
+++ b/core/relay/serve.go
@@ -41,12 +41,14 @@
 	}
 	deadline := time.Now().Add(min(request.Wait, timing.pollWait))
 	for {
-		_, _, synced := f.replica.state()
+		if _, header, synced := f.replica.state(); !synced {
+			return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: header.Age})
+		}
 		response, changed, err := f.replica.changesAfter(request.After)
 		if err != nil {
 			return Response{}, err
 		}
-		if !synced || response.Age > timing.maxAge() {
+		if response.Age > timing.maxAge() {
 			return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
 		}
 		// A follower may be ahead after a call of its own to the key-value service. It waits for this copy to catch up.
@@ -72,11 +74,11 @@
 
 // page returns the entries after a key, up to maxPageBytes.
 func (f *followed) page(timing Timing, request Request) (Response, error) {
-	_, response, synced := f.replica.state()
+	_, _, synced := f.replica.state()
+	entries, response := f.replica.all()
 	if !synced || response.Age > timing.maxAge() {
 		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
 	}
-	entries, _ := f.replica.all()
 	slices.SortFunc(entries, func(a, b kv.Entry) int { return cmp.Compare(a.Key(), b.Key()) })
 	size := 0
 	for _, entry := range entries {
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -112,6 +112,10 @@
 		if err == nil && response.Revision.Before(after) {
 			err = kv.OldRevisionError{Want: after, Got: response.Revision}
 		}
+		if err == nil && !response.Revision.SameEra(after) {
+			f.setConfirmed(false)
+			return nil, kv.Revision{}, errors.Trace(kv.EraEndedError{Era: after.Era(), Current: response.Revision.Era()})
+		}
 		if err == nil {
 			return s.applyRelayed(f, after, response)
 		}
@@ -214,8 +218,8 @@
 	}
 	if address != "" && f.isConfirmed() {
 		s.count(Local)
-		entries, revision := f.replica.all()
-		return entries, revision, nil
+		entries, header := f.replica.all()
+		return entries, header.Revision, nil
 	}
 	if address != "" {
 		entries, revision, err := s.listRelayed(ctx, prefix, f, timing, address)
@@ -257,6 +261,9 @@
 		if request.AfterKey == "" {
 			first = response
 		}
+		if !response.Revision.SameEra(first.Revision) {
+			return nil, kv.Revision{}, errors.Trace(kv.EraEndedError{Era: first.Revision.Era(), Current: response.Revision.Era()})
+		}
 		entries = append(entries, response.Entries...)
 		if !response.HasMore || len(response.Entries) == 0 {
 			break
