fix(peer): keep the shared keys that the store has lost

After the store had come back from a copy without the entry of the peer keys, the running daemons kept their keys and the store had none. A daemon that started then created other keys, and daemons that had received those refused the calls of daemons that had not.

Cause: a list without the entry changed nothing, so that no running daemon wrote the keys again, and new keys replaced the accepted ones at once.

Change: a list of a later era without the entry makes the daemons write their keys again; the store accepts one of several. If the keys of a new era lack the former signing key, it stays accepted until the next change of the keys.

Not covered: until a daemon with other keys has received the entry, the writer of the new keys does not believe it.

--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -117,6 +118,9 @@
 func (r *Registrar) applyList(members map[string]member.Member, entries []kv.Entry, revision kv.Revision) {
 	r.apply(members, entries)
 	r.setListed(members, revision)
+	if r.ShareKeys && !slices.ContainsFunc(entries, func(entry kv.Entry) bool { return entry.Key() == sharedKeysKey }) {
+		r.shared.applyMissing(revision)
+	}
 }
 
 // setListed passes the daemons on. It also shows whether the store has lost this daemon's own registration.
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"radishhollow/core/kv"
@@ -37,7 +39,12 @@
 	revision  kv.Revision
 	changedAt time.Time
 	current   [][]byte
-	// malformed is set while the entry holds no usable keys.
+	// era is that of the entry from which current comes.
+	era uint64
+	// former is the last signing key of an earlier era if the keys of the current one lack it. It stays accepted until
+	// the next change, because peers that have not received the keys of this era still sign with it.
+	former [][]byte
+	// malformed is set while the entry holds no usable keys, or has been lost with the end of an era.
 	malformed bool
 }
 
@@ -54,14 +61,37 @@
 	}
 	if entry.Revision().After(s.revision) {
 		s.changedAt = time.Now()
+		s.former = s.formerKey(keys, entry.Revision().Era())
 	}
-	s.revision, s.current, s.malformed = entry.Revision(), keys, false
+	s.revision, s.current, s.era, s.malformed = entry.Revision(), keys, entry.Revision().Era(), false
 	if entry.Deleted() {
 		// The last keys stay in use until there are new ones.
 		s.revision = kv.Revision{}
 		return
 	}
-	s.keys.Set(keys)
+	s.keys.Set(slices.Concat(keys, s.former))
+}
+
+// formerKey returns the signing key that is replaced by keys of the given era, unless these contain it.
+func (s *sharedKeys) formerKey(keys [][]byte, era uint64) [][]byte {
+	if era == s.era || len(s.current) == 0 {
+		return nil
+	}
+	signing := s.current[0]
+	if slices.ContainsFunc(keys, func(key []byte) bool { return bytes.Equal(key, signing) }) {
+		return nil
+	}
+	return [][]byte{signing}
+}
+
+// applyMissing applies a full list at a revision that has no entry of the keys. The last keys stay in use. If the entry
+// was written after the copy from which the key-value service came back, they are written again: a daemon that starts
+// would otherwise create other ones, which no peer knows.
+func (s *sharedKeys) applyMissing(revision kv.Revision) {
+	if s.revision.IsZero() || !revision.After(s.revision) || revision.SameEra(s.revision) {
+		return
+	}
+	s.revision, s.malformed = kv.Revision{}, true
 }
 
 // decodeKeys returns false for a value that another writer must have left.
