--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -104,8 +104,8 @@
 		if len(changes) > 0 {
 			r.apply(members, changes)
 			r.setListed(members, revision)
-			if clock.Sleep(ctx, r.BatchDelay) != nil {
-				return nil
+			if err := clock.Sleep(ctx, r.BatchDelay); err != nil {
+				return err
 			}
 		}
 		// Not before the first watch: daemons that start together would not know each other yet, and all write.
