fix(config): put the content of the later era in force

Callers were served by a configuration that the store no longer had: a daemon had taken a version, the store lost it, and the operator gave its number to another content. The daemon refused that content as a fork for ever.

Cause: the store of documents compared the revision alone, and a document did not know in which era it was read.

Evidence: TestOfferAcrossEras on the code before: ForkError for the content of the later era.

Change: a document carries the era in which it was read, outside of its digest. At the same revision and another digest, the later era wins, and what was read in an earlier one, or came from a peer, is ignored. Within one era it is a ForkError as before. Versions still do not go back. The line "configuration in force" has the era.

Not covered: peers send no era with a document, and a daemon asks them for higher revisions only. A daemon that reaches neither the store nor a reader keeps the lost content until the next revision.

--- a/core/config/document.go
+++ b/core/config/document.go
@@ -4,6 +4,7 @@
 // configuration.
 type Document struct {
 	revision uint64
+	era      uint64
 	fields   Fields
 	digest   string
 	index    *index
@@ -18,6 +19,17 @@
 // platform. Revisions start at 1.
 func (d Document) Revision() uint64 { return d.revision }
 
+// InEra returns the document with the era of the key-value service in which its entry was read. It is not part of the
+// digest: the same document may be read in several eras.
+func (d Document) InEra(era uint64) Document {
+	d.era = era
+	return d
+}
+
+// Era returns the era of the key-value service in which the document was last read, or 0 if that is not known, as for a
+// document that a peer sent.
+func (d Document) Era() uint64 { return d.era }
+
 // Digest returns the SHA-256 digest of the fields, in hex.
 func (d Document) Digest() string { return d.digest }
 
--- a/core/config/error.go
+++ b/core/config/error.go
@@ -47,8 +47,8 @@
 
 func (f Faults) Outcome() failure.Outcome { return failure.NotRun }
 
-// ForkError reports a document that has the revision in force but a different digest. Each daemon keeps its document
-// until a higher revision arrives.
+// ForkError reports a document that has the revision in force but a different digest, and was not read in a later era of
+// the key-value service. Each daemon keeps its document until a higher revision arrives.
 type ForkError struct {
 	Revision uint64
 	// InForce and Offered are the digests of the document in force and of the rejected one.
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -33,18 +33,30 @@
 }
 
 // Offer puts a document in force if its revision is higher than the current one, and reports whether it did. A document
-// of the same revision with a different digest causes a ForkError and does not replace the current one. Other documents
-// are ignored.
+// of the same revision with a different digest replaces the current one if it was read in a later era: the key-value
+// service then has lost the current one, and the operator has given its number to another. In the same era, such a
+// document causes a ForkError and does not replace the current one. Other documents are ignored.
 func (s *Store) Offer(d Document) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.Current()
-	if d.revision == current.revision && d.digest != current.digest && d.revision > 0 {
-		return false, ForkError{Revision: d.revision, InForce: current.digest, Offered: d.digest}
-	}
-	if d.revision <= current.revision {
+	if d.revision < current.revision || d.revision == 0 {
 		return false, nil
 	}
+	if d.revision == current.revision {
+		switch {
+		case d.digest == current.digest:
+			if d.era > current.era {
+				// A later era has the document, too. A change of its content in that era would be a fork.
+				s.current.Store(&d)
+			}
+			return false, nil
+		case d.era < current.era:
+			return false, nil
+		case d.era == current.era:
+			return false, ForkError{Revision: d.revision, InForce: current.digest, Offered: d.digest}
+		}
+	}
 	s.current.Store(&d)
 	if s.changed != nil {
 		close(s.changed)
--- a/core/config/store_test.go
+++ b/core/config/store_test.go
@@ -88,3 +88,53 @@
 	_, ok = d.WorkspaceByKey("c")
 	require.False(t, ok)
 }
+
+// Guards against a document that stays in force for ever although the key-value service has lost it and the operator has
+// given its number to another one, and against lost content that comes back.
+func TestOfferAcrossEras(t *testing.T) {
+	lost, rewritten := NewDocument(20, fieldsOf(1, "lost")), NewDocument(20, fieldsOf(1, "rewritten"))
+	fork := ForkError{Revision: 20, InForce: rewritten.Digest(), Offered: lost.Digest()}
+	for _, test := range []struct {
+		name     string
+		offers   []Document
+		accepted bool
+		place    string
+		err      error
+	}{
+		{"same number in a later era", []Document{lost.InEra(1), rewritten.InEra(2)}, true, "rewritten", nil},
+		{"same number after a peer's", []Document{lost, rewritten.InEra(2)}, true, "rewritten", nil},
+		{"lost content of an earlier era", []Document{rewritten.InEra(2), lost.InEra(1)}, false, "rewritten", nil},
+		{"lost content from a peer", []Document{rewritten.InEra(2), lost}, false, "rewritten", nil},
+		{"same number in one era", []Document{rewritten.InEra(2), lost.InEra(2)}, false, "rewritten", fork},
+		{"same number in an era that has both", []Document{rewritten.InEra(1), rewritten.InEra(2), lost.InEra(2)}, false, "rewritten", fork},
+		{"older version of the copy", []Document{rewritten.InEra(1), NewDocument(19, fieldsOf(1, "copy")).InEra(2)}, false, "rewritten", nil},
+		{"higher number", []Document{lost.InEra(1), NewDocument(21, fieldsOf(1, "next")).InEra(2)}, true, "next", nil},
+		{"same document", []Document{lost.InEra(1), lost.InEra(2)}, false, "lost", nil},
+	} {
+		var s Store
+		var accepted bool
+		var err error
+		for _, document := range test.offers {
+			accepted, err = s.Offer(document)
+		}
+		require.Equal(t, test.err, err, test.name)
+		require.Equal(t, test.accepted, accepted, test.name)
+		require.Equal(t, test.place, s.Current().Fields().Places[0], test.name)
+	}
+}
+
+// Guards against waiting requests and daemons that are told of a change although the document is the same.
+func TestOfferOfTheSameDocumentIsNoChange(t *testing.T) {
+	var s Store
+	_, err := s.Offer(NewDocument(20, fieldsOf(1, "a")).InEra(1))
+	require.NoError(t, err)
+	changed := s.Changed()
+	_, err = s.Offer(NewDocument(20, fieldsOf(1, "a")).InEra(2))
+	require.NoError(t, err)
+	select {
+	case <-changed:
+		require.Fail(t, "changed")
+	default:
+	}
+	require.EqualValues(t, 2, s.Current().Era())
+}
--- a/core/config/syncer.go
+++ b/core/config/syncer.go
@@ -38,8 +38,8 @@
 )
 
 // Syncer puts new revisions of the document in force in a Store. Run watches and polls Key, at which a Writer stores
-// the document; Offer decodes, offers and counts one value. A daemon that forwards requests calls only Offer, with the
-// values that a kv.Follower reads at another key, and then needs only Store and Count. The fields must be set before
+// the document; Offer decodes, offers and counts one entry. A daemon that forwards requests calls only Offer, with the
+// entries that a kv.Follower reads at another key, and then needs only Store and Count. The fields must be set before
 // use, except those that may be nil.
 type Syncer struct {
 	KV    kv.Store
@@ -87,7 +87,7 @@
 		s.OnContact()
 		for _, entry := range entries {
 			if entry.Key() == Key && !entry.Deleted() {
-				s.Offer(entry.Value(), FromWatch)
+				s.Offer(entry, FromWatch)
 			}
 		}
 	}
@@ -108,7 +108,7 @@
 			s.OnContact()
 		}
 		if err == nil {
-			s.Offer(entry.Value(), FromPoll)
+			s.Offer(entry, FromPoll)
 		}
 		if clock.Sleep(ctx, jitter(s.pollDelay(len(entry.Value())))) != nil {
 			return
@@ -121,18 +121,19 @@
 	return max(s.PollInterval, min(time.Duration(size)*time.Second/pollBytesPerSecond, maxPollDelay))
 }
 
-// Offer decodes a value and puts its document in force if it is newer. class is the source that is passed to Count.
-func (s *Syncer) Offer(value []byte, class string) {
+// Offer decodes the value of an entry and puts its document in force if it is newer. class is the source that is passed
+// to Count.
+func (s *Syncer) Offer(entry kv.Entry, class string) {
 	decode := s.Decode
 	if decode == nil {
 		decode = Decode
 	}
-	document, err := decode(value)
+	document, err := decode(entry.Value())
 	if err != nil {
 		s.reject(err)
 		return
 	}
-	accepted, err := s.Store.Offer(document)
+	accepted, err := s.Store.Offer(document.InEra(entry.Revision().Era()))
 	switch {
 	case err != nil:
 		s.reject(err)
--- a/daemon/config_follower.go
+++ b/daemon/config_follower.go
@@ -40,7 +40,7 @@
 				if full {
 					class = config.FromPoll
 				}
-				syncer.Offer(entry.Value(), class)
+				syncer.Offer(entry, class)
 			}
 		},
 	}}
--- a/daemon/revisions.go
+++ b/daemon/revisions.go
@@ -21,12 +21,15 @@
 
 // Run logs until ctx ends. If configurations follow each other quickly, it may log only the last one.
 func (r *revisionLogger) Run(ctx context.Context) error {
-	var logged uint64
+	var logged config.Document
 	for {
 		changed := r.documents.Changed()
-		if revision := r.documents.Current().Revision(); revision > logged {
-			r.log.WithFields(logrus.Fields{"revision": revision, "before": logged}).Info("configuration in force")
-			logged = revision
+		// A document that replaces one of the same revision was read in a later era of the store.
+		if current := r.documents.Current(); current.Revision() > logged.Revision() || current.Digest() != logged.Digest() {
+			r.log.WithFields(logrus.Fields{
+				"revision": current.Revision(), "before": logged.Revision(), "era": current.Era(),
+			}).Info("configuration in force")
+			logged = current
 		}
 		select {
 		case <-changed:
--- a/daemon/revisions_test.go
+++ b/daemon/revisions_test.go
@@ -29,6 +29,11 @@
 		}
 		require.Len(t, lines.AllEntries(), 2)
 		require.EqualValues(t, 3, lines.LastEntry().Data["before"])
+		_, err := documents.Offer(config.NewDocument(7, config.Fields{Places: []string{"a"}}).InEra(2))
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Len(t, lines.AllEntries(), 3, "another document of the same revision")
+		require.EqualValues(t, 2, lines.LastEntry().Data["era"])
 		cancel()
 		require.ErrorIs(t, <-done, context.Canceled)
 	})
