test(config): the content of a later era, from the watch on

Guards the way from the watch to the store of documents, for revisions of the new era below, at and above the old one.

--- a/core/config/syncer_test.go
+++ b/core/config/syncer_test.go
@@ -149,3 +149,45 @@
 		})
 	}
 }
+
+// Guards against lost content that stays in force after the operator has given its number to another one in a new era,
+// on the whole way from the watch, and against revisions after it that come late.
+func TestSyncerTakesRewrittenContent(t *testing.T) {
+	for _, number := range []uint64{1, 3, 40} {
+		f := &fakeKV{revision: kv.NewRevision(1, 2)}
+		eras := &kv.Eras{}
+		observe := func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			eras.Observe(f.revision.Era())
+		}
+		direct := f.store()
+		store := eras.Guard(kv.Store{
+			Get: func(ctx context.Context, key string) (kv.Entry, error) {
+				defer observe()
+				return direct.Get(ctx, key)
+			},
+			Watch: func(ctx context.Context, key string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
+				defer observe()
+				return direct.Watch(ctx, key, after, wait)
+			},
+		})
+		runSyncer(t, store, func(s *Store, c *counts) {
+			putDocument(t, f, NewDocument(5, fieldsOf(5, "lost")))
+			time.Sleep(time.Second)
+			require.EqualValues(t, 5, s.Current().Revision())
+			f.mu.Lock()
+			f.revision = kv.NewRevision(2, number)
+			f.mu.Unlock()
+			putDocument(t, f, NewDocument(5, fieldsOf(5, "rewritten")))
+			time.Sleep(time.Second)
+			require.Equal(t, []string{"rewritten"}, s.Current().Fields().Places)
+			for revision := range uint64(5) {
+				putDocument(t, f, NewDocument(6+revision, fieldsOf(6, "next")))
+				time.Sleep(time.Second)
+				require.Equal(t, 6+revision, s.Current().Revision())
+			}
+			require.Positive(t, c.of(FromWatch))
+		})
+	}
+}
