--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -103,8 +104,8 @@
 		if len(changes) > 0 {
 			r.apply(members, changes)
 			r.setListed(members, revision)
-			if clock.Sleep(ctx, r.BatchDelay) != nil {
-				return nil
+			if err := clock.Sleep(ctx, r.BatchDelay); err != nil {
+				return err
 			}
 		}
 		// Not before the first watch: daemons that start together would not know each other yet, and all write.
@@ -117,6 +118,9 @@
 func (r *Registrar) applyList(members map[string]member.Member, entries []kv.Entry, revision kv.Revision) {
 	r.apply(members, entries)
 	r.setListed(members, revision)
+	if r.ShareKeys && !slices.ContainsFunc(entries, func(entry kv.Entry) bool { return entry.Key() == sharedKeysKey }) {
+		r.shared.applyMissing(revision)
+	}
 }
 
 // setListed passes the daemons on. It also shows whether the store has lost this daemon's own registration.
