fix(generation): keep a silent stream until its move is accepted

Callers saw a stream cut beside a sound engine that was silent for one or two seconds: the connection was closed as soon as a move was reserved, and the engine of the move then refused the request, could not be reached or broke off. By the time another engine was free, the wait bound had passed.

Cause: a move was reserved but not accepted when the first engine was given up, and an engine drops a run whose connection is closed.

Change: the reserved attempt is sent while the silent stream is kept. The stream is closed when the new engine accepts, and 200 ms after the request was sent to it at the latest (Start.Sent), so that two engines do not work on one stream for longer. If the silent engine goes on first, the new attempt is ended; if the new engine refuses, fails or cannot be reached, the stream goes on at the old one, and moves back off up to 1.6 s so that they leave the retry budget to others. A refusal that comes later than the 200 ms is followed by a search until the deadline of the request in place of the wait bound.

TestSilentEngineIsLeftOnceAMoveIsPossible asked for the old stream to be closed before the new one is opened. It now asks that it is closed at the same instant of the paused clock at which the new one is accepted, and before anything is read from that, which is as strict on two runs that both work.

An attempt that still waits for its response header has no stream; it is ended before the next one is sent, as before.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -49,16 +49,18 @@
 	choice          route.Choice    // endpoint of the current or last attempt
 	choiceHeld      bool            // choice must still be released
 	stream          *Stream
-	reattach        bool          // the engine of choice may still run the stream; attach to it next
-	awaitingFirst   bool          // no chunk has been accepted from the current stream
-	acceptedAttempt int           // attempt number that the engine of choice accepted, or may have; 0 if none
-	noEndpoint      bool          // the last pick found no endpoint although none was excluded
-	firstTimeout    time.Duration // timeout for the current stream's first chunk
-	opening         bool          // Open waits for the current attempt
-	charged         bool          // the current attempt took a retry from the retry budget
-	leftSilent      bool          // the last attempt that ran was given up because its engine was silent
-	reserved        *move         // next attempt, reserved before the current one is given up
-	keptReported    bool          // EventKept has been reported for the current silence
+	reattach        bool           // the engine of choice may still run the stream; attach to it next
+	awaitingFirst   bool           // no chunk has been accepted from the current stream
+	acceptedAttempt int            // attempt number that the engine of choice accepted, or may have; 0 if none
+	noEndpoint      bool           // the last pick found no endpoint although none was excluded
+	firstTimeout    time.Duration  // timeout for the current stream's first chunk
+	opening         bool           // Open waits for the current attempt
+	charged         bool           // the current attempt took a retry from the retry budget
+	leftSilent      bool           // the last attempt that ran was given up because its engine was silent
+	reserved        *move          // next attempt, reserved before the current one is given up
+	silent          *silentAttempt // attempt that the current one is to replace, while that is opened
+	moveBackoff     time.Duration  // time until the next move after one that failed, or zero
+	keptReported    bool           // EventKept has been reported for the current silence
 }
 
 // attachFromCursor attaches to the stream that the caller's cursor describes, and reads it. A failed attach counts as a
@@ -129,7 +131,7 @@
 
 // open picks endpoints until one accepts an attempt, or until a bound or the retry budget ends the search.
 func (r *driverCall) open(ctx context.Context) error {
-	boundCtx, cancel := r.withWaitBound(ctx)
+	boundCtx, cancel := r.withSearchBound(ctx)
 	defer cancel()
 	delay := minPickDelay
 	for {
@@ -173,6 +175,15 @@
 	}
 }
 
+// withSearchBound limits the context to the time for which an endpoint is looked for: the wait bound, or the deadline of
+// the request after a silent stream was given up, because its engine might have gone on.
+func (r *driverCall) withSearchBound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.leftSilent {
+		return r.withSilenceBound(ctx)
+	}
+	return r.withWaitBound(ctx)
+}
+
 // checkNext returns an error if no further attempt may be made.
 func (r *driverCall) checkNext(ctx context.Context) error {
 	if r.MaxRuns > 0 && r.runs >= r.MaxRuns {
@@ -229,7 +240,7 @@
 // useStream makes the stream of a new attempt the current one. Class is ClassFirst, ClassResume or ClassAttach.
 func (r *driverCall) useStream(stream Stream, class string) {
 	r.stream, r.mayHaveRun, r.awaitingFirst, r.acceptedAttempt = &stream, true, true, r.Log.Attempt()
-	r.firstTimeout, r.keptReported = r.timeouts.FirstChunkTimeout(), false
+	r.firstTimeout, r.keptReported, r.moveBackoff = r.timeouts.FirstChunkTimeout(), false, 0
 	if class == ClassAttach {
 		// The engine of an attached stream has already done the prefill.
 		r.firstTimeout = r.timeouts.ChunkTimeout()
--- a/core/generation/driver.go
+++ b/core/generation/driver.go
@@ -24,10 +24,10 @@
 // Driver runs one generation to its end, over several attempts if engines fail. All functions but Admit, AdmitMove,
 // Attach, Cancel, Health, Stalled, Queued, TakeRetry, ReturnRetry and Observe are required. It is not safe for concurrent use.
 //
-// A silent engine may be sound and go on, so its stream is given up only after the next attempt has been reserved: its
-// retry and another endpoint. If there is none, the stream is kept until its connection ends, a move becomes possible,
-// or the deadline of Run's context passes. Without such a deadline, the stream is kept up to WaitBound. The old stream
-// is closed before the new one is opened.
+// A silent engine may be sound and go on, so its stream is given up only after another engine has accepted the next
+// attempt, or handoverTimeout after the request was sent there. If the engine goes on first, or the other one refuses,
+// fails or cannot be reached, the stream is kept. It is also kept while no move is possible, until its connection ends or
+// the deadline of Run's context passes. Without such a deadline, the stream is kept up to WaitBound.
 //
 // While Open waits, AdmitMove, Pick, Stalled, TakeRetry, ReturnRetry and, for EventKept, Observe are called from another goroutine.
 type Driver struct {
@@ -120,8 +120,11 @@
 		if r.reachedMaxTokens() {
 			return r.finishAtLength()
 		}
-		if err := r.connect(ctx); err != nil {
-			return r.end(ctx, err)
+		// A silent stream has already been replaced by that of the next attempt.
+		if r.stream == nil {
+			if err := r.connect(ctx); err != nil {
+				return r.end(ctx, err)
+			}
 		}
 		if err := r.read(ctx); err != nil {
 			return r.end(ctx, err)
--- a/core/generation/error.go
+++ b/core/generation/error.go
@@ -138,6 +138,9 @@
 
 func (e RetryBudgetError) Outcome() failure.Outcome { return failure.Unknown }
 
+// movedError reports within the Driver that a silent stream was given up and the next attempt has been started.
+type movedError struct{ SilenceError }
+
 // SilenceError reports that an engine sent no chunk within the timeout of its stream, or stalled.
 type SilenceError struct {
 	Endpoint string
--- a/core/generation/event.go
+++ b/core/generation/event.go
@@ -24,6 +24,9 @@
 	// reported once for each silence. Class is the reason, one of the Reason constants. Wait is the time since the last
 	// delivery or the start of Run. Cause is a SilenceError.
 	EventKept EventKind = "kept"
+	// EventMoveFailed reports an attempt that was to replace the stream of a silent engine, which is kept instead. Class is
+	// MoveRefused, MoveLost or MoveUnneeded. Cause is nil if the attempt was opened.
+	EventMoveFailed EventKind = "move-failed"
 	// EventDropped reports received output that was not delivered. Class is duplicate or crossed.
 	EventDropped EventKind = "dropped"
 )
@@ -52,7 +55,7 @@
 	// Tokens is the number of prompt ids sent for EventAttempt, of dropped ids for EventDropped, and of delivered ids for
 	// other kinds with a chunk.
 	Tokens int
-	// Charged reports for EventRefused whether the attempt took a retry from the retry budget.
+	// Charged reports for EventRefused and EventMoveFailed whether the attempt took a retry from the retry budget.
 	Charged bool
 	Cause   error
 }
--- a/core/generation/log.go
+++ b/core/generation/log.go
@@ -13,9 +13,11 @@
 	delivered []uint32
 	digest    Digest
 	attempt   int
-	spec      Spec
-	finish    Finish
-	text      strings.Builder
+	// lastAttempt is the highest attempt number so far.
+	lastAttempt int
+	spec        Spec
+	finish      Finish
+	text        strings.Builder
 	// opaqueEvents is true if the log counts opaque events rather than token ids.
 	opaqueEvents bool
 	// textOffsets maps the offsets at which delivered chunks start or end to byte offsets in text.
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{generation: cursor.Generation, prompt: prompt, attempt: cursor.Attempt, spec: spec}
+	l := &Log{generation: cursor.Generation, prompt: prompt, attempt: cursor.Attempt, lastAttempt: cursor.Attempt, spec: spec}
 	l.textOffsets = map[int]int{cursor.Offset: 0}
 	l.digest = cursor.Digest
 	if deliveredIDs == nil {
@@ -87,10 +89,14 @@
 
 // NextAttempt increments the attempt number and returns it. Chunks of earlier attempts are refused from then on.
 func (l *Log) NextAttempt() int {
-	l.attempt++
+	l.lastAttempt++
+	l.attempt = l.lastAttempt
 	return l.attempt
 }
 
+// returnToAttempt makes an earlier attempt the current one again. Its number is not given to another attempt.
+func (l *Log) returnToAttempt(number int) { l.attempt = number }
+
 // Input returns the caller's prompt followed by the delivered ids.
 func (l *Log) Input() []uint32 {
 	input := make([]uint32, 0, len(l.prompt)+len(l.delivered))
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -83,6 +83,9 @@
 	criteria.Resume = true
 	criteria.Exclude = maps.Clone(r.exclude)
 	criteria.Exclude[r.choice.Address()] = true
+	if r.silent != nil {
+		criteria.Exclude[r.silent.choice.Address()] = true
+	}
 	choice, err := r.Pick(ctx, criteria)
 	if err == nil || len(r.exclude) == 0 {
 		return choice, err
@@ -120,11 +123,9 @@
 	defer cancel()
 	for boundCtx.Err() == nil {
 		reason := r.reserveMove(boundCtx)
-		if reason != "" {
-			r.observeKept(reason)
-		}
 		wait := time.Duration(0)
 		if reason != "" {
+			r.observeKept(reason)
 			wait = moveCheckInterval
 		}
 		// With a reserved move, this takes a chunk that has arrived meanwhile.
@@ -133,9 +134,22 @@
 			r.returnMove()
 			return chunk, err
 		}
-		if reason == "" {
+		if reason != "" {
+			continue
+		}
+		if r.reserved == nil {
 			return Chunk{}, silence
 		}
+		next, moved := r.handOver(ctx, silence)
+		if moved {
+			return Chunk{}, movedError{silence}
+		}
+		if next != nil {
+			return *next, nil
+		}
+		if chunk, timedOut, err = r.waitUntil(boundCtx, time.Now().Add(r.moveBackoff)); !timedOut {
+			return chunk, err
+		}
 	}
 	return Chunk{}, silence
 }
--- a/core/generation/move_test.go
+++ b/core/generation/move_test.go
@@ -42,7 +42,7 @@
 }
 
 // Guards against a stream that stays at a silent engine although it could continue at another one, and against a stream
-// that runs at two engines at the same time.
+// that runs at two engines at the same time: the silent one is closed at the moment at which the other one accepts.
 func TestSilentEngineIsLeftOnceAMoveIsPossible(t *testing.T) {
 	for name, opened := range map[string]bool{"between events": true, "not opened": false} {
 		t.Run(name, func(t *testing.T) {
@@ -60,10 +60,15 @@
 				d.Stalled = func(string) bool { return true }
 				var mu sync.Mutex
 				var order []string
+				at := map[string]time.Time{}
 				record := func(format string, args ...any) {
 					mu.Lock()
 					defer mu.Unlock()
-					order = append(order, fmt.Sprintf(format, args...))
+					step := fmt.Sprintf(format, args...)
+					if len(order) == 0 || order[len(order)-1] != step {
+						order = append(order, step)
+					}
+					at[step] = time.Now()
 				}
 				open := d.Open
 				d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
@@ -76,12 +81,21 @@
 					}
 					stream, err := open(ctx, address, start)
 					stream.Close = func() error { record("close %s", address); return nil }
+					if address == "b" {
+						next := stream.Next
+						stream.Next = func(ctx context.Context) (generation.Chunk, error) { record("read b"); return next(ctx) }
+					}
 					return stream, err
 				}
 				began := time.Now()
 				require.NoError(t, runUntil(t, d, requestTime))
 				require.Equal(t, eventLines(1, silenceEvents), got())
-				require.Equal(t, []string{"open a", "close a", "open b", "close b"}, order)
+				want := []string{"open a", "open b", "close a", "read b", "close b"}
+				if !opened {
+					want = []string{"open a", "close a", "open b", "read b", "close b"}
+				}
+				require.Equal(t, want, order)
+				require.Equal(t, at["open b"], at["close a"])
 				require.Less(t, time.Since(began), 2*time.Second)
 				require.Equal(t, []int{1, 0}, []int{b.taken, b.returned})
 				require.Equal(t, 1, f.count(generation.EventKept, generation.ReasonRetryBudget))
--- a/core/generation/opening.go
+++ b/core/generation/opening.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,7 +17,7 @@
 func (r *driverCall) startAttempt(ctx context.Context) error {
 	l := r.Log
 	priority, class := r.Priority, ClassFirst
-	if r.resumed {
+	if r.resumed || r.silent != nil {
 		priority, class = r.ResumePriority, ClassResume
 	}
 	sampling := r.Sampling
@@ -29,18 +30,23 @@
 	watch := r.watchOpening(ctx)
 	stream, err := r.Open(watch.openCtx, r.choice.Address(), Start{
 		Generation: l.Generation(), Attempt: attempt, Model: r.Model, Prompt: l.Input(), Offset: l.Len(),
-		Sampling: sampling, Priority: priority, Choice: r.choice,
+		Sampling: sampling, Priority: priority, Choice: r.choice, Sent: watch.sent,
 	})
 	watchErr := watch.Close()
 	r.opening = false
+	if r.silent != nil {
+		if r.silent.runsOn(err) {
+			r.returnMove()
+			r.undoMove(stream, err, exempt)
+			return err
+		}
+		r.finishMove()
+	}
 	if err != nil && failure.Of(err).Outcome() == failure.NotRun {
 		r.skipEndpoint(err)
 		return err
 	}
-	r.runs++
-	if r.exemptNext = false; exempt {
-		r.exemptUsed++
-	}
+	r.countRun(exempt)
 	if err == nil {
 		// If a move was reserved meanwhile, the engine has answered before Open was canceled.
 		r.returnMove()
@@ -51,6 +57,14 @@
 	return r.handleOpenError(ctx, watchErr, err)
 }
 
+// countRun counts an attempt that may have run.
+func (r *driverCall) countRun(exempt bool) {
+	r.runs++
+	if r.exemptNext = false; exempt {
+		r.exemptUsed++
+	}
+}
+
 // handleOpenError ends an attempt whose opening failed although the engine may run it. The loss is of ClassSilence only
 // if watchErr is a SilenceError, and otherwise of ClassConnection, also at the wait bound or the request's deadline,
 // with which ctx ends. A canceled request reports no loss.
@@ -75,11 +89,18 @@
 	stop       context.CancelFunc
 	done       chan struct{}
 	err        error // why Open was canceled; set before done is closed
+	// sent is called when the request has been sent, and is nil if no silent attempt is to be replaced. It closes sentSignal.
+	sent       func()
+	sentSignal chan struct{}
 }
 
 func (r *driverCall) watchOpening(ctx context.Context) *openingWatch {
 	w := &openingWatch{call: r, done: make(chan struct{})}
 	w.openCtx, w.cancelOpen = context.WithCancel(ctx)
+	if r.silent != nil {
+		w.sentSignal = make(chan struct{})
+		w.sent = sync.OnceFunc(func() { close(w.sentSignal) })
+	}
 	watchCtx, stop := context.WithCancel(w.openCtx)
 	w.stop = stop
 	go w.run(watchCtx)
@@ -105,6 +126,12 @@
 // watch returns a SilenceError once a move away from the silent engine is reserved, or nil when ctx ends.
 func (w *openingWatch) watch(ctx context.Context) error {
 	r, began := w.call, time.Now()
+	if s := r.silent; s != nil {
+		s.watch(ctx, w.sentSignal)
+		if s.chunk != nil {
+			return s.silence
+		}
+	}
 	timeout, silent := r.timeouts.FirstChunkTimeout(), false
 	interval := stallCheckInterval
 	for wait := min(firstStallGrace, timeout); clock.Sleep(ctx, wait) == nil; wait = interval {
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -17,6 +17,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if _, moved := errors.AsType[movedError](err); moved {
+			return nil
+		}
 		if err != nil {
 			r.endAttempt(lossClass(err), err)
 			return r.checkWaitBound(err)
@@ -203,11 +206,16 @@
 	if err != nil && waitCtx.Err() != nil {
 		return Chunk{}, true, err
 	}
+	return chunk, false, endOfStream(err)
+}
+
+// endOfStream returns the error of a stream that ends: an end marker without a finish reason is its loss, not a normal
+// end.
+func endOfStream(err error) error {
 	if errors.Is(err, io.EOF) {
-		// An end marker without a finish reason is the loss of the stream, not a normal end.
-		err = io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	}
-	return chunk, false, err
+	return err
 }
 
 func (r *driverCall) deliver(part Chunk) error {
@@ -228,6 +236,7 @@
 		r.observe(event)
 	}
 	r.recovering, r.awaitingFirst, r.exemptNext, r.lastErr, r.keptReported = false, false, true, nil, false
+	r.moveBackoff = 0
 	clear(r.exclude)
 	err := r.Deliver(part)
 	r.lastDelivery = time.Now()
--- a/core/generation/start.go
+++ b/core/generation/start.go
@@ -30,6 +30,9 @@
 	Priority int
 	// Choice is the endpoint that Pick returned for the attempt.
 	Choice route.Choice
+	// Sent must be called once the request is about to be written to the engine. It is nil unless the attempt is to replace
+	// a silent stream, which is given up soon after the request is sent.
+	Sent func()
 }
 
 // Stream is one attempt's open connection to an engine. Its functions must not be called concurrently.
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -244,6 +244,10 @@
 		s.ObserveAttempt(choice, nil)
 	case generation.EventLoss, generation.EventRefused:
 		s.ObserveAttempt(choice, event.Cause)
+	case generation.EventMoveFailed:
+		if event.Class != generation.MoveUnneeded {
+			s.ObserveAttempt(choice, event.Cause)
+		}
 	}
 }
 
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -76,6 +77,11 @@
 	if err != nil {
 		return generation.Stream{}, errors.Trace(err)
 	}
+	if start.Sent != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { start.Sent() },
+		})
+	}
 	return c.openStream(ctx, http.MethodPost, address, "/v1/completions", body, generation.StaleAttemptError{
 		Endpoint: address, Generation: start.Generation, Attempt: start.Attempt,
 	})
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -169,3 +169,22 @@
 	require.ErrorAs(t, err, &engine.ConnectionError{})
 	require.EqualValues(t, 2, requests.Load())
 }
+
+// Guards against a silent stream that is kept although the request that replaces it was sent: the Driver is not told.
+func TestOpenReportsThatTheRequestIsSent(t *testing.T) {
+	sent := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		select {
+		case sent <- struct{}{}:
+			t.Error("the request has arrived and was not reported as sent")
+		default:
+		}
+	}))
+	defer server.Close()
+	c := &engine.Client{HTTP: engine.NewHTTPClient(engine.DefaultDialTimeout)}
+	stream, err := c.Open(t.Context(), server.Listener.Addr().String(), generation.Start{Sent: func() { sent <- struct{}{} }})
+	if err == nil {
+		_ = stream.Close()
+	}
+	require.Len(t, sent, 1)
+}
--- a/io/forward/evidence_test.go
+++ b/io/forward/evidence_test.go
@@ -60,7 +60,7 @@
 				s.Log.SetOutput(io.Discard)
 				s.NewHTTPServer()
 				h := &streamHandler{
-					server: s, ctx: t.Context(), choice: route.NewChoice("10.0.0.1:1", "i-1", "p", nil),
+					server: s, ctx: t.Context(), attemptState: attemptState{choice: route.NewChoice("10.0.0.1:1", "i-1", "p", nil)},
 					request: &request{parts: tt.parts},
 				}
 				h.trackStart()
--- a/io/forward/kv_copy.go
+++ b/io/forward/kv_copy.go
@@ -28,8 +28,8 @@
 	ctx context.Context, address string, offset int, header http.Header,
 ) (nextCopy kvCopy) {
 	f, q := h.server.Format, h.request
-	if h.lostPlace != "" {
-		// An engine of this request was lost, so the attempt is a resume.
+	if h.lostPlace != "" || h.silent != nil {
+		// An engine of this request was lost or is silent, so the attempt is a resume.
 		header.Set(f.Priority, strconv.Itoa(resumedRunPriority))
 	}
 	if h.resumeCopy.holder.Address() == address {
@@ -92,6 +92,16 @@
 	if h.replicator == nil {
 		return
 	}
-	h.resumeCopy = h.replicator.stop()
+	if h.resumeCopy = h.replicator.stop(); h.resumeCopy.reference == h.sentReference {
+		h.resumeCopy = kvCopy{}
+	}
 	h.replicator = nil
 }
+
+// cancelReplicator ends the replication for the current run, which leaves no copy. Without a call of stop, releaseUnused
+// frees a moved copy.
+func (h *streamHandler) cancelReplicator() {
+	if h.replicator != nil {
+		h.replicator.cancel()
+	}
+}
--- a/io/forward/observe.go
+++ b/io/forward/observe.go
@@ -39,21 +39,41 @@
 		h.log("stream refused", logrus.Fields{"endpoint": h.choice.Incarnation()}, event.Cause)
 	case generation.EventKept:
 		h.recordKept(event)
+	case generation.EventMoveFailed:
+		h.recordFailedMove(event)
+		return
 	case generation.EventLoss:
-		m.Count(telemetry.EngineLosses, event.Class)
-		h.running, h.lostPlace = false, h.choice.Place()
-		if event.Class == generation.ClassSilence {
-			h.server.silenceTimes.record(h.lostPlace)
-		}
-		// The copy of the lost run is kept for the next one.
-		h.stopReplicator()
-		h.recordLostStream(event.Cause)
-		h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
-		h.recordLoss(event)
+		h.giveUpSilent(func() { h.recordLostAttempt(event) })
+		return
 	}
 	h.reportResult(event)
 }
 
+// recordLostAttempt records the loss of the current attempt.
+func (h *streamHandler) recordLostAttempt(event generation.Event) {
+	h.server.Metrics.Count(telemetry.EngineLosses, event.Class)
+	h.running, h.lostPlace = false, h.choice.Place()
+	if event.Class == generation.ClassSilence {
+		h.server.silenceTimes.record(h.lostPlace)
+	}
+	// The copy of the lost run is kept for the next one.
+	h.stopReplicator()
+	h.recordLostStream(event.Cause)
+	h.log("stream lost", logrus.Fields{"endpoint": h.choice.Incarnation(), "class": event.Class}, event.Cause)
+	h.recordLoss(event)
+	h.reportResult(event)
+}
+
+// recordFailedMove records that the silent attempt goes on, because the current one has failed or is not needed.
+func (h *streamHandler) recordFailedMove(event generation.Event) {
+	h.returnRetry(event)
+	h.log("move of silent stream failed", logrus.Fields{"endpoint": event.Incarnation, "reason": event.Class}, event.Cause)
+	if event.Class != generation.MoveUnneeded && h.server.ObserveAttempt != nil {
+		h.server.ObserveAttempt(h.choice, event.Cause)
+	}
+	h.returnToSilent()
+}
+
 // recordKept logs that the stream of a silent engine is kept. A slow first event is no sign that the engines of its place
 // have failed.
 func (h *streamHandler) recordKept(event generation.Event) {
@@ -95,7 +115,7 @@
 		}
 	case generation.EventRefused:
 		h.server.ObserveAttempt(h.choice, event.Cause)
-	case generation.EventAttempt, generation.EventDropped:
+	case generation.EventAttempt, generation.EventDropped, generation.EventMoveFailed:
 		return
 	}
 	h.silenceReported = event.Kind == generation.EventKept
--- a/io/forward/probe_test.go
+++ b/io/forward/probe_test.go
@@ -22,7 +22,7 @@
 			return silent[connectAttempts-1]
 		}}
 		newHandler := func(place string) *streamHandler {
-			h := &streamHandler{server: s, ctx: t.Context(), choice: route.NewChoice("a", "1", place, nil)}
+			h := &streamHandler{server: s, ctx: t.Context(), attemptState: attemptState{choice: route.NewChoice("a", "1", place, nil)}}
 			h.probeLimiter.reset()
 			return h
 		}
--- a/io/forward/run_state_test.go
+++ b/io/forward/run_state_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/config"
 	"radishhollow/core/generation"
 	"radishhollow/core/route"
 	"radishhollow/io/telemetry"
@@ -66,3 +67,59 @@
 	require.Equal(t, []string{failed, "ok", failed, io.ErrUnexpectedEOF.Error()}, results)
 	require.True(t, h.server.silenceTimes.occurredAfter("p", time.Time{}))
 }
+
+// Guards against a silent stream that loses its copy, its replication or its engine to an attempt that was to replace it
+// and failed, and against a copy that is sent twice.
+func TestFailedMoveReturnsToTheSilentAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var reported []string
+		h := &streamHandler{
+			server: &Server{Log: log, Metrics: telemetry.New(), ObserveAttempt: func(choice route.Choice, _ error) {
+				reported = append(reported, choice.Address())
+			}},
+			request: &request{id: "r", service: config.Service{Name: "s"}},
+		}
+		canceled := map[string]int{}
+		startRun := func(address string) {
+			h.setChoice(route.NewChoice(address, "1", "place of "+address, nil))
+			copyHolder := route.NewChoice("copy of "+address, "1", "q", nil)
+			h.startRun(kvCopy{})
+			h.replicator = &replicator{
+				cancel:  func() { canceled[address]++ },
+				current: kvCopy{holder: copyHolder, reference: "reference of " + address},
+			}
+		}
+		startRun("a")
+		for _, class := range []string{generation.MoveRefused, generation.MoveLost, generation.MoveUnneeded} {
+			startRun("b")
+			require.NotNil(t, h.silent)
+			h.observe(generation.Event{Kind: generation.EventMoveFailed, Class: class, Address: "b", Cause: io.ErrUnexpectedEOF})
+			require.Equal(t, "a", h.choice.Address())
+			require.True(t, h.running)
+			require.Nil(t, h.silent)
+			place, from := h.resumeTarget()
+			require.Equal(t, []string{"place of a", "reference of a"}, []string{place, from.reference})
+		}
+		require.Equal(t, map[string]int{"b": 3}, canceled)
+		require.Equal(t, []string{"b", "b"}, reported, "the engine that was not needed has not failed")
+
+		startRun("c")
+		require.Equal(t, "reference of a", h.resumeCopy.reference)
+		h.dropResumeCopy()
+		h.observe(generation.Event{Kind: generation.EventMoveFailed, Class: generation.MoveRefused, Address: "c", Cause: io.ErrUnexpectedEOF})
+		_, from := h.resumeTarget()
+		require.Empty(t, from.reference, "an engine accepts one request for a copy")
+
+		startRun("d")
+		h.observe(generation.Event{Kind: generation.EventLoss, Class: generation.ClassSilence, Address: "a", Cause: generation.SilenceError{}})
+		require.Equal(t, "d", h.choice.Address())
+		require.Equal(t, "place of a", h.lostPlace)
+		require.Equal(t, 1, canceled["a"])
+		require.Zero(t, canceled["d"])
+		require.Empty(t, h.resumeCopy.reference)
+		_, from = h.resumeTarget()
+		require.Equal(t, "reference of d", from.reference)
+	})
+}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -67,19 +67,15 @@
 	// mu protects the fields below where pick or stalled may read them at the same time, in a call from another goroutine
 	// while open waits.
 	mu sync.Mutex
-	// choice is the endpoint of the current attempt. Pick may already have reserved that of the next one.
-	choice route.Choice
-	// running reports whether the current attempt has been sent and neither lost nor refused.
-	running bool
-	// sentAt is the time at which the current attempt was sent, and firstCopy the copy that its engine sends by itself.
-	sentAt    time.Time
-	firstCopy kvCopy
-	// replicator maintains the copy of the current run's KV cache. It is nil where the run has no copy.
-	replicator *replicator
-	// resumeCopy is the copy that the last run left, from which the next one can resume.
-	resumeCopy kvCopy
-	// start tracks the start of the current attempt's run. It is nil before the first attempt.
-	start *startTracker
+	// attemptState is that of the current attempt.
+	attemptState
+	// silent is the state of an attempt whose engine is silent, while the current attempt, which is to replace it, is being
+	// opened. It is nil otherwise.
+	silent *attemptState
+	// resumeCopy is the copy that the last run left, from which the next one can resume. sentReference is the reference of
+	// the copy that an attempt was sent with last. No other attempt can resume from that copy.
+	resumeCopy    kvCopy
+	sentReference string
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
@@ -95,8 +91,6 @@
 	deliveredAt     time.Time
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
-	// silenceReported reports whether the current silence of the engine has been passed to ObserveAttempt.
-	silenceReported bool
 	// nothingAdded is the error of the last engine that ended a resumed stream without a new event.
 	nothingAdded NothingAddedError
 	// tried holds the engines of earlier attempts.
@@ -130,10 +124,8 @@
 		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.EventGapTarget()),
 	}
 	err := d.Run(ctx)
-	if h.replicator != nil {
-		// No run follows. Without a call of stop, releaseUnused frees a moved copy.
-		h.replicator.cancel()
-	}
+	// No run follows.
+	h.cancelReplicator()
 	q.logFields = logrus.Fields{
 		"first-ms": h.firstEventWait.Milliseconds(), "pause-ms": h.longestPause.Milliseconds(), "runs": h.openedStreams,
 	}
@@ -199,15 +191,14 @@
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.startRun(nextCopy)
 	h.probeLimiter.reset()
-	response, cancel, err := h.server.Open(ctx, address, r)
+	response, cancel, err := h.server.Open(withSentHook(ctx, start.Sent), address, r)
 	fields := h.server.choiceFields(h.choice)
 	fields["attempt"], fields["offset"] = start.Attempt, start.Offset
 	fields["from"], fields["backup"] = r.Header.Get(f.ResumeFrom), nextCopy.holder.Address()
 	fields["wait-ms"] = time.Since(h.sentAt).Milliseconds()
 	h.log("stream sent", fields, err)
 	if r.Header.Get(f.ResumeFrom) != "" {
-		// A copy can be resumed from only once. It is dropped after each attempt that carried it, even if that failed.
-		h.setResumeCopy(kvCopy{})
+		h.dropResumeCopy()
 	}
 	if err != nil {
 		// If the engine ran the request, it may already have sent a part of the copy.
