fix(forward): expect a stream to be longer than the few before it

A stream sent 3.0 to 3.6 s after the SIGTERM of its daemon was taken, waited 1 to 3 s for its engine, and was cut by the end of the stop (LOST).

Cause: the daemon takes the longest stream so far for the longest of all. A daemon that is stopped soon after its start has seen only a few, and the next one may be larger.

The estimate is now at least the longest wait for a first event and the highest time per token for all tokens that the request allows, with a margin of four streams over their number.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -138,7 +138,9 @@
 	if err == nil {
 		if q.lastEventID == 0 {
 			// The rest of a stream that its caller resumes says little about a whole one.
-			s.durations.record(q.service.Name, time.Since(q.arrivedAt))
+			s.durations.record(q.service.Name, completeStream{
+				duration: time.Since(q.arrivedAt), firstEventWait: h.firstEventWait, maxTokens: q.maxOutputTokens,
+			})
 		}
 		return h.complete()
 	}
--- a/io/forward/stream_durations.go
+++ b/io/forward/stream_durations.go
@@ -9,20 +9,36 @@
 	// durationDecay is the divisor by which the longest duration approaches each shorter one that follows it, so that a
 	// single long stream counts for some hundred others.
 	durationDecay = 256
+	// fewStreams is the number of streams at which the estimate is twice their maximum; it approaches the maximum with more
+	// of them. A daemon that is stopped soon after its start has seen few, and the next one may well be longer.
+	fewStreams = 4
 	// maxDurationServices bounds the services with an estimate. The services come from the configuration, and those that it
 	// no longer names are not removed.
 	maxDurationServices = 1024
 )
 
-// streamDurations estimates by service how long complete streams take at most. Callers learn late that a stream is cut,
-// and soon that it is refused, so the estimate is a decaying maximum and no mean. It is safe for concurrent use.
+// completeStream describes a stream that is complete.
+type completeStream struct {
+	duration, firstEventWait time.Duration
+	// maxTokens is the limit of the output that the caller has set, or 0.
+	maxTokens int
+}
+
+// longestStream holds decaying maxima of the complete streams of a service.
+type longestStream struct {
+	streams                            int
+	duration, firstEventWait, perToken time.Duration
+}
+
+// streamDurations estimates by service how long streams take at most. Callers learn late that a stream is cut, and soon
+// that it is refused, so the estimates are decaying maxima and no means. It is safe for concurrent use.
 type streamDurations struct {
 	mu        sync.Mutex
-	byService map[string]time.Duration
+	byService map[string]longestStream
 }
 
-// record adds the duration of a complete stream.
-func (d *streamDurations) record(service string, duration time.Duration) {
+// record adds a complete stream.
+func (d *streamDurations) record(service string, stream completeStream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	longest, known := d.byService[service]
@@ -30,15 +46,32 @@
 		clear(d.byService)
 	}
 	if d.byService == nil {
-		d.byService = map[string]time.Duration{}
+		d.byService = map[string]longestStream{}
+	}
+	longest.streams++
+	longest.duration = decayingMax(longest.duration, stream.duration)
+	longest.firstEventWait = decayingMax(longest.firstEventWait, stream.firstEventWait)
+	if stream.maxTokens > 0 {
+		perToken := (stream.duration - stream.firstEventWait) / time.Duration(stream.maxTokens)
+		longest.perToken = decayingMax(longest.perToken, perToken)
 	}
-	d.byService[service] = max(duration, longest-(longest-duration)/durationDecay)
+	d.byService[service] = longest
 }
 
-// longest returns the time within which nearly all streams of a service are complete, and false if none has been.
-func (d *streamDurations) longest(service string) (time.Duration, bool) {
+func decayingMax(longest, latest time.Duration) time.Duration {
+	return max(latest, longest-(longest-latest)/durationDecay)
+}
+
+// longest returns the time within which nearly all streams of a service with the given output limit are complete, and
+// false if none has been. A stream may be longer than all before it: its engine may be as slow to begin as the slowest,
+// and then generate all tokens that the limit allows.
+func (d *streamDurations) longest(service string, maxTokens int) (duration time.Duration, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	longest, known := d.byService[service]
-	return longest, known
+	longest := d.byService[service]
+	if longest.streams == 0 {
+		return 0, false
+	}
+	duration = max(longest.duration, longest.firstEventWait+longest.perToken*time.Duration(maxTokens))
+	return duration + duration*fewStreams/time.Duration(longest.streams), true
 }
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -70,7 +70,7 @@
 func (s *Server) timeNeeded(q *request) time.Duration {
 	untilDeadline := time.Until(q.deadline)
 	if q.route.Kind == config.KindStream {
-		longest, known := s.durations.longest(q.service.Name)
+		longest, known := s.durations.longest(q.service.Name, q.maxOutputTokens)
 		if !known {
 			return untilDeadline
 		}
