fix(forward): count what a planned stop ends as its own cause

Operators saw: a stream that a planned stop had cut was counted and logged as "request ended" with outcome caller-gone, which is that of a caller that leaves.

Cause: the end of a daemon closes the connections in use, which ends the context of their requests like the end of a caller does. Only the line "response cut" told the two apart, and not for a request that the end of the daemon had ended itself.

--- a/io/forward/cut.go
+++ b/io/forward/cut.go
@@ -13,13 +13,9 @@
 // recordCut counts and logs a response that ends incomplete after its header was sent, so that the id of the request
 // leads to the cause.
 func (s *Server) recordCut(q *request, size int, callerGone bool, err error) {
-	cause := causeOf(err)
-	switch {
-	case callerGone && s.Closing != nil && s.Closing():
-		// The server closes the connections that are still in use, which ends their requests like a caller does.
-		cause = "drain-timeout"
-	case callerGone:
-		cause = "caller-gone"
+	cause := s.endCode(callerGone, err)
+	if cause != drainTimeoutCode && !callerGone {
+		cause = causeOf(err)
 	}
 	s.Metrics.Count(telemetry.CutResponses, cause)
 	s.Log.WithFields(logrus.Fields{
@@ -27,6 +23,21 @@
 	}).WithFields(q.logFields).WithFields(q.cutFields).WithError(err).Warn("response cut")
 }
 
+// endCode returns the code under which the end of a request is counted. At the end of a planned stop, the server closes the
+// connections that are still in use, which ends their requests like a caller does.
+func (s *Server) endCode(callerGone bool, err error) string {
+	_, stopped := errors.AsType[StoppedError](err)
+	switch {
+	case stopped || (callerGone && s.Closing != nil && s.Closing()):
+		return drainTimeoutCode
+	case callerGone:
+		return "caller-gone"
+	case err != nil:
+		return failure.Of(err).Code()
+	}
+	return "ok"
+}
+
 // causeOf returns the code of the innermost Failure in the chain of err. It is more specific than the code of an error
 // that the caller sees: an EngineLostError may have been caused by a RetryBudgetError.
 func causeOf(err error) string {
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -334,14 +334,7 @@
 
 // observeRequest logs a request and updates its metrics.
 func (s *Server) observeRequest(q *request, status int, callerGone bool, err error) {
-	code := "ok"
-	_, stopped := errors.AsType[StoppedError](err)
-	switch {
-	case callerGone && !stopped:
-		code = "caller-gone"
-	case err != nil:
-		code = failure.Of(err).Code()
-	}
+	code := s.endCode(callerGone, err)
 	s.Metrics.Count(telemetry.Requests, code)
 	s.Metrics.Observe(telemetry.RequestTime, q.workspace.Name, time.Since(q.arrivedAt))
 	entry := s.Log.WithFields(logrus.Fields{
