fix(forward): reset HTTP/1.0 streams that a stop cuts

What callers saw: a stream over HTTP/1.0 that was still running at the end of a planned stop ended with a closed connection, which is how a whole one ends.

Cause: only abort reset the connection, when the handler failed. http.Server.Close at the end of the stop, and the kernel at the end of a killed process, close it. Over HTTP/1.1 the missing last chunk tells.

Evidence, on: TestForwardStreamsCutByAStopLookIncomplete read five of 100 events and a clean end over HTTP/1.0; over HTTP/1.1 it passed.

Measured: the test passes for both versions, and the packages io/forward and platform. Without the return to the default at the end of a whole stream (trial), TestForwardWholeStreamsOverHTTP10LookComplete failed. A killed process was not tried.

--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -124,6 +124,7 @@
 	router.NoRoute(s.handle)
 	return &http.Server{
 		Handler: router, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnContext: withConn,
 	}
 }
 
@@ -275,22 +276,6 @@
 	}
 }
 
-// abort ends the handler and the connection, so that the caller does not take a partial response for a complete one. A
-// response over HTTP/1.0 ends with its connection, which is therefore reset instead of closed.
-func abort(c *gin.Context) {
-	writer, wrapped := c.Writer.(interface{ Unwrap() http.ResponseWriter })
-	if wrapped && !c.Request.ProtoAtLeast(1, 1) {
-		if conn, _, err := http.NewResponseController(writer.Unwrap()).Hijack(); err == nil {
-			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-				// Without lingering, the kernel resets the connection. If that fails, it is closed, which is no worse.
-				_ = tcp.SetLinger(0)
-			}
-			_ = conn.Close()
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 func (s *Server) writeError(c *gin.Context, status int, err error) {
 	header := c.Writer.Header()
 	if status == http.StatusServiceUnavailable {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -279,6 +279,7 @@
 		return nil
 	}
 	h.headerSent = true
+	setResetOnClose(h.c.Request, true)
 	copyHeader(h.c.Writer.Header(), h.header)
 	h.c.Status(http.StatusOK)
 	h.c.Writer.WriteHeaderNow()
@@ -290,7 +291,9 @@
 func (h *streamHandler) complete() error {
 	h.extendWriteDeadline()
 	// A stream without events has not sent its header yet.
-	return h.sendHeader()
+	err := h.sendHeader()
+	setResetOnClose(h.c.Request, false)
+	return err
 }
 
 func (h *streamHandler) deliver(part generation.Chunk) error {
