--- a/io/forward/stream_durations_test.go
+++ b/io/forward/stream_durations_test.go
@@ -7,6 +7,28 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against an estimate below the duration of some streams, with which a stopping daemon would accept streams that it
+// then cuts, against one that a single long stream spoils for good, and against one of another service.
+func TestStreamDurations(t *testing.T) {
+	var d streamDurations
+	_, known := d.longest("s", 0)
+	require.False(t, known)
+	d.record("other", completeStream{duration: time.Minute})
+	d.record("s", completeStream{duration: 6 * time.Second})
+	for range 40 {
+		d.record("s", completeStream{duration: 2 * time.Second})
+	}
+	longest, known := d.longest("s", 0)
+	require.True(t, known)
+	require.GreaterOrEqual(t, longest, 5*time.Second, "one stream of 41 takes 6 s")
+	require.LessOrEqual(t, longest, 6*time.Second)
+	for range 4000 {
+		d.record("s", completeStream{duration: 2 * time.Second})
+	}
+	longest, _ = d.longest("s", 0)
+	require.Less(t, longest, 3*time.Second)
+}
+
 // Guards against a stream that a stopping daemon takes and cuts because none before it was that long: its output may be
 // longer, and its engine may begin later, than those of the streams so far.
 func TestStreamDurationsOfALargerRequest(t *testing.T) {
