fix(relay): believe only the store about a new era

One faulty reader that reported an era in which the store never was kept its followers from the store for good: they took its list, and from then on each answer of the store and of all other readers belonged to an earlier era.

Cause: a reader's revision was taken as it came, and a later era makes any revision newer than all that is known.

Change: a daemon records the latest era in which the store itself has answered it, on any prefix. A reader's answer of a later one is believed only after a short watch at the store, whose answer has that era; one of an earlier era is refused. Either way the reader is suspended and the daemon calls the store. A daemon that has learned of a new era on one prefix lists the others anew, and answers no list from its own copy of an earlier era.

--- a/core/relay/eras_test.go
+++ b/core/relay/eras_test.go
@@ -97,6 +97,43 @@
 	})
 }
 
+// Guards against a faulty reader that reports an era in which the store never was: its followers would refuse the store
+// and all other readers from then on, or call the store again and again.
+func TestErasOfReadersAreChecked(t *testing.T) {
+	runFleet(t, 40, 2*time.Second, func(fl *fleet) {
+		before := fl.store.totalCalls()
+		fl.setCorrupt(func(r Response) Response {
+			r.Revision = kv.NewRevision(900, r.Revision.Number())
+			for i, entry := range r.Entries {
+				r.Entries[i] = kv.NewEntry(entry.Key(), entry.Value(), kv.NewRevision(900, entry.Revision().Number()), entry.Deleted())
+			}
+			return r
+		})
+		for i := range 100 {
+			fl.store.put(testPrefix+"engine-7", fmt.Sprint(i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		for _, d := range fl.daemons {
+			requireStoreState(t, fl, d)
+		}
+		perDaemon := float64(fl.store.totalCalls()-before) / 12 / float64(len(fl.daemons))
+		t.Logf("%.2f calls a second and daemon", perDaemon)
+		// Without readers, each daemon calls the store twice a second. A suspended reader is asked again after 2 s or more.
+		require.LessOrEqual(t, perDaemon, 4.0)
+
+		fl.setCorrupt(nil)
+		restored := fl.store.copy()
+		fl.store.put(testPrefix+"engine-8", "lost")
+		time.Sleep(20 * time.Second)
+		fl.store.restore(restored, false)
+		time.Sleep(2 * time.Second)
+		for _, d := range fl.daemons {
+			requireStoreState(t, fl, d)
+		}
+	})
+}
+
 // Guards against a rolling upgrade in which daemons of a build without eras and newer ones mislead each other: readers
 // whose answers have no era must not make a daemon go back, and it must learn each change from the store.
 func TestReadersWithoutErasAreLeftOut(t *testing.T) {
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -30,7 +30,8 @@
 
 func (e PrefixError) Outcome() failure.Outcome { return failure.NotRun }
 
-// OtherEraError reports a revision of another era of the key-value service than that of the copy.
+// OtherEraError reports a revision of another era of the key-value service than that of the copy, or of an answer of a
+// reader whose era the service does not confirm.
 type OtherEraError struct {
 	Prefix    string
 	Want, Got uint64
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -37,6 +37,8 @@
 	// Mismatch is a reader's answer whose digest differs, Implausible one that removes a large part of the entries.
 	Mismatch    = "mismatch"
 	Implausible = "implausible"
+	// OtherEra is a reader's answer of an era in which the key-value service is not.
+	OtherEra = "other-era"
 )
 
 // Store answers lists and watches of the followed prefixes through readers or, where no reader answers in time, from the
@@ -65,6 +67,8 @@
 	mu        sync.Mutex
 	followed  map[string]*followed
 	suspended map[string]suspended
+	// currentEra is the latest era in which the key-value service itself has answered this daemon.
+	currentEra uint64
 }
 
 // KV returns a kv.Store whose lists and watches of the followed prefixes are relayed. All other calls are direct.
@@ -102,6 +106,9 @@
 	if !known {
 		return s.Direct.Watch(ctx, prefix, after, wait)
 	}
+	if err := s.checkNotEnded(f, after); err != nil {
+		return nil, kv.Revision{}, err
+	}
 	wait = min(wait, timing.pollWait)
 	address, err := s.awaitSource(ctx, prefix, f)
 	if err != nil {
@@ -132,19 +139,22 @@
 	return s.watchDirect(ctx, prefix, f, timing, after, wait)
 }
 
-// ask calls a reader, and rejects an answer that is too old. The call is given up when a sound reader would have
-// answered.
+// ask calls a reader, and rejects an answer that is too old or of an era that the key-value service does not confirm. The
+// call is given up when a sound reader would have answered.
 func (s *Store) ask(ctx context.Context, address string, f *followed, timing Timing, request Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+timing.slack)
+	askCtx, cancel := context.WithTimeout(ctx, request.Wait+timing.slack)
 	defer cancel()
 	s.count(Relayed)
-	response, err := s.Ask(ctx, address, request)
+	response, err := s.Ask(askCtx, address, request)
 	if err != nil {
 		return Response{}, err
 	}
 	if response.Age > timing.maxAge() {
 		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix, Age: response.Age})
 	}
+	if err := s.checkEra(ctx, timing, request.Prefix, response.Revision); err != nil {
+		return Response{}, err
+	}
 	s.resume(address)
 	if response.FailureAge > 0 {
 		at := time.Now().Add(-response.FailureAge)
@@ -192,6 +202,7 @@
 ) ([]kv.Entry, kv.Revision, error) {
 	s.count(Direct)
 	changes, revision, err := s.Direct.Watch(ctx, prefix, after, wait)
+	s.observeEra(revision, err)
 	if err != nil {
 		f.recordError(err)
 		return nil, kv.Revision{}, err
@@ -213,10 +224,11 @@
 	}
 	address := s.source(prefix, f)
 	// A daemon that starts does not wait for a reader, which may have been lost or be starting, too.
-	if _, _, synced := f.replica.state(); f.takeVerifyDirect() || !synced {
+	_, own, synced := f.replica.state()
+	if f.takeVerifyDirect() || !synced {
 		address = ""
 	}
-	if address != "" && f.isConfirmed() {
+	if address != "" && f.isConfirmed() && own.Revision.Era() >= s.era() {
 		s.count(Local)
 		entries, header := f.replica.all()
 		return entries, header.Revision, nil
@@ -229,8 +241,13 @@
 		s.suspend(address)
 		s.count(Fallback)
 	}
+	return s.listDirect(ctx, prefix, f, timing)
+}
+
+func (s *Store) listDirect(ctx context.Context, prefix string, f *followed, timing Timing) ([]kv.Entry, kv.Revision, error) {
 	s.count(Direct)
 	entries, revision, err := s.Direct.List(ctx, prefix)
+	s.observeEra(revision, err)
 	if err != nil {
 		f.recordError(err)
 		return nil, kv.Revision{}, err
