fix(relay): check the store when a follower knows a later era

A reader whose watch had lost its answer in a return of the store kept its old copy until the watch timed out, although its followers had already learned of the new era. It refused them, and each of them called the store.

Cause: a request was compared with the copy and nothing was learned from it.

Change: a request of a later era than the copy ends the daemon's own watch, and the next one asks the store with a short wait. The request waits for the new copy, for at most half the slack, after which the follower would give it up; then it is refused. A request for a page carries the latest era that the follower knows. Checks that others ask for are at least one watch apart, so that a false era costs no more calls than the watches themselves. When the store itself shows a new era on one prefix, the watches of all prefixes end the same way. An interrupted watch counts neither as a failed call nor against the reader. OtherEraError no longer names the prefix, which the copy does not know.

--- a/core/relay/eras.go
+++ b/core/relay/eras.go
@@ -15,7 +15,8 @@
 	return s.currentEra
 }
 
-// observeEra records the era of the key-value service's own response, which may be a kv.EraEndedError.
+// observeEra records the era of the key-value service's own response, which may be a kv.EraEndedError. When a new era
+// begins, the watches of all prefixes end, so that each prefix is listed anew at once.
 func (s *Store) observeEra(revision kv.Revision, err error) {
 	era := revision.Era()
 	if ended, ok := errors.AsType[kv.EraEndedError](err); ok {
@@ -23,7 +24,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.currentEra = max(era, s.currentEra)
+	before := s.currentEra
+	s.currentEra = max(era, before)
+	if before == 0 || era <= before {
+		return
+	}
+	for _, f := range s.followed {
+		f.requestCheck(era, 0)
+	}
 }
 
 // checkNotEnded fails if the key-value service has begun a new era since a revision was received.
@@ -43,12 +51,12 @@
 func (s *Store) checkEra(ctx context.Context, timing Timing, prefix string, revision kv.Revision) error {
 	if revision.Era() > s.era() {
 		s.count(Direct)
-		_, confirmed, err := s.Direct.Watch(ctx, prefix, revision, timing.slack/8)
+		_, confirmed, err := s.Direct.Watch(ctx, prefix, revision, timing.probeWait())
 		s.observeEra(confirmed, err)
 	}
 	if current := s.era(); revision.Era() != current {
 		s.count(OtherEra)
-		return errors.Trace(OtherEraError{Prefix: prefix, Want: current, Got: revision.Era()})
+		return errors.Trace(OtherEraError{Want: current, Got: revision.Era()})
 	}
 	return nil
 }
--- a/core/relay/eras_test.go
+++ b/core/relay/eras_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,6 +98,28 @@
 	})
 }
 
+// Guards against a reader whose watch still waits for an answer of the earlier era while a follower, which has learned of
+// the new one, asks it: it must check with the store at once and then answer.
+func TestOutdatedReaderChecksItsEra(t *testing.T) {
+	runFleet(t, 2, 20*time.Second, func(fl *fleet) {
+		reader := fl.daemons[0]
+		restored := fl.store.copy()
+		fl.store.put(testPrefix+"engine-0", "draining")
+		time.Sleep(time.Second)
+		fl.store.restore(restored, true)
+		time.Sleep(100 * time.Millisecond)
+		revision := kv.NewRevision(2, restored.revision.Number())
+		asked := time.Now()
+		_, err := reader.relay.Serve(context.Background(), Request{Prefix: testPrefix, After: revision})
+		require.NoError(t, err)
+		require.Less(t, time.Since(asked), time.Second, "the watch ends after 5 s")
+		requireStoreState(t, fl, reader)
+		_, err = reader.relay.Serve(context.Background(), Request{Prefix: testPrefix, After: kv.NewRevision(1, restored.revision.Number())})
+		_, compacted := errors.AsType[kv.CompactedError](err)
+		require.True(t, compacted, "a follower of the earlier era must list: %v", err)
+	})
+}
+
 // Guards against a faulty reader that reports an era in which the store never was: its followers would refuse the store
 // and all other readers from then on, or call the store again and again.
 func TestErasOfReadersAreChecked(t *testing.T) {
@@ -134,6 +157,36 @@
 	})
 }
 
+// Guards against faulty followers that report an era in which the store never was: a daemon would turn from the store,
+// answer them, or call the store for each of their requests.
+func TestErasOfFollowersAreChecked(t *testing.T) {
+	runFleet(t, 40, 2*time.Second, func(fl *fleet) {
+		before := fl.store.totalCalls()
+		var answered atomic.Int64
+		for i := range 100 {
+			fl.store.put(testPrefix+"engine-7", fmt.Sprint(i))
+			for _, d := range fl.daemons {
+				fl.group.Go(func() {
+					request := Request{Prefix: testPrefix, After: kv.NewRevision(900+uint64(i), 5), Full: i%2 == 0}
+					if _, err := d.relay.Serve(context.Background(), request); err == nil {
+						answered.Add(1)
+					}
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		require.Zero(t, answered.Load())
+		for _, d := range fl.daemons {
+			requireStoreState(t, fl, d)
+		}
+		perDaemon := float64(fl.store.totalCalls()-before) / 12 / float64(len(fl.daemons))
+		t.Logf("%.2f calls a second and daemon", perDaemon)
+		// A daemon that is asked calls the store twice a second, and checks a reported era no more often.
+		require.LessOrEqual(t, perDaemon, 4.0)
+	})
+}
+
 // Guards against a rolling upgrade in which daemons of a build without eras and newer ones mislead each other: readers
 // whose answers have no era must not make a daemon go back, and it must learn each change from the store.
 func TestReadersWithoutErasAreLeftOut(t *testing.T) {
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -32,13 +32,10 @@
 
 // OtherEraError reports a revision of another era of the key-value service than that of the copy, or of an answer of a
 // reader whose era the service does not confirm.
-type OtherEraError struct {
-	Prefix    string
-	Want, Got uint64
-}
+type OtherEraError struct{ Want, Got uint64 }
 
 func (e OtherEraError) Error() string {
-	return fmt.Sprintf("the copy of %q is of era %d, not %d", e.Prefix, e.Got, e.Want)
+	return fmt.Sprintf("the copy or answer is of era %d, not %d", e.Got, e.Want)
 }
 
 func (e OtherEraError) Code() string { return "era-differs" }
--- a/core/relay/followed.go
+++ b/core/relay/followed.go
@@ -22,6 +22,53 @@
 	reads        bool
 	confirmed    bool // the last relayed answer had the digest of the replica
 	verifyDirect bool // the next list must come from the key-value service
+	// reportedEra is a later era than that of the replica which another daemon reported and which is still to be checked
+	// with the key-value service, or 0.
+	reportedEra uint64
+	checkedAt   time.Time
+	// cancelWatch ends the current watch.
+	cancelWatch context.CancelFunc
+}
+
+// requestCheck ends the current watch, and makes the next one ask the key-value service at once, because the service may
+// be in a later era than the replica. It does nothing within minInterval of the last check, so that a faulty daemon can't
+// cause more calls.
+func (f *followed) requestCheck(era uint64, minInterval time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era <= f.reportedEra || time.Since(f.checkedAt) < minInterval {
+		return
+	}
+	f.reportedEra = era
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// takeCheck reports whether a check is due, which the caller then makes.
+func (f *followed) takeCheck() bool {
+	current, _ := f.replica.era()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	due := f.reportedEra > current
+	f.reportedEra = 0
+	if due {
+		f.checkedAt = time.Now()
+	}
+	return due
+}
+
+// beginWatch returns a context for a watch that ends when a check is requested. The caller must call the function that
+// it returns.
+func (f *followed) beginWatch(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelWatch = cancel
+	if f.reportedEra != 0 {
+		cancel()
+	}
+	return ctx, cancel
 }
 
 func (f *followed) awaitBatch(ctx context.Context) error {
--- a/core/relay/message.go
+++ b/core/relay/message.go
@@ -9,7 +9,9 @@
 // Request asks a reader for the changes under a prefix after a revision, or for a page of all entries.
 type Request struct {
 	Prefix string
-	After  kv.Revision
+	// After is the revision after which changes are wanted. Of a request for a page, only its era counts, which is the
+	// latest that the follower knows.
+	After kv.Revision
 	// Full asks for the entries whose keys follow AfterKey instead of changes.
 	Full     bool
 	AfterKey string
--- a/core/relay/policy.go
+++ b/core/relay/policy.go
@@ -44,6 +44,9 @@
 // maxAge is the highest age of a copy that is confirmed in time. An older one shows that its reader has lost contact.
 func (t Timing) maxAge() time.Duration { return t.pollWait + t.batchDelay + t.slack }
 
+// probeWait is the wait of a call to the key-value service that only has to show its current state.
+func (t Timing) probeWait() time.Duration { return t.slack / 8 }
+
 // readers returns the addresses of a prefix's readers among the daemons. All daemons with the same view of the fleet get
 // the same result, and a daemon that joins or leaves changes it for few of them (rendezvous hashing).
 func readers(prefix string, daemons []string) []string {
--- a/core/relay/replica.go
+++ b/core/relay/replica.go
@@ -184,6 +184,16 @@
 	return len(r.entries), r.header(), r.synced
 }
 
+// era returns the era of the copy and a channel that is closed at the next confirmation.
+func (r *Replica) era() (uint64, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.revision.Era(), r.changed
+}
+
 // all returns all entries in no particular order, with the header of the state that they are from.
 func (r *Replica) all() ([]kv.Entry, Response) {
 	r.mu.Lock()
--- a/core/relay/serve.go
+++ b/core/relay/serve.go
@@ -21,7 +21,11 @@
 	f.mu.Lock()
 	f.askedAt = time.Now()
 	f.mu.Unlock()
-	response, err := f.serve(ctx, timing, request)
+	err := f.awaitEra(ctx, timing, request)
+	var response Response
+	if err == nil {
+		response, err = f.serve(ctx, timing, request)
+	}
 	if err != nil {
 		s.count(Refused)
 		return Response{}, err
@@ -35,6 +39,29 @@
 	return response, nil
 }
 
+// awaitEra waits until the copy is of the era of a request, if the follower knows a later one. It then also makes this
+// daemon check the era with the key-value service, whose watch may still be waiting for a lost response.
+func (f *followed) awaitEra(ctx context.Context, timing Timing, request Request) error {
+	// The follower gives up a request without a wait after the slack.
+	timer := time.NewTimer(timing.slack / 2)
+	defer timer.Stop()
+	for {
+		_, _, synced := f.replica.state()
+		current, changed := f.replica.era()
+		if !synced || request.After.Era() <= current {
+			return nil
+		}
+		f.requestCheck(request.After.Era(), timing.pollWait)
+		select {
+		case <-changed:
+		case <-timer.C:
+			return errors.Trace(OtherEraError{Want: request.After.Era(), Got: current})
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+}
+
 func (f *followed) serve(ctx context.Context, timing Timing, request Request) (Response, error) {
 	if request.Full {
 		return f.page(timing, request)
--- a/core/relay/store.go
+++ b/core/relay/store.go
@@ -114,6 +114,24 @@
 	if err != nil {
 		return nil, kv.Revision{}, err
 	}
+	if !f.takeCheck() {
+		watchCtx, cancel := f.beginWatch(ctx)
+		changes, revision, err := s.watchSource(watchCtx, address, prefix, f, timing, after, wait)
+		cancel()
+		if err == nil || ctx.Err() != nil || !f.takeCheck() {
+			return changes, revision, err
+		}
+	}
+	if err := s.checkNotEnded(f, after); err != nil {
+		return nil, kv.Revision{}, err
+	}
+	return s.watchDirect(ctx, prefix, f, timing, after, timing.probeWait())
+}
+
+// watchSource asks the reader at address or, if that fails or address is empty, the key-value service.
+func (s *Store) watchSource(
+	ctx context.Context, address, prefix string, f *followed, timing Timing, after kv.Revision, wait time.Duration,
+) ([]kv.Entry, kv.Revision, error) {
 	if address != "" {
 		response, err := s.ask(ctx, address, f, timing, Request{Prefix: prefix, After: after, Wait: wait})
 		if err == nil && response.Revision.Before(after) {
@@ -128,13 +146,13 @@
 		}
 		// The daemon's own copy is not known to be current any more, so the next list must not be answered from it.
 		f.setConfirmed(false)
-		if _, compacted := errors.AsType[kv.CompactedError](err); compacted {
+		if _, compacted := errors.AsType[kv.CompactedError](err); compacted || ctx.Err() != nil {
 			return nil, kv.Revision{}, err
 		}
 		s.suspend(address)
 		s.count(Fallback)
 		// The call only has to show what the reader may have withheld. Then another reader is asked.
-		wait = min(wait, timing.slack/8)
+		wait = min(wait, timing.probeWait())
 	}
 	return s.watchDirect(ctx, prefix, f, timing, after, wait)
 }
@@ -204,7 +222,9 @@
 	changes, revision, err := s.Direct.Watch(ctx, prefix, after, wait)
 	s.observeEra(revision, err)
 	if err != nil {
-		f.recordError(err)
+		if ctx.Err() == nil {
+			f.recordError(err)
+		}
 		return nil, kv.Revision{}, err
 	}
 	if !revision.Before(after) {
@@ -269,7 +289,7 @@
 ) ([]kv.Entry, kv.Revision, error) {
 	var entries []kv.Entry
 	var first Response
-	request := Request{Prefix: prefix, Full: true}
+	request := Request{Prefix: prefix, Full: true, After: kv.NewRevision(s.era(), 0)}
 	for {
 		response, err := s.ask(ctx, address, f, timing, request)
 		if err != nil {
