fix(daemon): end a planned stop the same way where only the settings limit it

Callers saw: a daemon with a drain timeout and no stop grace, or with a shorter drain timeout than grace, closed the connections of requests without a response at that timeout, and had taken requests until then that it could not complete.

Cause: the time that is left was computed from the stop grace alone. The drain timeout was a separate limit of the wait for connections, which no request knew.

Change: Drain has one time at which the connections in use are closed: the end of the grace less its margin, or of the drain timeout, whichever is first. Refusals and final answers follow from it. Only a stop grace still keeps the listener open while requests are in flight. A stop without either limit waits as before.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -25,11 +25,11 @@
 	ending context.Context
 	end    context.CancelFunc
 	// drainDelay is the time for which a stopping daemon still accepts requests, so that the load balancer can notice
-	// that it is not ready.
-	drainDelay time.Duration
-	documents  *config.Store
-	table      *route.Table
-	isolation  *member.IsolationDetector
+	// that it is not ready. timeout limits the wait for the requests in flight after it, unless it is zero.
+	drainDelay, timeout time.Duration
+	documents           *config.Store
+	table               *route.Table
+	isolation           *member.IsolationDetector
 	// needsReports is set if the endpoints report their load, which must then be known before the daemon is ready.
 	needsReports bool
 }
@@ -38,7 +38,7 @@
 	s settings.Settings, documents *config.Store, table *route.Table, isolation *member.IsolationDetector,
 ) *Drain {
 	d := &Drain{
-		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration,
+		stopGrace: s.Forward.StopGrace.Duration, drainDelay: s.Timeouts.DrainDelay.Duration, timeout: s.Timeouts.Drain.Duration,
 		documents: documents, table: table, isolation: isolation,
 		needsReports: s.Interface == settings.InterfaceOwn,
 	}
@@ -63,7 +63,7 @@
 }
 
 // TimeLeft returns the time in which a request must be complete, and false if that is not limited because no planned
-// stop has begun or the platform's time limit for it is not known.
+// stop has begun, or it waits without limit for the requests in flight.
 func (d *Drain) TimeLeft() (left time.Duration, limited bool) {
 	left, limited = d.untilClose()
 	return left - statusMargin, limited
@@ -71,10 +71,14 @@
 
 // untilClose returns the time until the connections in use are closed, and false if that is not limited.
 func (d *Drain) untilClose() (left time.Duration, limited bool) {
-	if !d.draining.Load() || d.stopGrace <= 0 {
+	if !d.draining.Load() || (d.stopGrace <= 0 && d.timeout <= 0) {
 		return 0, false
 	}
-	return time.Until(d.beganAt.Add(d.stopGrace - killMargin)), true
+	limit := d.drainDelay + d.timeout
+	if d.stopGrace > 0 && (d.timeout <= 0 || d.stopGrace-killMargin < limit) {
+		limit = d.stopGrace - killMargin
+	}
+	return time.Until(d.beganAt.Add(limit)), true
 }
 
 // Ending returns a context that ends when TimeLeft has passed.
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -361,7 +361,7 @@
 	l.idleTimeout = server.IdleTimeout
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
 		defer server.Close()
-		return drain.stop(ctx, l, s.Timeouts.Drain.Duration, log)
+		return drain.stop(ctx, l, log)
 	}})
 }
 
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -78,7 +78,7 @@
 	server.Handler = drain.closeWhenDraining(server.Handler)
 	l := newCallerListener(s.Listen, server, log)
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
-		return drain.stop(ctx, l, s.Timeouts.Drain.Duration, log)
+		return drain.stop(ctx, l, log)
 	}})
 }
 
@@ -90,13 +90,13 @@
 // requests would come too late to be served.
 const minAcceptTime = 1500 * time.Millisecond
 
-// stop keeps serving until drainDelay has passed since begin. With a time limit it also accepts connections for as long as
+// stop keeps serving until drainDelay has passed since begin. With a stopGrace it also accepts connections for as long as
 // requests in flight keep the daemon running anyway, because the load balancer may have no other daemon. It then waits for
-// the requests in flight, and until no connection can bring another one. A timeout of 0 waits without limit, except that
-// of untilClose. When the time is over, stop closes the remaining connections and waits for their handlers, up to
+// the requests in flight, and until no connection can bring another one, up to the limit of untilClose if there is one.
+// When the time is over, stop closes the remaining connections and waits for their handlers, up to
 // closeTimeout. Callers can resume their generations at another daemon; the idempotency record of a booking in flight may
 // stay without an outcome.
-func (d *Drain) stop(ctx context.Context, l *callerListener, timeout time.Duration, log *logrus.Logger) error {
+func (d *Drain) stop(ctx context.Context, l *callerListener, log *logrus.Logger) error {
 	defer d.end()
 	log.Info("draining")
 	if left, limited := d.untilClose(); limited {
@@ -108,14 +108,9 @@
 	case <-time.After(time.Until(d.beganAt.Add(d.drainDelay))):
 	case <-ctx.Done():
 	}
-	if left, limited := d.TimeLeft(); limited {
+	if left, limited := d.TimeLeft(); limited && d.stopGrace > 0 {
 		l.serveWhileBusy(ctx, left-minAcceptTime)
 	}
-	if timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
-		defer cancel()
-	}
 	if err := l.drain(ctx); err != nil {
 		d.closing.Store(true)
 		log.WithError(err).WithField("connections", l.openCount()).Warn("drain timeout expired; closing connections in use")
