fix(daemon): count the grace from the signal in a stop during the start

Callers saw: a daemon that was stopped during its start and whose start then took long was killed with requests in flight, which got no answer.

Cause: the time that is left was counted from the beginning of the stop, which follows the end of the start. The platform counts from its signal.

Change: Run notes the time at which its context ends, and Drain counts from that.

Evidence: TestForwardStopDuringTheStartKeepsTheGrace (grace 4 s, 3 s of start after the signal) failed without the change: the daemon ended 6.7 s after the signal. It passes now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,10 +102,12 @@
 func Run(
 	ctx context.Context, s settings.Settings, log *logrus.Logger, ready func(), options ...fx.Option,
 ) error {
-	app := New(s, log, options...)
+	var drain *Drain
+	app := New(s, log, append(options, fx.Populate(&drain))...)
 	if err := app.Err(); err != nil {
 		return err
 	}
+	defer context.AfterFunc(ctx, drain.recordSignal)()
 	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -18,9 +18,11 @@
 	draining    atomic.Bool
 	closing     atomic.Bool
 	initialized atomic.Bool
-	// beganAt is set before draining. stopGrace is the time after which the platform kills a stopping daemon, or zero.
-	beganAt   time.Time
-	stopGrace time.Duration
+	// signaledAt is the time of the signal to stop if that came during the start. beganAt is set before draining, to that
+	// time or to the beginning of the stop. stopGrace is the time after which the platform kills a stopping daemon, or zero.
+	signaledAt atomic.Pointer[time.Time]
+	beganAt    time.Time
+	stopGrace  time.Duration
 	// ending ends statusMargin before the connections in use are closed, by a call of end.
 	ending context.Context
 	end    context.CancelFunc
@@ -53,9 +55,18 @@
 	statusMargin = 150 * time.Millisecond
 )
 
+// recordSignal notes the time of the signal to stop, from which the platform counts, if it is called before begin.
+func (d *Drain) recordSignal() {
+	now := time.Now()
+	d.signaledAt.Store(&now)
+}
+
 // begin marks the daemon as stopping. It must be called once, before stop.
 func (d *Drain) begin() {
 	d.beganAt = time.Now()
+	if signaledAt := d.signaledAt.Load(); signaledAt != nil {
+		d.beganAt = *signaledAt
+	}
 	d.draining.Store(true)
 	if left, limited := d.TimeLeft(); limited {
 		time.AfterFunc(left, d.end)
