fix(caller): state the length of each plain service's response

What callers would see: over HTTP/1.0 the response of a plain service above 2 KB came without a length, so that one which the end of the process cuts ends like a whole one.

Cause: the endpoint's Content-Length was removed and left to net/http, which states it for small bodies only. Over HTTP/1.1 the body was in chunks.

Evidence, on: TestServiceResponsesStateTheirLength read no length for 100,000 bytes. The cut itself was not tried.

Change: writeResponse states the length of a body. TestServiceHandlerPassesCall compares all headers and expects it too.

Measured: the test and the package io/caller pass.

--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -155,6 +156,10 @@
 		c.Writer.Header()[name] = values
 	}
 	c.Header(outcomeHeader, response.Outcome.String())
+	if len(response.Body) > 0 {
+		// Without a length, the end of the connection would end the body over HTTP/1.0, also if the process is stopped.
+		c.Header("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	c.Status(response.Status)
 	c.Writer.WriteHeaderNow()
 	if len(response.Body) > 0 {
--- a/io/caller/service_test.go
+++ b/io/caller/service_test.go
@@ -1,7 +1,10 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -21,6 +24,14 @@
 	t *testing.T, req *http.Request, do func(context.Context, booking.Call) (booking.Response, error),
 ) (*httptest.ResponseRecorder, *telemetry.Metrics) {
 	t.Helper()
+	engine, metrics := serviceEngine(do)
+	recorder := httptest.NewRecorder()
+	engine.ServeHTTP(recorder, req)
+	return recorder, metrics
+}
+
+// serviceEngine returns the handler of a service "rooms" whose calls do answers, and its metrics.
+func serviceEngine(do func(context.Context, booking.Call) (booking.Response, error)) (*gin.Engine, *telemetry.Metrics) {
 	gin.SetMode(gin.TestMode)
 	handler := &caller.ServiceHandler{
 		Do:    do,
@@ -34,9 +45,7 @@
 	}
 	engine := gin.New()
 	engine.Any("/services/:service/*path", handler.Handle)
-	recorder := httptest.NewRecorder()
-	engine.ServeHTTP(recorder, req)
-	return recorder, handler.Metrics
+	return engine, handler.Metrics
 }
 
 // Guards against a call or a response that is altered when it is passed on, and against the API key reaching an
@@ -65,7 +74,7 @@
 	}, got.Request)
 	require.Equal(t, http.StatusCreated, recorder.Code)
 	require.Equal(t, "made", recorder.Body.String())
-	require.Equal(t, http.Header{"X-Answer": {"1", "2"}, "Outcome": {"ran"}}, recorder.Header())
+	require.Equal(t, http.Header{"X-Answer": {"1", "2"}, "Outcome": {"ran"}, "Content-Length": {"4"}}, recorder.Header())
 	require.EqualValues(t, 1, metrics.Value(telemetry.Bookings, "ran"))
 }
 
@@ -100,3 +109,25 @@
 		})
 	}
 }
+
+// Guards against a response without a length over HTTP/1.0, where one that the end of the process cuts looks complete.
+func TestServiceResponsesStateTheirLength(t *testing.T) {
+	for _, length := range []int{0, 1, 100_000} {
+		engine, _ := serviceEngine(func(context.Context, booking.Call) (booking.Response, error) {
+			return booking.Response{Status: http.StatusOK, Body: []byte(strings.Repeat("x", length)), Outcome: failure.Ran}, nil
+		})
+		server := httptest.NewServer(engine)
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /services/rooms/x HTTP/1.0\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.EqualValues(t, length, response.ContentLength)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, length)
+		require.NoError(t, conn.Close())
+		server.Close()
+	}
+}
