--- /dev/null
+++ b/core/booking/ending_test.go
@@ -0,0 +1,82 @@
+package booking_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/booking"
+	"radishhollow/core/config"
+	"radishhollow/core/failure"
+)
+
+// Guards against a call that is in flight when the daemon ends and returns no outcome, because a non-idempotent call does
+// not end with its context.
+func TestEnding(t *testing.T) {
+	for _, kind := range []config.RouteKind{config.KindOnce, config.KindIdempotent} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				ending, end := context.WithTimeout(t.Context(), time.Second)
+				defer end()
+				f := fakeEndpoints{steps: steps{func(ctx context.Context) (booking.Response, error) {
+					<-ctx.Done()
+					return booking.Response{}, ctx.Err()
+				}}}
+				_, err := f.sender(false).Do(t.Context(), booking.Call{
+					Kind: kind, Ending: ending, Deadline: time.Now().Add(time.Minute),
+				})
+				require.Error(t, err)
+				require.Equal(t, failure.Unknown, failure.Of(err).Outcome())
+				require.Equal(t, time.Second, time.Since(began))
+			})
+		})
+	}
+}
+
+type ending struct{ unreachable }
+
+func (ending) Code() string { return "ending" }
+
+// Guards against a retry or a hedged attempt that starts too late to be complete before the daemon ends, and against the
+// loss of the answer or the outcome of the attempt before it.
+func TestAdmit(t *testing.T) {
+	slow := func(_ context.Context) (booking.Response, error) {
+		time.Sleep(time.Second)
+		return booking.Response{Status: 200}, nil
+	}
+	for _, tt := range []struct {
+		name    string
+		kind    config.RouteKind
+		step    func(context.Context) (booking.Response, error)
+		code    string
+		outcome failure.Outcome
+	}{
+		{"once, did not run", config.KindOnce, failWith(unreachable{}), "ending", failure.NotRun},
+		{"idempotent, did not run", config.KindIdempotent, failWith(unreachable{}), "ending", failure.NotRun},
+		{"idempotent, may have run", config.KindIdempotent, failWith(context.DeadlineExceeded), "outcome-unknown", failure.Unknown},
+		{"idempotent, still runs", config.KindIdempotent, slow, "", failure.Ran},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fakeEndpoints{steps: steps{tt.step}}
+				response, err := f.sender(true).Do(t.Context(), booking.Call{
+					Kind: tt.kind, HedgeAfter: 100 * time.Millisecond, Deadline: time.Now().Add(time.Minute),
+					Admit: func() error { return ending{} },
+				})
+				require.Len(t, f.sent, 1, "no further attempt is admitted")
+				if tt.code == "" {
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.Status)
+					return
+				}
+				require.Equal(t, tt.code, failure.Of(err).Code())
+				require.Equal(t, tt.outcome, failure.Of(err).Outcome())
+			})
+		})
+	}
+}
--- a/core/config/syncer_test.go
+++ b/core/config/syncer_test.go
@@ -123,3 +123,71 @@
 		require.EqualValues(t, 1, s.Current().Revision())
 	})
 }
+
+// Guards against a configuration that stays as it was after the store has come back from an older copy, whether its new
+// revisions are below, at or above the last one that the watch has seen.
+func TestSyncerFollowsAStoreInANewEra(t *testing.T) {
+	for _, number := range []uint64{1, 5, 9} {
+		f := &fakeKV{revision: kv.NewRevision(1, 4)}
+		var eras kv.Eras
+		store := eras.Guard(f.store())
+		store.Get = func(ctx context.Context, _ string) (kv.Entry, error) {
+			<-ctx.Done()
+			return kv.Entry{}, ctx.Err()
+		}
+		runSyncer(t, store, func(s *Store, _ *counts) {
+			putDocument(t, f, NewDocument(1, fieldsOf(1, "a")))
+			time.Sleep(2 * time.Second)
+			require.EqualValues(t, 1, s.Current().Revision())
+			f.mu.Lock()
+			f.revision = kv.NewRevision(2, number-1)
+			f.mu.Unlock()
+			eras.Observe(2)
+			putDocument(t, f, NewDocument(2, fieldsOf(2, "b")))
+			time.Sleep(2 * time.Second)
+			require.EqualValues(t, 2, s.Current().Revision())
+		})
+	}
+}
+
+// Guards against lost content that stays in force after the operator has given its number to another one in a new era,
+// on the whole way from the watch, and against revisions after it that come late.
+func TestSyncerTakesRewrittenContent(t *testing.T) {
+	for _, number := range []uint64{1, 3, 40} {
+		f := &fakeKV{revision: kv.NewRevision(1, 2)}
+		eras := &kv.Eras{}
+		observe := func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			eras.Observe(f.revision.Era())
+		}
+		direct := f.store()
+		store := eras.Guard(kv.Store{
+			Get: func(ctx context.Context, key string) (kv.Entry, error) {
+				defer observe()
+				return direct.Get(ctx, key)
+			},
+			Watch: func(ctx context.Context, key string, after kv.Revision, wait time.Duration) ([]kv.Entry, kv.Revision, error) {
+				defer observe()
+				return direct.Watch(ctx, key, after, wait)
+			},
+		})
+		runSyncer(t, store, func(s *Store, c *counts) {
+			putDocument(t, f, NewDocument(5, fieldsOf(5, "lost")))
+			time.Sleep(time.Second)
+			require.EqualValues(t, 5, s.Current().Revision())
+			f.mu.Lock()
+			f.revision = kv.NewRevision(2, number)
+			f.mu.Unlock()
+			putDocument(t, f, NewDocument(5, fieldsOf(5, "rewritten")))
+			time.Sleep(time.Second)
+			require.Equal(t, []string{"rewritten"}, s.Current().Fields().Places)
+			for revision := range uint64(5) {
+				putDocument(t, f, NewDocument(6+revision, fieldsOf(6, "next")))
+				time.Sleep(time.Second)
+				require.Equal(t, 6+revision, s.Current().Revision())
+			}
+			require.Positive(t, c.of(FromWatch))
+		})
+	}
+}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -67,24 +68,22 @@
 	// mu protects the fields below where pick or stalled may read them at the same time, in a call from another goroutine
 	// while open waits.
 	mu sync.Mutex
-	// choice is the endpoint of the current attempt. Pick may already have reserved that of the next one.
-	choice route.Choice
-	// running reports whether the current attempt has been sent and neither lost nor refused.
-	running bool
-	// sentAt is the time at which the current attempt was sent, and firstCopy the copy that its engine sends by itself.
-	sentAt    time.Time
-	firstCopy kvCopy
-	// replicator maintains the copy of the current run's KV cache. It is nil where the run has no copy.
-	replicator *replicator
-	// resumeCopy is the copy that the last run left, from which the next one can resume.
-	resumeCopy kvCopy
-	// start tracks the start of the current attempt's run. It is nil before the first attempt.
-	start *startTracker
+	// attemptState is that of the current attempt.
+	attemptState
+	// silent is the state of an attempt whose engine is silent, while the current attempt, which is to replace it, is being
+	// opened. It is nil otherwise.
+	silent *attemptState
+	// resumeCopy is the copy that the last run left, from which the next one can resume. sentReference is the reference of
+	// the copy that an attempt was sent with last. No other attempt can resume from that copy.
+	resumeCopy    kvCopy
+	sentReference string
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
 	header     http.Header
-	headerSent bool
+	headerSent atomic.Bool
+	// mayHaveRun reports whether an engine may have run the request.
+	mayHaveRun bool
 	// errorResponse is the last error response of an engine. It is passed on if the stream fails before its first
 	// event.
 	errorResponse *booking.Response
@@ -95,8 +94,6 @@
 	deliveredAt     time.Time
 	// openedStreams counts the attempts whose streams were opened.
 	openedStreams int
-	// silenceReported reports whether the current silence of the engine has been passed to ObserveAttempt.
-	silenceReported bool
 	// nothingAdded is the error of the last engine that ended a resumed stream without a new event.
 	nothingAdded NothingAddedError
 	// tried holds the engines of earlier attempts.
@@ -107,13 +104,15 @@
 func (s *Server) serveStream(c *gin.Context, q *request) error {
 	// When the caller disconnects, ctx ends without CallerGoneError as its cause. The Driver has no Cancel function, and
 	// finish recognizes a disconnected caller by the context of the request.
-	ctx, cancel := context.WithDeadlineCause(c.Request.Context(), q.deadline, TimeoutError{
+	h := &streamHandler{server: s, c: c, controller: http.NewResponseController(c.Writer), request: q}
+	// A response that has begun goes on until its connection is closed.
+	ctx, cancelEnding := s.withEnding(c.Request.Context(), func() bool { return !h.headerSent.Load() })
+	defer cancelEnding()
+	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, TimeoutError{
 		After: time.Until(q.deadline), Result: failure.Unknown,
 	})
 	defer cancel()
-	h := &streamHandler{
-		server: s, c: c, controller: http.NewResponseController(c.Writer), request: q, ctx: ctx,
-	}
+	h.ctx = ctx
 	defer h.stopTracking()
 	maxRuns := 1
 	if q.route.Resumable {
@@ -130,10 +129,8 @@
 		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.EventGapTarget()),
 	}
 	err := d.Run(ctx)
-	if h.replicator != nil {
-		// No run follows. Without a call of stop, releaseUnused frees a moved copy.
-		h.replicator.cancel()
-	}
+	// No run follows.
+	h.cancelReplicator()
 	q.logFields = logrus.Fields{
 		"first-ms": h.firstEventWait.Milliseconds(), "pause-ms": h.longestPause.Milliseconds(), "runs": h.openedStreams,
 	}
@@ -141,14 +138,24 @@
 	if err == nil {
 		if q.lastEventID == 0 {
 			// The rest of a stream that its caller resumes says little about a whole one.
-			s.durations.record(q.service.Name, time.Since(q.arrivedAt))
+			s.durations.record(q.service.Name, completeStream{
+				duration: time.Since(q.arrivedAt), firstEventWait: h.firstEventWait, maxTokens: q.maxOutputTokens,
+			})
 		}
 		return h.complete()
 	}
-	if h.errorResponse != nil && !h.headerSent {
+	if h.errorResponse != nil && !h.headerSent.Load() {
 		return writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
 	}
-	return err
+	return endedByStop(ctx, h.outcome(), err)
+}
+
+// outcome returns NotRun only if no engine can have run the request.
+func (h *streamHandler) outcome() failure.Outcome {
+	if h.mayHaveRun {
+		return failure.Unknown
+	}
+	return failure.NotRun
 }
 
 // pick prefers the engine that holds a copy of the run's KV cache, and avoids the place of the last lost engine, or of
@@ -187,6 +194,14 @@
 }
 
 func (h *streamHandler) open(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+	stream, err := h.sendRequest(ctx, address, start)
+	h.mayHaveRun = h.mayHaveRun || err == nil || failure.Of(err).Outcome() != failure.NotRun
+	return stream, err
+}
+
+func (h *streamHandler) sendRequest(
+	ctx context.Context, address string, start generation.Start,
+) (generation.Stream, error) {
 	f := h.server.Format
 	r := h.request.endpointRequest()
 	r.Header = r.Header.Clone()
@@ -199,15 +214,14 @@
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.startRun(nextCopy)
 	h.probeLimiter.reset()
-	response, cancel, err := h.server.Open(ctx, address, r)
+	response, cancel, err := h.server.Open(withSentHook(ctx, start.Sent), address, r)
 	fields := h.server.choiceFields(h.choice)
 	fields["attempt"], fields["offset"] = start.Attempt, start.Offset
 	fields["from"], fields["backup"] = r.Header.Get(f.ResumeFrom), nextCopy.holder.Address()
 	fields["wait-ms"] = time.Since(h.sentAt).Milliseconds()
 	h.log("stream sent", fields, err)
 	if r.Header.Get(f.ResumeFrom) != "" {
-		// A copy can be resumed from only once. It is dropped after each attempt that carried it, even if that failed.
-		h.setResumeCopy(kvCopy{})
+		h.dropResumeCopy()
 	}
 	if err != nil {
 		// If the engine ran the request, it may already have sent a part of the copy.
@@ -275,10 +289,9 @@
 
 // sendHeader sends the response header of the first engine to the caller, once.
 func (h *streamHandler) sendHeader() error {
-	if h.headerSent {
+	if h.headerSent.Swap(true) {
 		return nil
 	}
-	h.headerSent = true
 	setResetOnClose(h.c.Request, true)
 	copyHeader(h.c.Writer.Header(), h.header)
 	h.c.Status(http.StatusOK)
--- a/io/forward/time_left.go
+++ b/io/forward/time_left.go
@@ -8,36 +8,86 @@
 	"radishhollow/core/config"
 )
 
-// minTimeLeft is the time that a request whose response is not a stream needs before a daemon stops. Most take a
-// fraction of it; one that takes longer ends at its deadline, which checkTimeLeft shortens.
-const minTimeLeft = time.Second
-
-// statusMargin is the time before the end of the daemon in which the callers of the last requests get a status.
-const statusMargin = 150 * time.Millisecond
+const (
+	// minTimeLeft is the shortest time that a request is assumed to take if its deadline allows it.
+	minTimeLeft = time.Second
+	// oncePercent and idempotentPercent are the shares of the calls that are complete within the estimated duration. A
+	// refused caller is served by another daemon after a short wait. One that is cut has waited in vain and, for a call that
+	// must not be repeated, does not learn whether it has run.
+	oncePercent, idempotentPercent = 99, 95
+	// unresumablePercent is the factor by which a stream is assumed to exceed the longest one where its caller could not
+	// go on with the rest at another daemon.
+	unresumablePercent = 150
+	// deadlineMargin is the time by which the deadline of a request exceeds the end of the daemon, so that Ending is the
+	// first to end it. It is above the lateness of a timer on a busy machine.
+	deadlineMargin = 100 * time.Millisecond
+)
 
-// checkTimeLeft refuses a request that would be cut because the daemon stops before it is complete: another daemon can
-// still serve it. The deadline of any other request is brought forward to the end of the daemon, so that its caller gets
-// a status.
+// checkTimeLeft refuses a request, or a further attempt of it, that would be cut because the daemon stops before it is
+// complete: another daemon can still serve it.
 func (s *Server) checkTimeLeft(q *request) error {
+	if left, limited := s.timeLeft(); limited && left < s.timeNeeded(q) {
+		return errors.Trace(DrainingError{Left: left})
+	}
+	return nil
+}
+
+// checkTimeForRun refuses a further run of a stream whose response has begun if hardly an event would follow: its caller
+// can go on with the rest at another daemon.
+func (s *Server) checkTimeForRun() error {
+	if left, limited := s.timeLeft(); limited && left < minTimeLeft {
+		return errors.Trace(DrainingError{Left: left})
+	}
+	return nil
+}
+
+// checkTimeLeft returns an error if no further run may start because the daemon stops.
+func (h *streamHandler) checkTimeLeft() error {
+	if h.headerSent.Load() {
+		return h.server.checkTimeForRun()
+	}
+	return h.server.checkTimeLeft(h.request)
+}
+
+func (s *Server) timeLeft() (left time.Duration, limited bool) {
 	if s.TimeLeft == nil {
-		return nil
+		return 0, false
 	}
-	left, limited := s.TimeLeft()
-	if !limited {
-		return nil
+	return s.TimeLeft()
+}
+
+// limitDeadline brings the deadline of a request forward if the daemon stops before, so that endpoints do not work on it
+// after the end of the daemon.
+func (s *Server) limitDeadline(q *request) {
+	left, limited := s.timeLeft()
+	if end := time.Now().Add(left + deadlineMargin); limited && end.Before(q.deadline) {
+		q.deadline = end
 	}
-	needed := minTimeLeft
+}
+
+// timeNeeded returns the time within which a request is expected to be complete. That is its deadline at the latest, at
+// which it has a status in any case.
+func (s *Server) timeNeeded(q *request) time.Duration {
+	untilDeadline := time.Until(q.deadline)
 	if q.route.Kind == config.KindStream {
-		var known bool
-		if needed, known = s.durations.longest(q.service.Name); !known {
-			return errors.Trace(DrainingError{Left: left})
+		longest, known := s.durations.longest(q.service.Name, q.maxOutputTokens)
+		if !known {
+			return untilDeadline
+		}
+		if !q.route.Resumable {
+			longest = longest * unresumablePercent / 100
 		}
+		return min(longest, untilDeadline)
 	}
-	if left < needed {
-		return errors.Trace(DrainingError{Left: left})
+	percent := float64(oncePercent)
+	if q.route.Kind == config.KindIdempotent {
+		percent = idempotentPercent
 	}
-	if end := time.Now().Add(left - statusMargin); end.Before(q.deadline) {
-		q.deadline = end
+	expected, calls := s.callDurations.quantile(q.callKey(), percent)
+	if calls < minKnownCalls {
+		expected = max(expected, q.route.Target())
 	}
-	return nil
+	return min(max(expected, minTimeLeft), untilDeadline)
 }
+
+func (q *request) callKey() callKey { return callKey{service: q.service.Name, kind: q.route.Kind} }
