fix(daemon): hear from a peer before a start is complete

A daemon that starts right after the store has come back from an older copy could serve callers by an older configuration than the one that its peers have in force.

Cause: a configuration and a list of endpoints from the store made the daemon ready. Its first exchange with a peer, in which it learns of the newer version, ran beside that.

Evidence: TestStartWaitsForTheConfigurationOfPeers fails without the mechanism, because the daemon is ready before it has read the list of daemons. With processes on loopback the older version was not seen (TestForwardStartInTheGapLearnsFromPeers passed before, too): the exchange is done within milliseconds.

Result: both tests pass; packages daemon, platform and test under the race detector.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -30,6 +30,8 @@
 	documents  *config.Store
 	table      *route.Table
 	isolation  *member.IsolationDetector
+	// peers is nil if the daemon need not hear from its peers before it is ready.
+	peers *peerCatchUp
 	// needsReports is set if the endpoints report their load, which must then be known before the daemon is ready.
 	needsReports bool
 }
@@ -97,6 +99,9 @@
 	if d.needsReports && !d.table.SubsetsPolled() {
 		return
 	}
+	if d.peers != nil && d.peers.pending() {
+		return
+	}
 	if d.table.Synced() {
 		d.initialized.Store(true)
 	}
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -91,12 +91,19 @@
 	return exchanger
 }
 
-func newRegistrar(s settings.Settings, store kv.Store, node *peer.Node, exchanger *peer.Exchanger) *peer.Registrar {
+func newRegistrar(
+	s settings.Settings, store kv.Store, node *peer.Node, exchanger *peer.Exchanger, drain *Drain,
+) *peer.Registrar {
 	registrar := &peer.Registrar{
 		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.ConfigPoll.Duration, BatchDelay: memberBatchDelay,
 		// A daemon that starts learns what its peers know, such as quarantined parts, as soon as it knows them.
-		OnListed: exchanger.TriggerExchange,
+		OnListed: func() {
+			if drain.peers != nil {
+				drain.peers.listed.Store(true)
+			}
+			exchanger.TriggerExchange()
+		},
 	}
 	if s.Interface == settings.InterfaceForward {
 		// The relay batches the changes. A further pause would let shared keys reach some daemons later than others, which
