fix(daemon): let the store end a false era of a peer

One faulty peer that reports an era in which the store never was could replace a daemon's list of endpoints for good: each answer of the store then belonged to an earlier era and was ignored.

Evidence: TestEndpointListDropsAFalseEraOfAPeer on the code before: 10 s of answers of the store later, only the endpoint of the false list was in use.

Change: if the store, or a reader, still answers in the earlier era 3 s after a peer's list began a later one, the store is right. Peers are not believed about this era and those after it until the store itself has reached it.

Result: the test passes; package daemon under the race detector.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -53,7 +53,7 @@
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
@@ -71,7 +71,9 @@
 	synced bool
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
 	// revision.
-	peerRevision   kv.Revision
+	peerRevision kv.Revision
+	// falseEra is an era that a peer reported and the store has not reached; 0 if there is none.
+	falseEra       uint64
 	peerAheadSince time.Time
 	lastResponse   time.Time
 	lastFailure    time.Time
@@ -150,16 +152,16 @@
 }
 
 // apply applies a full read of the store or the changes of a watch, also if its revision is lower than that of a list
-// taken from a peer in the same era. What was read in an earlier era is ignored: the store does not know it any more. An
-// empty full read leaves the revision and removes all registrations, except those that handleDeletion keeps for a time.
+// taken from a peer in the same era. What was read in an earlier era than that list is ignored for a while. An empty full
+// read leaves the revision and removes all registrations, except those that handleDeletion keeps for a time.
 func (l *endpointList) apply(entries []kv.Entry, revision kv.Revision, full bool) {
 	l.isolation.RecordContact()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision.Era() < l.revision.Era() {
+	now := time.Now()
+	if !l.confirmEra(revision, now) {
 		return
 	}
-	now := time.Now()
 	if !l.lastFailure.IsZero() && l.lastResponse.Before(l.lastFailure) {
 		l.log.WithField("revision", revision.String()).Info("store answers again")
 	}
--- a/daemon/endpoint_list_era_test.go
+++ b/daemon/endpoint_list_era_test.go
@@ -164,3 +164,32 @@
 		})
 	}
 }
+
+// Guards against a faulty peer that reports an era in which the store never was: this daemon would ignore the store from
+// then on, or take the peer's list again and again.
+func TestEndpointListDropsAFalseEraOfAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPlatformList(kv.Store{}, nil)
+		own := []kv.Entry{readyAs("a", kv.NewRevision(1, 10)), readyAs("b", kv.NewRevision(1, 11))}
+		l.apply(own, kv.NewRevision(1, 100), true)
+		taken := 0
+		for i := range uint64(100) {
+			forged := kv.NewRevision(900, i+1)
+			l.recordPeerRevision(forged)
+			if l.peerRevision == forged {
+				l.replaceFromPeer(parsed(t, l, readyAs("e", forged)), forged)
+				taken++
+			}
+			time.Sleep(100 * time.Millisecond)
+			l.apply(own, kv.NewRevision(1, 101+i), true)
+		}
+		require.Equal(t, "ab", usable(l))
+		require.LessOrEqual(t, taken, 30, "the peer is believed for 3 s")
+		_, revision, _ := l.Listings()
+		require.Equal(t, kv.NewRevision(1, 200), revision)
+
+		next := kv.NewRevision(2, 50)
+		l.replaceFromPeer(parsed(t, l, readyAs("a", next), readyAs("c", next)), next)
+		require.Equal(t, "abc", usable(l), "a list of the era that follows is taken")
+	})
+}
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -47,6 +47,9 @@
 func (l *endpointList) recordPeerRevision(revision kv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isFalse(revision) {
+		return
+	}
 	if revision.After(l.revision) && !l.peerRevision.After(l.revision) {
 		l.peerAheadSince = time.Now()
 	}
@@ -58,7 +61,7 @@
 func (l *endpointList) replaceFromPeer(registrations []route.Listing, revision kv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.synced && !revision.After(l.revision) {
+	if l.isFalse(revision) || l.synced && !revision.After(l.revision) {
 		return
 	}
 	now := time.Now()
@@ -96,3 +99,30 @@
 	}
 	l.drop(key)
 }
+
+// maxUnconfirmedEra is the time for which an era that only a peer has reported is taken for the current one. A daemon
+// that reaches the store, or a reader that does, notices a new era with the next watch, after about half a second.
+const maxUnconfirmedEra = postOutageWindow
+
+// confirmEra reports whether the store's answer at a revision is to be applied. One of an earlier era than that of a
+// peer's list is from a reader that has not noticed the new era yet, unless the store stays in the earlier era. Then the
+// peer's era is false: without an end, this daemon would ignore the store from then on.
+func (l *endpointList) confirmEra(revision kv.Revision, now time.Time) bool {
+	switch {
+	case revision.Era() >= l.revision.Era():
+		if revision.Era() >= l.falseEra {
+			l.falseEra = 0
+		}
+		return true
+	case now.Sub(l.eraBeganAt) < maxUnconfirmedEra:
+		return false
+	}
+	l.log.WithFields(logrus.Fields{"revision": revision.String(), "era-of-peer": l.revision.Era()}).Warn("store is not in the era that a peer has reported")
+	l.falseEra, l.revision, l.peerRevision = l.revision.Era(), kv.NewRevision(revision.Era(), 0), kv.Revision{}
+	return true
+}
+
+// isFalse reports whether a peer's revision is of an era that the store has not reached, as it has shown.
+func (l *endpointList) isFalse(revision kv.Revision) bool {
+	return l.falseEra != 0 && revision.Era() >= l.falseEra
+}
