fix(generation): move a stalled stream after the wait bound

Callers whose stream had been silent for longer than the wait bound never got the rest of it before the deadline, although the engine no longer accepted connections and a move had become possible meanwhile. A request whose engine was given up before its header ended with an error at the wait bound, while the engines that it could move to refused for a few seconds.

Cause: the wait bound ended every move, also that from a stalled engine, and the search for an engine that follows a silent one kept the bound with which it had begun.

Evidence, on the code before: TestKeptStreamAfterTheWaitBound, no move in 3 of 3 stalled cases (the end came after 8.24, 8.24 and 16.24 s instead of within 6 s; the 3 slow cases passed); TestRefusalsAfterASilentOpeningAreOutlasted, "no token within 1.9s".

Change: after the wait bound, a stalled engine is left if a move is possible; an engine that is only slow is kept, as before. A stream that is opened after the bound has its own timeouts in place of the bound. The search for an engine takes its bound anew at each attempt.

--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -60,6 +60,7 @@
 	reserved        *move          // next attempt, reserved before the current one is given up
 	silent          *silentAttempt // attempt that the current one is to replace, while that is opened
 	moveBackoff     time.Duration  // time until the next move after one that failed, or zero
+	openedLate      bool           // the current stream was opened after the wait bound, which then does not end the wait for it
 	keptReported    bool           // EventKept has been reported for the current silence
 }
 
@@ -131,50 +132,61 @@
 
 // open picks endpoints until one accepts an attempt, or until a bound or the retry budget ends the search.
 func (r *driverCall) open(ctx context.Context) error {
-	boundCtx, cancel := r.withSearchBound(ctx)
-	defer cancel()
 	delay := minPickDelay
 	for {
-		if err := r.checkNext(boundCtx); err != nil {
-			return err
+		err := r.tryOpen(ctx, delay)
+		if r.stream != nil {
+			return nil
 		}
-		choice, err := r.pick(boundCtx)
-		r.noEndpoint = err != nil && len(r.exclude) == 0
-		if err == nil {
-			// route.Table.Pick returns no excluded endpoint. If another Pick does, the endpoint is tried only after the delay.
-			if r.exclude[choice.Address()] && clock.Sleep(boundCtx, delay) != nil {
-				choice.Release()
-				return r.lastErrorOr(boundCtx.Err())
-			}
-			r.hold(choice)
-			if !r.takeRetry() {
-				err = RetryBudgetError{Attempt: r.Log.Attempt() + 1}
-				r.release()
-				// A silent engine was given up for a move. Where that is refused, the stream waits for another retry.
-				if !r.leftSilent || clock.Sleep(boundCtx, moveCheckInterval) != nil {
-					return r.newEngineLostError(err)
-				}
-				continue
-			}
-			if err = r.startAttempt(ctx); err == nil {
-				return nil
-			}
-			delay = min(2*delay, maxPickDelay)
-		} else {
-			if r.recordPickError(err) {
-				return r.newEngineLostError(r.lastErr)
-			}
-			if sleepErr := clock.Sleep(boundCtx, delay); sleepErr != nil {
-				return err
-			}
-			delay = min(2*delay, maxPickDelay)
+		if _, final := errors.AsType[searchEndedError](err); final {
+			return errors.Unwrap(err)
 		}
-		if boundCtx.Err() != nil {
+		// The bound is checked anew, because it is another one once a silent engine was given up.
+		boundCtx, cancel := r.withSearchBound(ctx)
+		ended := boundCtx.Err() != nil
+		cancel()
+		if ended {
 			return err
 		}
+		delay = min(2*delay, maxPickDelay)
 	}
 }
 
+// tryOpen makes one attempt. Without one, it waits for the delay. It returns a searchEndedError if no other attempt may
+// follow.
+func (r *driverCall) tryOpen(ctx context.Context, delay time.Duration) error {
+	boundCtx, cancel := r.withSearchBound(ctx)
+	defer cancel()
+	if err := r.checkNext(boundCtx); err != nil {
+		return searchEndedError{err}
+	}
+	choice, err := r.pick(boundCtx)
+	r.noEndpoint = err != nil && len(r.exclude) == 0
+	if err != nil {
+		if r.recordPickError(err) {
+			return searchEndedError{r.newEngineLostError(r.lastErr)}
+		}
+		_ = clock.Sleep(boundCtx, delay)
+		return err
+	}
+	// route.Table.Pick returns no excluded endpoint. If another Pick does, the endpoint is tried only after the delay.
+	if r.exclude[choice.Address()] && clock.Sleep(boundCtx, delay) != nil {
+		choice.Release()
+		return searchEndedError{r.lastErrorOr(boundCtx.Err())}
+	}
+	r.hold(choice)
+	if r.takeRetry() {
+		return r.startAttempt(ctx)
+	}
+	err = RetryBudgetError{Attempt: r.Log.Attempt() + 1}
+	r.release()
+	// A silent engine was given up for a move. Where that is refused, the stream waits for another retry.
+	if !r.leftSilent || clock.Sleep(boundCtx, moveCheckInterval) != nil {
+		return searchEndedError{r.newEngineLostError(err)}
+	}
+	return err
+}
+
 // withSearchBound limits the context to the time for which an endpoint is looked for: the wait bound, or the deadline of
 // the request after a silent stream was given up, because its engine might have gone on.
 func (r *driverCall) withSearchBound(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -241,6 +253,7 @@
 func (r *driverCall) useStream(stream Stream, class string) {
 	r.stream, r.mayHaveRun, r.awaitingFirst, r.acceptedAttempt = &stream, true, true, r.Log.Attempt()
 	r.firstTimeout, r.keptReported, r.moveBackoff = r.timeouts.FirstChunkTimeout(), false, 0
+	r.openedLate = r.leftSilent && r.callerWaitExceeded()
 	if class == ClassAttach {
 		// The engine of an attached stream has already done the prefill.
 		r.firstTimeout = r.timeouts.ChunkTimeout()
--- a/core/generation/error.go
+++ b/core/generation/error.go
@@ -141,6 +141,11 @@
 // movedError reports within the Driver that a silent stream was given up and the next attempt has been started.
 type movedError struct{ SilenceError }
 
+// searchEndedError reports within the Driver that no endpoint may be tried any more.
+type searchEndedError struct{ error }
+
+func (e searchEndedError) Unwrap() error { return e.error }
+
 // SilenceError reports that an engine sent no chunk within the timeout of its stream, or stalled.
 type SilenceError struct {
 	Endpoint string
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -31,20 +31,13 @@
 // reserveMove reserves the next attempt at another endpoint and returns an empty string, or why the generation
 // cannot continue elsewhere. A silent engine is given up only after that, because it may be sound and go on.
 func (r *driverCall) reserveMove(ctx context.Context) (reason string) {
-	runs := r.runs
-	if r.opening {
-		runs++
-	}
-	switch {
-	case r.reachedMaxTokens():
+	if r.reachedMaxTokens() {
 		// Only the end of the stream is missing, for which no other engine is needed.
 		return ""
-	case r.callerWaitExceeded():
-		return ReasonWaitBound
-	case r.MaxRuns > 0 && runs >= r.MaxRuns:
-		return ReasonAttemptsUsed
-	case !r.Log.CanResumeElsewhere():
-		return ReasonNotResumable
+	}
+	late := r.callerWaitExceeded()
+	if reason = r.reasonToStay(late); reason != "" {
+		return reason
 	}
 	charged := r.isCharged()
 	if charged && !r.TakeRetry() {
@@ -62,7 +55,7 @@
 	switch {
 	case choice.Address() == r.choice.Address():
 		reason = ReasonNoEndpoint
-	case r.callerWaitExceeded():
+	case !late && r.callerWaitExceeded():
 		// Pick has taken too long. An attempt that starts now would end at once.
 		reason = ReasonWaitBound
 	case !r.mayMove():
@@ -76,6 +69,25 @@
 	return reason
 }
 
+// reasonToStay returns why the stream must not leave its engine, or an empty string. Late reports whether the wait bound
+// has passed. After so long a wait, only an engine that does not respond to anything is left; a slow one will go on.
+func (r *driverCall) reasonToStay(late bool) (reason string) {
+	runs := r.runs
+	if r.opening {
+		runs++
+	}
+	switch {
+	case r.MaxRuns > 0 && runs >= r.MaxRuns:
+		reason = ReasonAttemptsUsed
+	case !r.Log.CanResumeElsewhere():
+		reason = ReasonNotResumable
+	}
+	if late && (reason != "" || !r.stalled(r.choice.Address())) {
+		return ReasonWaitBound
+	}
+	return reason
+}
+
 // pickOther picks an endpoint other than that of the current attempt. As in open, endpoints that were excluded before
 // become eligible again if there is no other.
 func (r *driverCall) pickOther(ctx context.Context) (route.Choice, error) {
--- a/core/generation/read.go
+++ b/core/generation/read.go
@@ -145,7 +145,10 @@
 }
 
 // waitBoundPassed reports whether a recovery has used up the caller's wait bound. waitForChunk then waits no longer.
-func (r *driverCall) waitBoundPassed() bool { return r.recovering && r.callerWaitExceeded() }
+func (r *driverCall) waitBoundPassed() bool { return r.isBounded() && r.callerWaitExceeded() }
+
+// isBounded reports whether the wait bound applies to the current stream.
+func (r *driverCall) isBounded() bool { return r.recovering && !r.openedLate }
 
 // callerWaitExceeded reports whether the caller has waited for the wait bound.
 func (r *driverCall) callerWaitExceeded() bool {
@@ -183,7 +186,7 @@
 // shows that this daemon was paused or short of CPU time, so that output of the engine may be waiting unread. The wait
 // is then extended once.
 func (r *driverCall) waitForChunk(ctx context.Context, deadline time.Time) (chunk Chunk, timedOut bool, err error) {
-	if r.recovering {
+	if r.isBounded() {
 		if bound := r.lastDelivery.Add(r.waitBeforeError()); bound.Before(deadline) {
 			deadline = bound
 		}
--- a/core/generation/silence_test.go
+++ b/core/generation/silence_test.go
@@ -211,3 +211,85 @@
 		require.Equal(t, referenceTokens(9)[5:], f.got)
 	})
 }
+
+// Guards against a stream that is kept after the wait bound and never moved, although its engine has stopped responding
+// and a move has become possible, and against one that is taken from an engine that is only slow.
+func TestKeptStreamAfterTheWaitBound(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		before  int // the event before which the engine is silent; 0 stands for the header
+		stalled bool
+	}{
+		{name: "stalled", before: 5, stalled: true},
+		{name: "slow", before: 5},
+		{name: "stalled before the first event", before: 1, stalled: true},
+		{name: "slow before the first event", before: 1},
+		{name: "stalled before the header", stalled: true},
+		{name: "slow before the header"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silence = 8 * time.Second
+				f := &fixture{endpoints: []string{"a", "b"}}
+				f.open = func(address string, start generation.Start) ([]step, error) {
+					if address == "a" {
+						return silentSteps(start.Attempt, 1, max(tt.before, 1), silence), nil
+					}
+					return eventSteps(start.Attempt, start.Offset+1, silenceEvents, silenceEvents), nil
+				}
+				d, got := forwardDriver(f)
+				b := &budget{from: time.Now().Add(5 * time.Second)}
+				d.TakeRetry, d.ReturnRetry = b.take, b.put
+				d.Stalled = func(address string) bool { return tt.stalled && address == "a" }
+				open := d.Open
+				d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+					stream, err := open(ctx, address, start)
+					if address == "a" && tt.before == 0 {
+						if err := sleepFor(ctx, silence); err != nil {
+							return generation.Stream{}, err
+						}
+					}
+					return stream, err
+				}
+				began := time.Now()
+				require.NoError(t, runUntil(t, d, requestTime))
+				require.Equal(t, eventLines(1, silenceEvents), got())
+				want := 1
+				if tt.stalled {
+					want = 2
+					require.Less(t, time.Since(began), 6*time.Second)
+				}
+				require.Len(t, f.starts, want)
+				require.Equal(t, want-1, b.taken-b.returned)
+			})
+		})
+	}
+}
+
+// Guards against a request that ends without an answer because its engine was given up before its header and the next one
+// refuses beyond the wait bound.
+func TestRefusalsAfterASilentOpeningAreOutlasted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{endpoints: []string{"a", "b"}}
+		began := time.Now()
+		f.open = func(_ string, start generation.Start) ([]step, error) {
+			if time.Since(began) < 5*time.Second {
+				return nil, refused{}
+			}
+			return eventSteps(start.Attempt, 1, silenceEvents, silenceEvents), nil
+		}
+		d, got := forwardDriver(f)
+		d.Stalled = func(string) bool { return true }
+		open := d.Open
+		d.Open = func(ctx context.Context, address string, start generation.Start) (generation.Stream, error) {
+			if start.Attempt == 1 {
+				<-ctx.Done()
+				return generation.Stream{}, ctx.Err()
+			}
+			return open(ctx, address, start)
+		}
+		require.NoError(t, runUntil(t, d, requestTime))
+		require.Equal(t, eventLines(1, silenceEvents), got())
+		require.Len(t, f.addresses, len(f.starts))
+	})
+}
