fix(service): tolerate a lost keep-alive probe

A connection to an endpoint that was silent for 2 s ended with "connection timed out" if a single packet was lost meanwhile: the keep-alive probe that is sent after 1 s, or its acknowledgment. Callers saw a stream cut or a 502.

Cause: Linux closes a connection with TCP_USER_TIMEOUT at the first probe that is due after it. With 1.5 s, that was the second one at 2 s, whatever the number of probes.

Evidence, on the code before: TestConnectionOutlivesASilentHost/one probe is lost, "connection timed out" after 2.04 s. The test drops packets with a socket filter at the other end. Its case of a host that is silent for 1.5 s with data in flight passed before and stays as proof.

Change: the timeout is 2.5 s, above the second probe.

Streams do not wait for that: connection attempts find such a host.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -241,7 +241,7 @@
 }
 
 // stalled reports whether an engine's host has stopped responding. Before the first event nothing else reveals that
-// until TCP gives up the connection after about 2 s. Later, the Driver calls stalled once the engine has been silent
+// until TCP gives up the connection after about 3 s. Later, the Driver calls stalled once the engine has been silent
 // for the floor of silenceTimeouts. The engine is probed soon after an engine of its place has gone silent, and
 // otherwise once per probeInterval.
 func (h *streamHandler) stalled(address string) bool {
--- a/io/service/dial.go
+++ b/io/service/dial.go
@@ -10,15 +10,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// TCP parameters that end a connection within about 2 s after the endpoint's host has stopped responding. While a
-// stream waits for its first output, its connection shows no other sign of the loss, and its latency objective is a few
-// seconds.
+// TCP parameters that end a connection within about 3 s after the endpoint's host has stopped responding. A sound host may
+// be silent for a second or so, and a single probe or its response may be lost. An engine that has stopped responding is
+// found sooner by connection attempts, which end no connection.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 1
-	// tcpUserTimeout is the time for which sent data may stay unacknowledged before the connection is closed.
-	tcpUserTimeout = 1500 * time.Millisecond
+	keepAliveProbes   = 2
+	// tcpUserTimeout is the time for which sent data may stay unacknowledged before the connection is closed. It also takes
+	// the place of keepAliveProbes: the connection is closed at the first probe that is due after it, so it must be above
+	// keepAliveIdle + keepAliveInterval.
+	tcpUserTimeout = 2500 * time.Millisecond
 )
 
 func newDialer(timeout time.Duration) *net.Dialer {
