fix(route): choose a silent endpoint if there is no other

Callers were refused with 503 although a sound engine was there: it had been silent for a second, so that three of its streams counted as failures and its circuit opened, or its load report took longer than the 60 ms of a load query, and it counted as unreachable for 600 ms. A copy of a KV cache at such an engine counted as lost and was made anew.

Cause: silence was recorded as a failure, and nothing told it from a broken or refused connection.

Change: silence is a result of its own (ResultSilent, Table.SetSilent). Silent endpoints are avoided as before while others are eligible, but they are chosen if there is no other, and they stay usable. A move from a silent stream excludes them (Criteria.ExcludeSilent), so that streams do not change places between silent engines. A connection that fails, and any other failure, counts as before.

Result: core/route, core/generation, daemon, io/forward and io/engine pass with the race detector.

--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -92,7 +92,7 @@
 // become eligible again if there is no other.
 func (r *driverCall) pickOther(ctx context.Context) (route.Choice, error) {
 	criteria := r.pickCriteria()
-	criteria.Resume = true
+	criteria.Resume, criteria.ExcludeSilent = true, true
 	criteria.Exclude = maps.Clone(r.exclude)
 	criteria.Exclude[r.choice.Address()] = true
 	if r.silent != nil {
--- a/core/route/breaker.go
+++ b/core/route/breaker.go
@@ -14,6 +14,9 @@
 	// ResultFailed is any other failure, such as a broken connection, a timeout, or an error status, also one that the
 	// request itself may have caused.
 	ResultFailed
+	// ResultSilent is an attempt whose endpoint sent nothing for a while. It may be sound and go on. It counts like
+	// ResultFailed, but an endpoint without another failure is still chosen if there is no other.
+	ResultSilent
 	// ResultRefused is a rejection before the request ran; the endpoint is healthy but full.
 	ResultRefused
 )
@@ -24,7 +27,11 @@
 
 // breaker is the circuit breaker of one endpoint.
 type breaker struct {
-	failures int // consecutive failures
+	failures int // consecutive failures, including silences
+	// failed is set if one of the failures is no silence.
+	failed bool
+	// refusedUntil is the time until which a refusal keeps requests from the endpoint.
+	refusedUntil time.Time
 	// blockedUntil is the time until which a refusal or the opening of the circuit keeps requests from the endpoint.
 	blockedUntil time.Time
 	open         bool
@@ -43,14 +50,21 @@
 	return !b.open || !b.trialActive
 }
 
+// isBlockedBySilence reports whether nothing but silences keeps requests from the endpoint.
+func (b *breaker) isBlockedBySilence(now time.Time) bool {
+	return b.open && !b.failed && !now.Before(b.refusedUntil)
+}
+
 func (b *breaker) record(result Result, now time.Time, p Policy) {
 	switch result {
 	case ResultOK:
 		*b = breaker{}
 	case ResultRefused:
-		b.blockedUntil = laterOf(b.blockedUntil, now.Add(refusedBackoff))
-	case ResultFailed:
+		b.refusedUntil = now.Add(refusedBackoff)
+		b.blockedUntil = laterOf(b.blockedUntil, b.refusedUntil)
+	case ResultFailed, ResultSilent:
 		b.failures++
+		b.failed = b.failed || result == ResultFailed
 		if b.failures >= p.BreakerThreshold {
 			b.openFor = min(max(2*b.openFor, p.BreakerMinOpen), p.BreakerMaxOpen)
 			b.open = true
--- a/core/route/criteria.go
+++ b/core/route/criteria.go
@@ -49,6 +49,8 @@
 	// QueriedAddresses are the endpoints that were queried for their load before this pick; see
 	// Table.LoadQueryCandidates. They limit the choice if at least one of them is eligible.
 	QueriedAddresses []string
+	// ExcludeSilent excludes endpoints that are only silent. Otherwise they are chosen if there is no other.
+	ExcludeSilent bool
 	// Exclude holds the addresses on which this request has already failed. Pick never returns one of them.
 	Exclude map[string]bool
 }
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -44,6 +44,8 @@
 	// unreachable is set by SetUnreachable and SetAddressUnreachable, and cleared by the next report. The choice
 	// of endpoints and Usable apply Policy.UnreachableTTL to it; the other methods of Table use it without that limit.
 	unreachable bool
+	// silent reports whether the endpoint is only set unreachable because it was silent, by SetSilent.
+	silent      bool
 	queriedLoad recordedLoad
 	// warmUpUntil is the time until which the endpoint is expected to be slow after its start.
 	warmUpUntil time.Time
@@ -164,6 +166,20 @@
 	return e.unreachable
 }
 
+// isUnavailable reports whether the endpoint counts as unreachable or is not ready. If silentToo is set, an endpoint that is
+// only silent counts as reachable.
+func (e *endpoint) isUnavailable(now time.Time, p Policy, silentToo bool) bool {
+	if e.reported && e.report.State != StateReady {
+		return true
+	}
+	return e.recentlyUnreachable(now, p) && (!silentToo || !e.silent)
+}
+
+// isBlocked reports whether the circuit breaker keeps requests from the endpoint. If silentToo is set, silences do not.
+func (e *endpoint) isBlocked(now time.Time, silentToo bool) bool {
+	return !e.breaker.allows(now) && (!silentToo || !e.breaker.isBlockedBySilence(now))
+}
+
 // load returns the number of running and waiting requests: those of the last report plus the corrections.
 func (e *endpoint) load() int {
 	return max(e.report.Running+e.report.Waiting+e.slotCorrection, 0)
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -62,19 +62,22 @@
 }
 
 // eligiblePool returns the preferred eligible endpoints of the subset, or of the whole list if none of the subset is
-// eligible. If there is none, the Reason says why.
+// eligible. If there is none, it returns those that are only silent, unless the criteria exclude them, because they may be
+// sound and go on. If there is none of these either, the Reason says why.
 func (t *Table) eligiblePool(criteria Criteria, now time.Time) ([]*endpoint, Reason) {
 	mostPassed, pool := 0, []*endpoint(nil)
+	silentToo := false
 	collect := func(list []*endpoint) {
 		for _, e := range list {
-			passed := t.passedFilters(e, criteria, now)
+			passed := t.passedFilters(e, criteria, now, silentToo)
 			mostPassed = max(mostPassed, passed)
 			if passed == allFilters {
 				pool = append(pool, e)
 			}
 		}
 	}
-	if g := t.groups[groupKey{criteria.Kind, criteria.Name}]; g != nil {
+	g := t.groups[groupKey{criteria.Kind, criteria.Name}]
+	if g != nil {
 		if collect(g.subset); len(pool) == 0 {
 			collect(g.all)
 		}
@@ -87,6 +90,10 @@
 			}
 		}
 	}
+	if len(pool) == 0 && g != nil && !criteria.ExcludeSilent {
+		silentToo = true
+		collect(g.all)
+	}
 	pool = t.preferSpec(preferRoles(preferReported(pool), criteria), criteria)
 	return preferAddressesAndPlaces(pool, criteria), filterReasons[mostPassed]
 }
@@ -101,7 +108,7 @@
 const allFilters = 7
 
 // passedFilters returns the number of filters that the endpoint passes; allFilters means that it is eligible.
-func (t *Table) passedFilters(e *endpoint, criteria Criteria, now time.Time) int {
+func (t *Table) passedFilters(e *endpoint, criteria Criteria, now time.Time, silentToo bool) int {
 	if e.listing.Kind != criteria.Kind || (e.listing.Name != criteria.Name && !e.serves(criteria)) {
 		return 0
 	}
@@ -111,11 +118,11 @@
 		return 1
 	case leaving || dead:
 		return 2
-	case e.recentlyUnreachable(now, t.policy) || (e.reported && e.report.State != StateReady):
+	case e.isUnavailable(now, t.policy, silentToo):
 		return 3
 	case !e.serves(criteria):
 		return 4
-	case !e.breaker.allows(now):
+	case e.isBlocked(now, silentToo):
 		return 5
 	case t.atCapacity(e, criteria):
 		return 6
--- a/core/route/queried_load.go
+++ b/core/route/queried_load.go
@@ -54,6 +54,9 @@
 		return
 	}
 	now := time.Now()
+	if e.silent {
+		e.unreachable, e.silent = false, false
+	}
 	e.queriedLoad = recordedLoad{QueriedLoad: load, receivedAt: now}
 	if load.StartedAtMS != 0 && e.listing.StartedAtMS != 0 && load.StartedAtMS != e.listing.StartedAtMS {
 		t.setMark(markKey{address, e.listing.Incarnation}, true, now)
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -109,7 +109,7 @@
 	}
 	now := time.Now()
 	leaving, dead := t.markStatus(e, now)
-	return !leaving && !dead && !e.recentlyUnreachable(now, t.policy)
+	return !leaving && !dead && (e.silent || !e.recentlyUnreachable(now, t.policy))
 }
 
 // Alive reports whether a listed endpoint has sent a recent report, has not been set unreachable since, and isn't
@@ -132,16 +132,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[address]; e != nil && e.listing.Incarnation == incarnation {
-		e.unreachable, e.unreachableAt = true, time.Now()
+		e.unreachable, e.silent, e.unreachableAt = true, false, time.Now()
 	}
 }
 
+// SetSilent notes that an endpoint has not responded in time, although it may be sound. It then counts as unreachable, but
+// is still chosen if there is no other endpoint, and stays usable.
+func (t *Table) SetSilent(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, now := t.endpoints[address], time.Now()
+	if e == nil || (!e.silent && e.recentlyUnreachable(now, t.policy)) {
+		return
+	}
+	e.unreachable, e.silent, e.unreachableAt = true, true, now
+}
+
 // SetAddressUnreachable is SetUnreachable for the address's current incarnation.
 func (t *Table) SetAddressUnreachable(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[address]; e != nil {
-		e.unreachable, e.unreachableAt = true, time.Now()
+		e.unreachable, e.silent, e.unreachableAt = true, false, time.Now()
 	}
 }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -13,6 +13,7 @@
 
 	"radishhollow/core/booking"
 	"radishhollow/core/config"
+	"radishhollow/core/generation"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/quarantine"
@@ -202,8 +203,8 @@
 }
 
 // loadRefresher returns a function that queries the load of an engine. An engine whose query fails is marked as
-// unreachable for Policy.UnreachableTTL, also if it did not answer within the query's timeout. As in sendObserver, a
-// query canceled by its caller is ignored, because it says nothing about the engine.
+// unreachable for Policy.UnreachableTTL, or as silent if it did not answer within the query's timeout. As in sendObserver,
+// a query canceled by its caller is ignored, because it says nothing about the engine.
 func loadRefresher(
 	table *route.Table, client *service.Client, log *logrus.Logger,
 ) func(ctx context.Context, address string) {
@@ -216,7 +217,11 @@
 		}
 		if err != nil {
 			log.WithField("address", address).WithError(err).Warn("engine does not report its load")
-			table.SetAddressUnreachable(address)
+			if errors.Is(err, context.DeadlineExceeded) {
+				table.SetSilent(address)
+			} else {
+				table.SetAddressUnreachable(address)
+			}
 			return
 		}
 		if response.Status != http.StatusOK {
@@ -276,10 +281,11 @@
 // streamObserver returns a function that reports the result of each attempt of a stream to the routing table. An
 // endpoint to which the request could not be sent is marked as unreachable, even if the caller canceled the request,
 // and its circuit breaker gets no result. Refusals other than status 421 count as ResultRefused, and all other errors
-// as ResultFailed, including a lost or silent stream and an error response of any status.
+// as ResultFailed, including a lost stream and an error response of any status. A silent stream counts as ResultSilent.
 func streamObserver(table *route.Table) func(choice route.Choice, err error) {
 	return func(choice route.Choice, err error) {
 		refusal, refused := errors.AsType[forward.RefusedError](err)
+		_, silent := errors.AsType[generation.SilenceError](err)
 		sendError, failed := errors.AsType[service.SendError](err)
 		switch {
 		case err == nil:
@@ -291,6 +297,8 @@
 			table.RecordResult(choice, route.ResultRefused)
 		case failed && !sendError.Written:
 			table.SetUnreachable(choice.Address(), choice.Incarnation())
+		case silent:
+			table.RecordResult(choice, route.ResultSilent)
 		default:
 			table.RecordResult(choice, route.ResultFailed)
 		}
