fix(forward): wait longer for a copy from a silent engine

A run whose engine was silent for more than a second when it was asked to copy its KV cache had no copy afterwards, so that the loss of its engine cost its caller a new prefill. The copy itself was made, and stayed at the other engine until it expired, because its handle was not received.

Evidence, on the code before: TestReplicatorWaitsForASilentEngine (1.5 s), no move recorded and no copy.

Change: the calls that make and free a copy have 2.5 s in place of 1 s. They run in the background, and no caller waits for them.

Result: io/forward passes with the race detector.

--- a/io/forward/replicator.go
+++ b/io/forward/replicator.go
@@ -16,10 +16,11 @@
 	// checkInterval is the minimum interval between two checks that the first copy of a run still exists, and the delay
 	// after a failed move. The checks use the instance list, which changes no faster.
 	checkInterval = 200 * time.Millisecond
-	// moveTimeout bounds one move. The KV cache of a long prompt takes a few milliseconds to copy.
-	moveTimeout = time.Second
-	// releaseTimeout bounds the call that frees a copy. A copy that is not freed expires.
-	releaseTimeout = time.Second
+	// moveTimeout bounds one move. The KV cache of a long prompt takes a few milliseconds to copy, but a sound engine may be
+	// silent for a second or so, and a copy whose handle is not received can't be used or freed.
+	moveTimeout = 2500 * time.Millisecond
+	// releaseTimeout bounds the call that frees a copy, for the same reason. A copy that is not freed expires.
+	releaseTimeout = 2500 * time.Millisecond
 	// maxFailedMoves bounds the failed attempts to replace a lost copy.
 	maxFailedMoves = 4
 )
--- a/io/forward/replicator_test.go
+++ b/io/forward/replicator_test.go
@@ -167,3 +167,17 @@
 		require.Equal(t, "b/r", r.stop().reference)
 	})
 }
+
+// Guards against a run without a copy because its sound engine was silent for a while when it was asked for one.
+func TestReplicatorWaitsForASilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{delay: 1500 * time.Millisecond}
+		r := newReplicator(t.Context(), e)
+		e.lose("b")
+		checkFor(r, 1700*time.Millisecond)
+		require.Equal(t, []string{"c"}, e.moves)
+		require.Equal(t, "a/h", r.resumable().reference)
+		r.stop()
+		r.server.Close()
+	})
+}
