fix(forward): count no failure when a request ends first

Callers were refused although the engine was sound: other callers had left, or their time had ended, while the engine was silent. An attempt whose connection was still being opened then marked the engine as unreachable for 600 ms, and one that was sent and had no response header yet counted as a failure of the circuit breaker.

Evidence, on the code before: TestEndOfTheRequestIsNoResultOfAnAttempt, 2 results reported in place of none; TestSilentEngineIsTheLastChoice/deadlines, "circuit-open".

Change: an attempt that was not sent before its request ended has no result. An attempt that the Driver itself gives up because the engine has stalled is reported as before.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -279,13 +279,15 @@
 }
 
 // streamObserver returns a function that reports the result of each attempt of a stream to the routing table. An
-// endpoint to which the request could not be sent is marked as unreachable, even if the caller canceled the request,
-// and its circuit breaker gets no result. Refusals other than status 421 count as ResultRefused, and all other errors
-// as ResultFailed, including a lost stream and an error response of any status. A silent stream counts as ResultSilent.
+// endpoint to which the request could not be sent is marked as unreachable, and its circuit breaker gets no result.
+// Refusals other than status 421 count as ResultRefused. A silent stream counts as ResultSilent, as does an attempt without
+// a response until its deadline. All other errors count as ResultFailed, including a lost stream and an error response of
+// any status.
 func streamObserver(table *route.Table) func(choice route.Choice, err error) {
 	return func(choice route.Choice, err error) {
 		refusal, refused := errors.AsType[forward.RefusedError](err)
 		_, silent := errors.AsType[generation.SilenceError](err)
+		silent = silent || errors.Is(err, context.DeadlineExceeded)
 		sendError, failed := errors.AsType[service.SendError](err)
 		switch {
 		case err == nil:
--- a/daemon/silent_endpoint_test.go
+++ b/daemon/silent_endpoint_test.go
@@ -18,7 +18,7 @@
 )
 
 // Guards against a sound engine that is silent for a second and gets no more requests although no other engine is
-// eligible, because its load report is late or its streams are silent, and against one that is chosen while others respond.
+// eligible, because its load report is late, its streams are silent or requests end before it responds, and against one that is chosen while others respond.
 func TestSilentEngineIsTheLastChoice(t *testing.T) {
 	responded := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-responded }))
@@ -41,6 +41,11 @@
 				streamObserver(table)(choice, generation.SilenceError{Endpoint: silent, After: time.Second})
 			}
 		},
+		"deadlines": func(table *route.Table, choice route.Choice) {
+			for range 5 {
+				streamObserver(table)(choice, service.SendError{Endpoint: silent, Written: true, Cause: context.DeadlineExceeded})
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			policy := route.DefaultPolicy()
--- a/io/forward/observe.go
+++ b/io/forward/observe.go
@@ -68,8 +68,8 @@
 func (h *streamHandler) recordFailedMove(event generation.Event) {
 	h.returnRetry(event)
 	h.log("move of silent stream failed", logrus.Fields{"endpoint": event.Incarnation, "reason": event.Class}, event.Cause)
-	if event.Class != generation.MoveUnneeded && h.server.ObserveAttempt != nil {
-		h.server.ObserveAttempt(h.choice, event.Cause)
+	if event.Class != generation.MoveUnneeded {
+		h.reportRefusal(event.Cause)
 	}
 	h.returnToSilent()
 }
@@ -114,13 +114,23 @@
 			h.server.ObserveAttempt(h.choice, event.Cause)
 		}
 	case generation.EventRefused:
-		h.server.ObserveAttempt(h.choice, event.Cause)
+		h.reportRefusal(event.Cause)
 	case generation.EventAttempt, generation.EventDropped, generation.EventMoveFailed:
 		return
 	}
 	h.silenceReported = event.Kind == generation.EventKept
 }
 
+// reportRefusal reports the error of an attempt that was not opened. An attempt that was not sent before its request ended
+// says nothing about the engine.
+func (h *streamHandler) reportRefusal(cause error) {
+	_, unsent := errors.AsType[service.SendError](cause)
+	if h.server.ObserveAttempt == nil || (unsent && h.ctx.Err() != nil) {
+		return
+	}
+	h.server.ObserveAttempt(h.choice, cause)
+}
+
 func (h *streamHandler) log(message string, fields logrus.Fields, err error) {
 	entry := h.server.Log.WithField("request", h.request.id).WithFields(fields)
 	if err != nil {
--- a/io/forward/run_state_test.go
+++ b/io/forward/run_state_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/generation"
 	"radishhollow/core/route"
+	"radishhollow/io/service"
 	"radishhollow/io/telemetry"
 )
 
@@ -123,3 +125,33 @@
 		require.Equal(t, "reference of d", from.reference)
 	})
 }
+
+// Guards against an engine that counts as unreachable because a caller left, or its time was over, while the connection to
+// the engine was being opened. An attempt that the Driver gave up, because the engine has stalled, is reported.
+func TestEndOfTheRequestIsNoResultOfAnAttempt(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, ended := range []bool{true, false} {
+		reported := 0
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		h := &streamHandler{
+			server:  &Server{Log: log, Metrics: telemetry.New(), ObserveAttempt: func(route.Choice, error) { reported++ }},
+			request: &request{id: "r"}, ctx: ctx,
+		}
+		h.setChoice(route.NewChoice("a", "1", "p", nil))
+		if ended {
+			cancel()
+		}
+		cause := service.SendError{Endpoint: "a", Cause: context.Canceled}
+		h.observe(generation.Event{Kind: generation.EventRefused, Cause: cause})
+		h.setChoice(route.NewChoice("a", "1", "p", nil))
+		h.setChoice(route.NewChoice("b", "1", "p", nil))
+		h.observe(generation.Event{Kind: generation.EventMoveFailed, Class: generation.MoveRefused, Cause: cause})
+		if ended {
+			require.Zero(t, reported)
+		} else {
+			require.Equal(t, 2, reported)
+		}
+	}
+}
