fix(generation): move on soon after a refused move

A stream whose engine is lost without a sign, and whose next engines refuse it, waited 200, 400 and 800 ms between its moves since silent streams are kept until a move is accepted; before that, the search went on after 10 ms.

Change: the time between two moves of one silent stream begins at 10 ms, as that between two picks, and doubles up to 1.6 s as before.

--- a/core/generation/handover.go
+++ b/core/generation/handover.go
@@ -21,8 +21,9 @@
 	MoveUnneeded = "unneeded" // the silent engine went on first
 )
 
-// maxMoveBackoff bounds the time between two moves of one silent stream, which doubles after each failed one. Moves that
-// are refused take retries from a budget that other requests need.
+// maxMoveBackoff bounds the time between two moves of one silent stream, which doubles from minPickDelay after each failed
+// one. The first ones follow soon, because the engine may be lost. Moves that are refused take retries from a budget that
+// other requests need.
 const maxMoveBackoff = 8 * moveCheckInterval
 
 // silentAttempt is the attempt of a silent engine while the attempt that is to replace it is opened.
@@ -152,7 +153,7 @@
 		failed.Class = MoveUnneeded
 	} else {
 		r.exclude[failed.Address] = true
-		r.moveBackoff = min(max(2*r.moveBackoff, moveCheckInterval), maxMoveBackoff)
+		r.moveBackoff = min(max(2*r.moveBackoff, minPickDelay), maxMoveBackoff)
 	}
 	r.release()
 	r.silent, r.choice, r.choiceHeld, r.stream = nil, s.choice, s.choiceHeld, s.stream
