fix(forward): tell the end of the daemon from a call that failed by itself

Callers saw: two of a dozen requests that the end of a planned stop had ended got 502 outcome-unknown in place of 504 drain-timeout, and were counted and logged so. A call could also be sent for the first time after the end had begun.

Cause: the end of the daemon reached a call on two ways, the context of the request and booking.Call.Ending. Each starts a goroutine of its own, so that the attempt could fail before the context had its cause.

Change: a call that is not streamed ends through Call.Ending only, and the server looks at the same context afterwards. The sender sends nothing once it has ended.

Without the check in the sender TestEndingPrecedesTheSend got an answer in place of an error.

--- a/core/booking/ending_test.go
+++ b/core/booking/ending_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// Guards against a request that is sent after the daemon's end has begun, and whose outcome is then unknown.
+func TestEndingPrecedesTheSend(t *testing.T) {
+	ending, end := context.WithCancel(t.Context())
+	end()
+	for _, kind := range []config.RouteKind{config.KindOnce, config.KindIdempotent} {
+		f := fakeEndpoints{steps: steps{respondWith(200, "")}}
+		_, err := f.sender(true).Do(t.Context(), booking.Call{Kind: kind, Ending: ending, Deadline: time.Now().Add(time.Minute)})
+		require.Error(t, err)
+		require.Equal(t, failure.NotRun, failure.Of(err).Outcome(), kind)
+		require.Empty(t, f.sent, kind)
+	}
+}
+
 type ending struct{ unreachable }
 
 func (ending) Code() string { return "ending" }
--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -62,7 +62,7 @@
 	// Deadline is the deadline of all attempts together. Zero means Sender.Timeout for each attempt.
 	Deadline time.Time
 	// Ending ends all attempts of the call, also one of a non-idempotent call that is in flight, whose outcome is then
-	// unknown. It may be nil.
+	// unknown. No attempt is sent after it. It may be nil.
 	Ending context.Context
 	// Admit is called before each attempt but the first. Its error, whose outcome must be failure.NotRun, prevents that
 	// attempt. It may be nil.
@@ -82,6 +82,13 @@
 	return Idempotent(c.Service.Calls, c.Request)
 }
 
+func (c Call) endingErr() error {
+	if c.Ending == nil {
+		return nil
+	}
+	return c.Ending.Err()
+}
+
 func (c Call) admit() error {
 	if c.Admit == nil {
 		return nil
@@ -195,7 +202,7 @@
 		return attemptResult{err: err, outcome: failure.NotRun}
 	}
 	defer choice.Release()
-	if err := errors.Trace(ctx.Err()); err != nil {
+	if err := errors.Trace(cmp.Or(ctx.Err(), call.endingErr())); err != nil {
 		return attemptResult{err: err, outcome: failure.NotRun}
 	}
 	if !call.idempotent() {
--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -36,14 +36,14 @@
 const drainTimeoutCode = "drain-timeout"
 
 // withEnding returns a copy of the context that ends with a StoppedError as its cause when the daemon ends, provided that
-// mayEnd, which may be nil, then returns true.
+// mayEnd then returns true.
 func (s *Server) withEnding(ctx context.Context, mayEnd func() bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	if s.Ending == nil {
 		return ctx, func() { cancel(nil) }
 	}
 	stop := context.AfterFunc(s.Ending, func() {
-		if mayEnd == nil || mayEnd() {
+		if mayEnd() {
 			cancel(StoppedError{})
 		}
 	})
@@ -53,15 +53,15 @@
 	}
 }
 
-// endedByStop returns the error of a request whose context is one of withEnding: a StoppedError with the outcome if the
-// end of the daemon has ended the request, and otherwise err.
-func endedByStop(ctx context.Context, outcome failure.Outcome, err error) error {
-	if _, stopped := errors.AsType[StoppedError](context.Cause(ctx)); stopped {
-		return errors.Trace(StoppedError{Result: outcome, Cause: err})
-	}
-	return err
+// isStopped reports whether the end of the daemon has ended the context, which is one of withEnding.
+func isStopped(ctx context.Context) bool {
+	_, stopped := errors.AsType[StoppedError](context.Cause(ctx))
+	return stopped
 }
 
+// ended reports whether the daemon ends.
+func (s *Server) ended() bool { return s.Ending != nil && s.Ending.Err() != nil }
+
 // readBodyUntilEnd is readBody, but refuses a request whose body is not complete when the daemon ends. A read deadline
 // that were set after the body has been read would end the request's context, because net/http takes the failed read for the
 // end of the connection.
--- a/io/forward/ending_test.go
+++ b/io/forward/ending_test.go
@@ -20,26 +20,29 @@
 		ending, end := context.WithCancel(t.Context())
 		s := &Server{Ending: ending}
 		caller, leave := context.WithCancel(t.Context())
-		stopped, cancelStopped := s.withEnding(t.Context(), nil)
+		mayEnd := func() bool { return true }
+		stopped, cancelStopped := s.withEnding(t.Context(), mayEnd)
 		defer cancelStopped()
 		begun, cancelBegun := s.withEnding(t.Context(), func() bool { return false })
 		defer cancelBegun()
-		left, cancelLeft := s.withEnding(caller, nil)
+		left, cancelLeft := s.withEnding(caller, mayEnd)
 		defer cancelLeft()
 		leave()
 		synctest.Wait()
+		require.False(t, s.ended())
 		end()
+		require.True(t, s.ended())
 		synctest.Wait()
 		require.NoError(t, begun.Err(), "a response that has begun goes on")
 		deadline := time.Now().Add(time.Minute)
 		for outcome, status := range map[failure.Outcome]int{
 			failure.NotRun: http.StatusServiceUnavailable, failure.Unknown: http.StatusGatewayTimeout,
 		} {
-			err := endedByStop(stopped, outcome, context.Canceled)
+			err := errors.Trace(StoppedError{Result: outcome, Cause: context.Canceled})
 			require.Equal(t, status, statusOf(err, deadline))
 			require.Equal(t, "drain-timeout", failure.Of(err).Code())
 		}
-		_, found := errors.AsType[StoppedError](endedByStop(left, failure.Unknown, context.Canceled))
-		require.False(t, found)
+		require.True(t, isStopped(stopped))
+		require.False(t, isStopped(left))
 	})
 }
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -248,16 +248,17 @@
 		call.MaxAttempts = q.route.Attempts
 		call.HedgeAfter = q.route.Target() * hedgeAfterPercent / 100
 	}
-	ctx, cancel := s.withEnding(c.Request.Context(), nil)
-	defer cancel()
 	sentAt := time.Now()
-	response, err := s.Do(ctx, call)
+	response, err := s.Do(c.Request.Context(), call)
 	if err == nil || time.Until(q.deadline) <= 0 {
 		// Without the calls that reach their deadline, the estimate would be too short.
 		s.callDurations.record(q.callKey(), time.Since(sentAt))
 	}
+	if err != nil && s.ended() {
+		return errors.Trace(StoppedError{Result: failure.Of(err).Outcome(), Cause: err})
+	}
 	if err != nil {
-		return endedByStop(ctx, failure.Of(err).Outcome(), err)
+		return err
 	}
 	return writeResponse(c.Writer, response.Status, response.Header, response.Body)
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -153,15 +153,20 @@
 	if h.errorResponse != nil && !h.headerSent.Load() {
 		return writeResponse(c.Writer, h.errorResponse.Status, h.errorResponse.Header, h.errorResponse.Body)
 	}
-	return endedByStop(ctx, h.outcome(), err)
+	return h.explainEnd(err)
 }
 
-// outcome returns NotRun only if no engine can have run the request.
-func (h *streamHandler) outcome() failure.Outcome {
-	if h.mayHaveRun {
-		return failure.Unknown
+// explainEnd returns a StoppedError in place of err if the end of the daemon has ended the stream. Its outcome is NotRun
+// only if no engine can have run the request.
+func (h *streamHandler) explainEnd(err error) error {
+	switch {
+	case !isStopped(h.ctx):
+		return err
+	case h.mayHaveRun:
+		return errors.Trace(StoppedError{Result: failure.Unknown, Cause: err})
+	default:
+		return errors.Trace(StoppedError{Result: failure.NotRun, Cause: err})
 	}
-	return failure.NotRun
 }
 
 // pick prefers the engine that holds a copy of the run's KV cache, and avoids the place of the last lost engine, or of
