feat(daemon): report what a new era of the store changes

An operator could not tell from a refused or misrouted request that the store had come back from an older copy, or what a daemon had made of that copy.

Change: "store has begun a new era" when the store itself answers in one; "endpoint list of a new era" with the revisions on both sides and the endpoints that are kept, held back and dropped; "endpoint of an earlier era held back" where a later list has one; "store has lost an entry of the daemons" for the registration and the shared keys.

Each endpoint is now counted once in an era, whichever list has it.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -18,6 +18,7 @@
 	"radishhollow/core/route"
 	"radishhollow/io/peer"
 	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
 	"radishhollow/platform"
 )
 
@@ -48,12 +49,13 @@
 	peers     *peer.Exchanger
 	table     *route.Table
 	isolation *member.IsolationDetector
+	metrics   *telemetry.Metrics
 	log       *logrus.Logger
 	// own holds the addresses of this daemon, which are never those of endpoints.
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
@@ -67,6 +69,10 @@
 	// eraBeganAt is the time at which this daemon first received a list of the era of revision, from the store or from a
 	// peer. It is zero for the first era.
 	eraBeganAt time.Time
+	// report is set only while the first list of a new era is applied.
+	report *eraReport
+	// heldBack holds the IDs of the endpoints that have been held back in this era.
+	heldBack map[string]bool
 	// synced is set once the list has been read from the store or from a peer.
 	synced bool
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
@@ -85,10 +91,10 @@
 
 func newEndpointList(
 	s settings.Settings, store kv.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
-	isolation *member.IsolationDetector, log *logrus.Logger,
+	isolation *member.IsolationDetector, m *telemetry.Metrics, log *logrus.Logger,
 ) *endpointList {
 	l := &endpointList{
-		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, log: log,
+		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, metrics: m, log: log,
 		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{}, own: newOwnAddresses(s),
 	}
 	l.follower = &kv.Follower{
@@ -178,6 +184,7 @@
 	}
 	l.newerAtPeer = false
 	l.table.Sync(l.newestByAddress(true))
+	l.writeReport("store")
 }
 
 // beginEra reports whether a list belongs to a later era than the current one, and records that.
@@ -185,10 +192,15 @@
 	if l.revision.Era() == 0 || revision.Era() <= l.revision.Era() {
 		return false
 	}
-	l.eraBeganAt = now
+	l.eraBeganAt, l.report, l.heldBack = now, &eraReport{before: l.revision}, nil
 	return true
 }
 
+func (l *endpointList) writeReport(source string) {
+	l.report.write(l.revision, source, len(l.registrations), l.metrics, l.log)
+	l.report = nil
+}
+
 // applyEntries applies the entries of a full read or changes, and returns the keys of those that are present.
 func (l *endpointList) applyEntries(entries []kv.Entry, now time.Time, full bool) map[string]bool {
 	seen := make(map[string]bool, len(entries))
@@ -227,12 +239,16 @@
 // daemon knows to be out of date. A change that a watch returns was written in the new era.
 func (l *endpointList) merge(key string, registration route.Listing, era uint64) bool {
 	if l.departed.covers(key, registration, era) {
+		l.holdBack(registration.Incarnation)
 		return false
 	}
 	known, found := l.registrations[key]
 	older := found && known.Revision.Era() < era && known.StartedAtMS == registration.StartedAtMS &&
 		(registration.Sequence < known.Sequence || registration.Sequence == known.Sequence && known.Leaving)
 	if older && !registration.Leaving {
+		if known.Leaving {
+			l.holdBack(registration.Incarnation)
+		}
 		delete(l.missingUntil, key)
 		return true
 	}
@@ -269,6 +285,7 @@
 	if grace := l.deletionGrace(registration, now, newEra); grace > 0 {
 		if _, missing := l.missingUntil[key]; !missing {
 			l.missingUntil[key] = now.Add(grace)
+			l.report.keep(registration.Incarnation)
 		}
 		return
 	}
@@ -294,6 +311,7 @@
 
 func (l *endpointList) drop(key string) {
 	l.log.WithFields(logrus.Fields{"endpoint": l.registrations[key].Incarnation, "revision": l.revision.String()}).Info("endpoint gone")
+	l.report.drop(l.registrations[key].Incarnation)
 	l.departed.record(key, l.registrations[key], l.revision.Era())
 	delete(l.registrations, key)
 	delete(l.missingUntil, key)
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -86,6 +86,7 @@
 		}
 	}
 	l.table.Sync(l.newestByAddress(true))
+	l.writeReport("peer")
 	l.log.WithFields(logrus.Fields{"endpoints": len(registrations), "revision": revision.String()}).Info("endpoint list received from a peer")
 }
 
--- a/daemon/endpoint_list_test.go
+++ b/daemon/endpoint_list_test.go
@@ -12,6 +12,7 @@
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
+	"radishhollow/io/telemetry"
 )
 
 func newTestEndpointList() *endpointList {
@@ -27,7 +28,7 @@
 				Revision: e.Revision(),
 			}, nil
 		},
-		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, log: log,
+		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, metrics: telemetry.New(), log: log,
 		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{},
 	}
 }
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -59,12 +59,13 @@
 func newRelay(
 	s settings.Settings, id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
 ) *relay.Store {
-	store := &platform.Store{Client: &keyvalue.Client{
+	client := &keyvalue.Client{
 		Address: s.Platform, HTTP: keyvalue.NewHTTPClient(), Timeout: s.Timeouts.Platform.Duration, IsNotRun: platform.IsRefusal, ReadEra: platform.ReadEra,
 		OnCall: func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
-	}}
+	}
+	reportEras(client, m, log)
 	return &relay.Store{
-		Direct: store.KV(), Self: id.address, Peers: members.ListedAddresses, Ask: peers.Changes,
+		Direct: (&platform.Store{Client: client}).KV(), Self: id.address, Peers: members.ListedAddresses, Ask: peers.Changes,
 		MembersPrefix: peer.MembersPrefix,
 		Timings: map[string]relay.Timing{
 			platform.ListingPrefix: relay.NewTiming(s.Forward.DrainBound.Duration),
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"radishhollow/core/config"
@@ -92,7 +93,7 @@
 }
 
 func newRegistrar(
-	s settings.Settings, store kv.Store, node *peer.Node, exchanger *peer.Exchanger, drain *Drain,
+	s settings.Settings, store kv.Store, node *peer.Node, exchanger *peer.Exchanger, drain *Drain, log *logrus.Logger,
 ) *peer.Registrar {
 	registrar := &peer.Registrar{
 		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, WatchWait: s.Timeouts.WatchWait.Duration,
@@ -104,6 +105,12 @@
 			}
 			exchanger.TriggerExchange()
 		},
+		OnLost: func(what string, before, revision kv.Revision) {
+			node.Metrics.Count(telemetry.Eras, what)
+			log.WithFields(logrus.Fields{
+				"lost": what, "before": before.String(), "revision": revision.String(),
+			}).Warn("store has lost an entry of the daemons; writing it again")
+		},
 	}
 	if s.Interface == settings.InterfaceForward {
 		// The relay batches the changes. A further pause would let shared keys reach some daemons later than others, which
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -19,13 +19,15 @@
 
 var platformProviders = fx.Provide(newPlatformClient, newKVStore, newInstancePoller)
 
-func newPlatformClient(s settings.Settings, m *telemetry.Metrics) *keyvalue.Client {
-	return &keyvalue.Client{
+func newPlatformClient(s settings.Settings, m *telemetry.Metrics, log *logrus.Logger) *keyvalue.Client {
+	client := &keyvalue.Client{
 		Address: s.Platform,
 		HTTP:    keyvalue.NewHTTPClient(),
 		Timeout: s.Timeouts.Platform.Duration,
 		OnCall:  func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
 	}
+	reportEras(client, m, log)
+	return client
 }
 
 func newKVStore(client *keyvalue.Client) kv.Store { return client.Store() }
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -41,6 +41,9 @@
 	ShareKeys bool
 	// OnListed is called after each full read of the list, when Node.Table has its daemons. It may be nil.
 	OnListed func()
+	// OnLost is called when the store is seen to have lost what this daemon had written or knew: "registration" or
+	// "keys". The revision before is that of the lost entry. Calls come from the goroutine of RunList. It may be nil.
+	OnLost func(what string, before, revision kv.Revision)
 
 	shared *sharedKeys
 	// registration is what runRegister has written, for runList to notice that the store has lost it.
@@ -119,7 +122,15 @@
 	r.apply(members, entries)
 	r.setListed(members, revision)
 	if r.ShareKeys && !slices.ContainsFunc(entries, func(entry kv.Entry) bool { return entry.Key() == sharedKeysKey }) {
-		r.shared.applyMissing(revision)
+		if before, lost := r.shared.applyMissing(revision); lost {
+			r.reportLost("keys", before, revision)
+		}
+	}
+}
+
+func (r *Registrar) reportLost(what string, before, revision kv.Revision) {
+	if r.OnLost != nil {
+		r.OnLost(what, before, revision)
 	}
 }
 
@@ -127,7 +138,9 @@
 func (r *Registrar) setListed(members map[string]member.Member, revision kv.Revision) {
 	r.Node.Table.SetListed(memberList(members))
 	_, listed := members[r.Node.Address]
-	r.registration.observe(revision, listed)
+	if before, lost := r.registration.observe(revision, listed); lost {
+		r.reportLost("registration", before, revision)
+	}
 }
 
 func (r *Registrar) rotateKeys(ctx context.Context, daemons int) {
--- a/io/peer/registration.go
+++ b/io/peer/registration.go
@@ -53,18 +53,21 @@
 }
 
 // observe records the revision of a list of daemons, or of its changes, and whether the registration is in the list. It
-// is lost if the list is of a later era than its lease, or lacks it although it is not older.
-func (s *registrationState) observe(revision kv.Revision, listed bool) {
+// is lost if the list is of a later era than its lease, or lacks it although it is not older. Then observe returns true
+// and the revision of the registration.
+func (s *registrationState) observe(revision kv.Revision, listed bool) (before kv.Revision, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era = max(s.era, revision.Era())
 	missing := !listed && !revision.Before(s.revision)
 	if s.lease.IsZero() || s.lost == nil || !missing && s.lease.Era() >= s.era {
-		return
+		return kv.Revision{}, false
 	}
+	before = s.revision
 	s.lease, s.revision = kv.Lease{}, kv.Revision{}
 	close(s.lost)
 	s.lost = nil
+	return before, true
 }
 
 func (r *Registrar) runRegister(ctx context.Context) {
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -86,12 +86,14 @@
 
 // applyMissing applies a full list at a revision that has no entry of the keys. The last keys stay in use. If the entry
 // was written after the copy from which the key-value service came back, they are written again: a daemon that starts
-// would otherwise create other ones, which no peer knows.
-func (s *sharedKeys) applyMissing(revision kv.Revision) {
+// would otherwise create other ones, which no peer knows. In that case applyMissing returns true and the entry's revision.
+func (s *sharedKeys) applyMissing(revision kv.Revision) (before kv.Revision, lost bool) {
 	if s.revision.IsZero() || !revision.After(s.revision) || revision.SameEra(s.revision) {
-		return
+		return kv.Revision{}, false
 	}
+	before = s.revision
 	s.revision, s.malformed = kv.Revision{}, true
+	return before, true
 }
 
 // decodeKeys returns false for a value that another writer must have left.
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -32,6 +32,8 @@
 	Orders            = "orders"             // class is the order's kind or refused
 	Rejections        = "rejections"         // class is the error code
 	Restarts          = "restarts"           // class is the component
+	Eras              = "store_eras"         // class is store, endpoints, registration or keys
+	RestoredEndpoints = "restored_endpoints" // class is kept, held-back or dropped
 	Quarantine        = "quarantine"         // class is end, lived, refused, quarantined or released
 )
 
