fix(generation): report the silence of a stream whose moves fail

An engine that had stopped without closing its connections got new requests as if it were sound while the moves of its streams were refused: such a stream is kept, but its silence was reported to nobody.

Evidence: TestRefusedMovesBackOff, no report in 15 s of silence.

Change: a stream that is kept because its move failed is reported once for each silence, with the reason move-failed.

--- a/core/generation/handover_test.go
+++ b/core/generation/handover_test.go
@@ -199,6 +199,7 @@
 		require.NoError(t, runUntil(t, d, requestTime))
 		require.Equal(t, eventLines(1, silenceEvents), got())
 		require.LessOrEqual(t, f.count(generation.EventMoveFailed, generation.MoveRefused), 20)
+		require.Equal(t, 1, f.count(generation.EventKept, generation.ReasonMoveFailed), "the silence is not reported")
 	})
 }
 
--- a/core/generation/move.go
+++ b/core/generation/move.go
@@ -20,6 +20,7 @@
 	ReasonRetryBudget  = "retry-budget"
 	ReasonNoEndpoint   = "no-endpoint"
 	ReasonNotAdmitted  = "not-admitted"
+	ReasonMoveFailed   = "move-failed"
 )
 
 // move is the endpoint and the retry of the next attempt, reserved while the current attempt still runs.
@@ -159,6 +160,7 @@
 		if next != nil {
 			return *next, nil
 		}
+		r.observeKept(ReasonMoveFailed)
 		if chunk, timedOut, err = r.waitUntil(boundCtx, time.Now().Add(r.moveBackoff)); !timedOut {
 			return chunk, err
 		}
