fix(caller): answer requests in flight when a drain timeout ends

Callers saw: with interface "own" and a drain timeout, a call to a plain service or a generation without a response at that timeout ended with a closed connection and no status.

Cause: the same as with interface "forward": only the close of the connection ended such a request. A call that must not be repeated does not end with its context.

Change: calls have the context of the daemon's end, and so has the context of a generation unless its stream has begun. The caller gets code drain-timeout with 503 while the request waits for its admission and with 502 after that. A call's record is written as for any other unknown outcome. A streamed generation still goes on until its connection is closed and can be resumed at another daemon.

Evidence: without the two hooks, TestGenerationsEndWithTheDaemon got 200 after the end in place of 502, and TestServiceCallsEndWithTheDaemon did not end within 20 s. Both pass now, with TestRollingRestart, TestBookingRepeated and TestEntryLost.

--- a/daemon/caller.go
+++ b/daemon/caller.go
@@ -158,6 +158,7 @@
 		WriteError:   func(c *gin.Context, err error) { caller.WriteError(c, err) },
 		Metrics:      d.Metrics,
 		MaxBodyBytes: d.Settings.Limits.BookingBytes,
+		Ending:       d.Drain.Ending(),
 	}
 	return &caller.Server{
 		Document:       d.Documents.Current,
@@ -178,6 +179,7 @@
 		ReturnRetry:    d.Budgets.ReturnRetry,
 		Ready:          d.Drain.Ready,
 		Closing:        d.Drain.Closing,
+		Ending:         d.Drain.Ending(),
 		Services:       services.Handle,
 		Metrics:        d.Metrics,
 		MaxBodyBytes:   d.Settings.Limits.PromptBytes,
--- a/io/caller/error.go
+++ b/io/caller/error.go
@@ -96,3 +96,19 @@
 
 // Outcome is NotRun, because tokenizing a prompt runs no generation.
 func (e TokenizeError) Outcome() failure.Outcome { return failure.NotRun }
+
+// StoppedError reports a request without a response at the end of the daemon.
+type StoppedError struct {
+	// Result is the outcome that the error reports.
+	Result failure.Outcome
+	// Cause is the error with which the request ended, or nil.
+	Cause error
+}
+
+func (e StoppedError) Error() string { return "the daemon stops before the request has a response" }
+
+func (e StoppedError) Unwrap() error { return e.Cause }
+
+func (e StoppedError) Code() string { return "drain-timeout" }
+
+func (e StoppedError) Outcome() failure.Outcome { return e.Result }
--- a/io/caller/generate.go
+++ b/io/caller/generate.go
@@ -50,9 +50,12 @@
 			return err
 		}
 	}
-	ctx, stop := s.callerContext(c.Request.Context())
+	ctx, stop := s.callerContext(c.Request.Context(), func() bool { return !r.begun.Load() })
 	defer stop()
 	release, err := s.Admit(ctx, workspace, r.cost(), r.encodedCursor != "")
+	if err != nil && ended(s.Ending) {
+		return StoppedError{Result: failure.NotRun, Cause: err}
+	}
 	if err != nil {
 		return err
 	}
@@ -80,8 +83,8 @@
 
 // callerContext returns a context that is canceled with CallerGoneError when the caller disconnects. A connection that
 // this instance closes while it stops has another cause, so that the stream stays on the engine and the caller can
-// reconnect to it through another instance.
-func (s *Server) callerContext(request context.Context) (context.Context, func()) {
+// reconnect to it through another instance. The context also ends when the daemon ends, if mayEnd then returns true.
+func (s *Server) callerContext(request context.Context, mayEnd func() bool) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(request))
 	stop := context.AfterFunc(request, func() {
 		if s.Closing != nil && s.Closing() {
@@ -90,12 +93,24 @@
 		}
 		cancel(generation.CallerGoneError{Cause: context.Cause(request)})
 	})
+	stopEnding := func() bool { return true }
+	if s.Ending != nil {
+		stopEnding = context.AfterFunc(s.Ending, func() {
+			if mayEnd() {
+				cancel(StoppedError{Result: failure.Unknown})
+			}
+		})
+	}
 	return ctx, func() {
 		stop()
+		stopEnding()
 		cancel(context.Canceled)
 	}
 }
 
+// ended reports whether the daemon ends; the context may be nil.
+func ended(ending context.Context) bool { return ending != nil && ending.Err() != nil }
+
 // tokenize asks an engine for the token ids of the request's text. The call is idempotent, so it may be repeated.
 func (s *Server) tokenize(ctx context.Context, r *request, workspace config.Workspace) ([]uint32, error) {
 	criteria := s.criteria(r, workspace)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -51,6 +52,8 @@
 
 // request is a validated request for one generation.
 type request struct {
+	// begun is set when a streamed response begins.
+	begun         atomic.Bool
 	chat          bool
 	model         string
 	adapter       string
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -84,6 +84,9 @@
 	Ready func() bool
 	// Closing reports whether this instance, rather than the callers, is closing the connections; it may be nil.
 	Closing func() bool
+	// Ending ends in a planned stop, shortly before the connections in use are closed. Requests without a response then get a
+	// final one. It may be nil.
+	Ending context.Context
 	// Services handles authenticated calls to plain services; it may be nil.
 	Services gin.HandlerFunc
 
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -51,6 +51,8 @@
 	// WriteError writes the error response.
 	WriteError func(c *gin.Context, err error)
 	Metrics    *telemetry.Metrics
+	// Ending is that of Server.
+	Ending context.Context
 	// MaxBodyBytes bounds a request's body. Zero means DefaultMaxServiceBodyBytes.
 	MaxBodyBytes int
 }
@@ -74,17 +76,30 @@
 	writeResponse(c, response)
 }
 
+// admitAndSend waits for the admission and for another request with the same key until the daemon ends, too.
 func (h *ServiceHandler) admitAndSend(c *gin.Context, workspace config.Workspace) (booking.Response, error) {
-	release, err := h.Admit(c.Request.Context(), workspace)
+	ctx, cancel := context.WithCancel(c.Request.Context())
+	defer cancel()
+	if h.Ending != nil {
+		defer context.AfterFunc(h.Ending, cancel)()
+	}
+	release, err := h.Admit(ctx, workspace)
+	if err != nil && ended(h.Ending) {
+		return booking.Response{}, errors.Trace(StoppedError{Result: failure.NotRun, Cause: err})
+	}
 	if err != nil {
 		return booking.Response{}, err
 	}
 	defer release()
-	return h.send(c, workspace.Name)
+	response, err := h.send(ctx, c, workspace.Name)
+	if err != nil && ended(h.Ending) {
+		return response, errors.Trace(StoppedError{Result: failure.Of(err).Outcome(), Cause: err})
+	}
+	return response, err
 }
 
 // send builds the call from the request and sends it.
-func (h *ServiceHandler) send(c *gin.Context, workspace string) (booking.Response, error) {
+func (h *ServiceHandler) send(ctx context.Context, c *gin.Context, workspace string) (booking.Response, error) {
 	name, path, err := splitPath(c.Request.URL)
 	if err != nil {
 		return booking.Response{}, err
@@ -104,7 +119,7 @@
 		_, tooLarge := errors.AsType[*http.MaxBytesError](err)
 		return booking.Response{}, errors.Trace(ServiceBodyError{TooLarge: tooLarge, Cause: err})
 	}
-	call := booking.Call{Workspace: workspace, Service: service, Request: booking.Request{
+	call := booking.Call{Workspace: workspace, Service: service, Ending: h.Ending, Request: booking.Request{
 		Method: c.Request.Method, Path: path, Query: c.Request.URL.RawQuery,
 		Header: endToEndHeader(c.Request.Header), Body: body,
 	}}
@@ -113,7 +128,7 @@
 	if len(keys) == 1 {
 		call.Key = keys[0]
 	}
-	return h.Do(c.Request.Context(), call)
+	return h.Do(ctx, call)
 }
 
 // splitPath returns the service's name and the path at the service. The path stays escaped, so that an encoded slash
--- a/io/caller/status.go
+++ b/io/caller/status.go
@@ -49,6 +49,7 @@
 	"superseded":               http.StatusConflict,
 	"engine-lost":              statusByOutcome,
 	"wait-exceeded":            statusByOutcome,
+	"drain-timeout":            statusByOutcome,
 }
 
 // defaultRetryAfter applies to errors without a RetryAfter method.
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -86,6 +86,7 @@
 func (h *streamHandler) write(prefix string, data []byte) error {
 	if !h.headerSent {
 		h.headerSent = true
+		h.request.begun.Store(true)
 		header := h.c.Writer.Header()
 		header.Set("Content-Type", "text/event-stream")
 		header.Set("Cache-Control", "no-store")
