test(relay): upgrade a fleet to eras while the store comes back

The tests of messages without eras had fleets in which either all readers or none were of an earlier build.

TestRollingUpgradeToEras restarts 40 daemons one after the other, the store comes back from an older copy five times meanwhile, and every daemon of the newer build equals the store within the bound of 2 s after each change. Only the messages of the earlier build are played: what its own daemons know is not checked.

--- a/core/relay/era_answers_test.go
+++ b/core/relay/era_answers_test.go
@@ -129,3 +129,38 @@
 		}
 	}
 }
+
+// Guards against daemons that mislead each other in a rolling upgrade from a build without eras, one after the other,
+// while the store comes back from older copies: each daemon of the newer build must know each change within the bound.
+func TestRollingUpgradeToEras(t *testing.T) {
+	const bound = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(40, bound)
+		for _, d := range fl.daemons {
+			d.withoutEras.Store(true)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			fl.group.Wait()
+		}()
+		fl.start(ctx)
+		time.Sleep(3 * time.Second)
+		restored := fl.store.copy()
+		for i, upgraded := range fl.daemons {
+			upgraded.kill()
+			time.Sleep(100 * time.Millisecond)
+			upgraded.withoutEras.Store(false)
+			upgraded.start(ctx)
+			fl.store.put(fmt.Sprintf("%sengine-%d", testPrefix, i), "ready")
+			if i%8 == 7 {
+				fl.store.restore(restored, i%16 == 7)
+				restored = fl.store.copy()
+			}
+			time.Sleep(bound)
+			for _, d := range fl.daemons[:i+1] {
+				requireStoreState(t, fl, d)
+			}
+		}
+	})
+}
--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,7 +23,10 @@
 	fleet   *fleet
 	address string
 	relay   *Store
-	stop    context.CancelFunc
+	// withoutEras daemons send no eras and ignore those that they receive, as builds without them do. Only their messages
+	// are of such a build.
+	withoutEras atomic.Bool
+	stop        context.CancelFunc
 
 	mu sync.Mutex
 	// copy is what the daemon believes, and revisions all revisions that it was told in this incarnation.
@@ -251,7 +255,18 @@
 	if !alive {
 		return Response{}, errors.Trace(StaleError{Prefix: request.Prefix})
 	}
+	if d.withoutEras.Load() {
+		request.After = kv.NewRevision(0, request.After.Number())
+	}
+	if reader.withoutEras.Load() {
+		f, _, _ := relay.state(request.Prefix)
+		era, _ := f.replica.era()
+		request.After = kv.NewRevision(era, request.After.Number())
+	}
 	response, err := relay.Serve(ctx, request)
+	if reader.withoutEras.Load() {
+		response = withoutEras(response)
+	}
 	if err != nil {
 		return Response{}, err
 	}
@@ -278,3 +293,12 @@
 	_, otherSilent := other.fault()
 	return silent || otherSilent
 }
+
+// withoutEras returns a response as it arrives from a daemon of a build without eras.
+func withoutEras(response Response) Response {
+	response.Revision = kv.NewRevision(0, response.Revision.Number())
+	for i, e := range response.Entries {
+		response.Entries[i] = kv.NewEntry(e.Key(), e.Value(), kv.NewRevision(0, e.Revision().Number()), e.Deleted())
+	}
+	return response
+}
