test(daemon): lists of endpoints fetched across eras

Guards against a daemon behind in era that asks its peers for a number of the earlier era, and against a peer that hands over a list of an earlier era because of its higher number.

--- a/daemon/endpoint_list_era_test.go
+++ b/daemon/endpoint_list_era_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -193,3 +194,47 @@
 		require.Equal(t, "abc", usable(l), "a list of the era that follows is taken")
 	})
 }
+
+// Guards against a daemon behind in era that asks its peers for a number of the earlier era, which none of them has, and
+// against a peer in an earlier era that hands over its list because of a higher number.
+func TestEndpointListFetchesAcrossEras(t *testing.T) {
+	node, exchanger, _ := newPeerNode(t, nil)
+	at := func(revision kv.Revision, ids ...string) *endpointList {
+		l := newPlatformList(kv.Store{}, exchanger)
+		var entries []kv.Entry
+		for _, id := range ids {
+			entries = append(entries, readyAs(id, revision))
+		}
+		l.apply(entries, revision, true)
+		return l
+	}
+	fetch := func(l *endpointList, until func() bool) {
+		l.recordFailure(kv.UnavailableError{Call: "watch"})
+		_, revision, _ := node.Listings()
+		l.recordPeerRevision(revision)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			l.runPeerFetch(ctx)
+		}()
+		require.Eventually(t, until, 10*time.Second, 10*time.Millisecond)
+		cancel()
+		<-done
+	}
+	later := at(kv.NewRevision(2, 60), "a", "b")
+	earlier := at(kv.NewRevision(1, 900), "c")
+	node.Listings = later.Listings
+	fetch(earlier, func() bool { return usable(earlier) == "abc" })
+	_, revision, _ := earlier.Listings()
+	require.Equal(t, kv.NewRevision(2, 60), revision)
+
+	earlier = at(kv.NewRevision(1, 900), "c")
+	asked := make(chan struct{}, 100)
+	node.Listings = func() ([]route.Listing, kv.Revision, bool) {
+		asked <- struct{}{}
+		return earlier.Listings()
+	}
+	fetch(later, func() bool { return len(asked) > 2 })
+	require.Equal(t, "ab", usable(later))
+}
