fix(claim): take the first era for no change

A daemon that started while the platform was away refused all keyed calls as unknown for 10 s after its return: the first era counted as a new one. Found by the review; TestFirstEraLeavesKeysClaimable fails before.

--- a/core/claim/era.go
+++ b/core/claim/era.go
@@ -36,7 +36,7 @@
 	if e.known && era <= e.era {
 		return nil
 	}
-	began := e.known
+	began := e.known && e.era != 0
 	e.known, e.era = true, era
 	if !began {
 		return nil
--- a/core/claim/era_test.go
+++ b/core/claim/era_test.go
@@ -153,3 +153,15 @@
 	recorders.Wait()
 	time.Sleep(4 * time.Second) // Delayed writes must be applied before the synctest bubble ends.
 }
+
+// Guards against keys that can't be claimed for a time because the first answer of the store counts as a new era.
+func TestFirstEraLeavesKeysClaimable(t *testing.T) {
+	runRecorders(t, func(t *testing.T, store *fakeStore, _, _ *claim.Recorder) {
+		era := uint64(0)
+		r := &claim.Recorder{Store: store.store(), Era: func() uint64 { return era }}
+		_, _ = r.Claim(t.Context(), "w", "s", "k1", "digest")
+		era = 1
+		_, err := r.Claim(t.Context(), "w", "s", "k2", "digest")
+		require.NoError(t, err)
+	})
+}
