fix(claim): keep the outcome of a call that was in flight at a restore

A booking that was in flight when the store came back from an older copy ended, and its outcome was recorded, but a repeated request got unknown for 24 h, or the key stayed blocked although the call had not run: the open record that was written again overwrote the outcome, and a failed write of the outcome was dropped because the backlog held the open record.

A record of the same claim now only goes from open to another state, and the backlog takes the later one.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -63,6 +63,11 @@
 
 // replace adds a write in place of an earlier one of the same claim.
 func (b *backlog) replace(w pendingWrite) {
+	b.mu.Lock()
+	if earlier, ok := b.writes[w.record.ClaimID]; ok && earlier.restored {
+		w.restored = true
+	}
+	b.mu.Unlock()
 	b.remove(w.record.ClaimID)
 	b.add(w)
 }
@@ -184,7 +189,8 @@
 	if found.ClaimID != w.record.ClaimID {
 		return w.restored && w.record.State != stateNotRun && found.State != stateFinished && found.Digest == w.record.Digest
 	}
-	return found.State != w.record.State
+	// A record in the backlog may be older than what the claim has written since.
+	return found.State == stateOpen && w.record.State != stateOpen
 }
 
 func (r *Recorder) putRecord(ctx context.Context, w pendingWrite, revision kv.Revision) error {
--- a/core/claim/era_test.go
+++ b/core/claim/era_test.go
@@ -165,3 +165,38 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against the outcome of a call that was in flight when the store came back, which the open record written again
+// overwrites.
+func TestOutcomeOfACallInFlightAtARestoreIsKept(t *testing.T) {
+	runRecorders(t, func(t *testing.T, store *fakeStore, first, second *claim.Recorder) {
+		store.save()
+		ticket := claimKey(t, first)
+		require.NoError(t, ticket.Check())
+		store.restore()
+		// Another claim of the same daemon, or Run, sees the era while the call is in flight.
+		_, err := first.Claim(t.Context(), "w", "s", "other", "digest")
+		requireCode(t, err, "outcome-unknown", failure.Unknown)
+		require.NoError(t, ticket.Finish(t.Context(), claim.Result{Outcome: failure.Ran, Status: 201, Body: []byte("a")}))
+		time.Sleep(claim.DefaultSettleTime + 30*time.Second)
+		repeated := claimKey(t, second)
+		require.False(t, repeated.Owned())
+		result, err := repeated.Await(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, "a", string(result.Body))
+	})
+}
+
+// Guards against a key that stays blocked after a call that was in flight when the store came back has not run.
+func TestReleaseOfACallInFlightAtARestoreIsKept(t *testing.T) {
+	runRecorders(t, func(t *testing.T, store *fakeStore, first, second *claim.Recorder) {
+		store.save()
+		ticket := claimKey(t, first)
+		store.restore()
+		_, err := first.Claim(t.Context(), "w", "s", "other", "digest")
+		requireCode(t, err, "outcome-unknown", failure.Unknown)
+		require.NoError(t, ticket.Release(t.Context()))
+		time.Sleep(claim.DefaultSettleTime + 30*time.Second)
+		require.True(t, claimKey(t, second).Owned())
+	})
+}
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -70,7 +70,7 @@
 		err = r.reconcile(ctx, w)
 	}
 	if err != nil {
-		r.backlog.add(w)
+		r.backlog.replace(w)
 	}
 	r.remember(w)
 	return err
