fix(claim): write lost records again before other daemons wait no longer

Bookings could still run twice after the store had come back from an older copy: a daemon wrote its records again one after the other with pauses, and with doubling delays after a refusal.

Eight records are now written at the same time, the latest first and without pauses, and a refused one is repeated after 100 ms while the time lasts. TestManyRecordsAreWrittenAgainInTheSettleTime (up to 1,200 records) and TestRefusedRewriteInTheSettleTime pass.

--- a/core/claim/backlog.go
+++ b/core/claim/backlog.go
@@ -31,8 +31,9 @@
 	storageKey string
 	record     record
 	addedAt    time.Time
-	// restored is set if the record was stored before, and the key-value service may have lost it.
-	restored bool
+	// restored is set if the record was stored before, at writtenAt, and the key-value service may have lost it.
+	restored  bool
+	writtenAt time.Time
 }
 
 // backlog holds the records that could not be written, by claim ID.
@@ -65,7 +66,7 @@
 func (b *backlog) replace(w pendingWrite) {
 	b.mu.Lock()
 	if earlier, ok := b.writes[w.record.ClaimID]; ok && earlier.restored {
-		w.restored = true
+		w.restored, w.writtenAt = true, earlier.writtenAt
 	}
 	b.mu.Unlock()
 	b.remove(w.record.ClaimID)
@@ -115,14 +116,16 @@
 // pass before it returns, because the records that are left are lost with the process. In a planned stop of a daemon
 // Run ends before the callers' requests are drained, so records that are added during the drain are not retried.
 func (r *Recorder) Run(ctx context.Context) error {
-	interval := passInterval
+	interval, era := passInterval, r.eras.current()
 	for {
-		if err := r.sleepUntilPass(ctx, interval); err != nil {
+		if err := r.sleepUntilPass(ctx, interval, era); err != nil {
 			finalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalPassTimeout)
 			defer cancel()
 			_ = r.reconcileAll(finalCtx)
 			return err
 		}
+		era = r.eras.current()
+		r.rewriteRestored(ctx)
 		if r.reconcileAll(ctx) == nil {
 			interval = passInterval
 		} else {
@@ -131,9 +134,8 @@
 	}
 }
 
-// sleepUntilPass sleeps for an interval, or until a new era of the key-value service is seen.
-func (r *Recorder) sleepUntilPass(ctx context.Context, interval time.Duration) error {
-	era := r.eras.current()
+// sleepUntilPass sleeps for an interval, or until a later era of the key-value service than the given one is seen.
+func (r *Recorder) sleepUntilPass(ctx context.Context, interval time.Duration, era uint64) error {
 	for slept := time.Duration(0); slept < interval && r.eras.current() == era; slept += passInterval {
 		if err := clock.Sleep(ctx, passInterval); err != nil {
 			return err
--- a/core/claim/era.go
+++ b/core/claim/era.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
+	"radishhollow/core/clock"
 	"radishhollow/core/kv"
 )
 
@@ -17,6 +20,10 @@
 	// recentPeriod is the age of the writes that the service may lose when it comes back from an older copy, with a
 	// margin.
 	recentPeriod = 2 * time.Minute
+	// rewriteWorkers is the number of records that are written again at the same time.
+	rewriteWorkers = 8
+	// rewriteDelay is the delay before a record is written once more.
+	rewriteDelay = 100 * time.Millisecond
 )
 
 // eraState tracks the era of the key-value service as a Recorder sees it.
@@ -44,7 +51,7 @@
 	e.beganAt = time.Now()
 	writes := e.recent.list()
 	for i := range writes {
-		writes[i].restored = true
+		writes[i].restored, writes[i].writtenAt = true, writes[i].addedAt
 	}
 	return writes
 }
@@ -97,6 +104,45 @@
 	}
 }
 
+// rewriteRestored writes the records again that the key-value service may have lost, until all are written or the settle
+// time is over. The records that were written last are the most likely to be lost and come first.
+func (r *Recorder) rewriteRestored(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.eras.settling(cmp.Or(r.SettleTime, DefaultSettleTime)))
+	defer cancel()
+	var writes []pendingWrite
+	for _, w := range r.backlog.list() {
+		if w.restored {
+			writes = append(writes, w)
+		}
+	}
+	slices.SortFunc(writes, func(a, b pendingWrite) int { return b.writtenAt.Compare(a.writtenAt) })
+	queue := make(chan pendingWrite, len(writes))
+	for _, w := range writes {
+		queue <- w
+	}
+	close(queue)
+	var group sync.WaitGroup
+	for range min(rewriteWorkers, len(writes)) {
+		group.Go(func() { r.runRewrites(ctx, queue) })
+	}
+	group.Wait()
+}
+
+// runRewrites writes the queued records. It repeats a write that the key-value service does not answer or refuses, as it
+// does above its rate limit, while all daemons write their records again.
+func (r *Recorder) runRewrites(ctx context.Context, queue <-chan pendingWrite) {
+	for w := range queue {
+		err := r.reconcile(ctx, w)
+		for err != nil && clock.Sleep(ctx, rewriteDelay) == nil {
+			err = r.reconcile(ctx, w)
+		}
+		if err != nil {
+			return
+		}
+		r.backlog.remove(w.record.ClaimID)
+	}
+}
+
 // checkTicketEra fails if the record of a ticket may have been lost since it was written.
 func (r *Recorder) checkTicketEra(revision kv.Revision) error {
 	if r.Era == nil {
--- a/core/claim/era_test.go
+++ b/core/claim/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -200,3 +201,63 @@
 		require.True(t, claimKey(t, second).Owned())
 	})
 }
+
+// Guards against bookings that run a second time because a daemon with many records takes longer to write them again than
+// the other daemons wait.
+func TestManyRecordsAreWrittenAgainInTheSettleTime(t *testing.T) {
+	for _, n := range []int{100, 300, 600, 1200} {
+		runRecorders(t, func(t *testing.T, store *fakeStore, first, second *claim.Recorder) {
+			store.save()
+			began := time.Now()
+			for i := range n {
+				ticket, err := first.Claim(t.Context(), "w", "s", fmt.Sprint("key", i), "digest")
+				require.NoError(t, err)
+				require.NoError(t, ticket.Finish(t.Context(), claim.Result{Outcome: failure.Ran, Status: 201}))
+				time.Sleep(15 * time.Millisecond)
+			}
+			took := time.Since(began)
+			store.restore()
+			_, err := second.Claim(t.Context(), "w", "s", "other", "digest")
+			requireCode(t, err, "outcome-unknown", failure.Unknown)
+			time.Sleep(claim.DefaultSettleTime + 50*time.Millisecond)
+			twice := 0
+			for i := range n {
+				ticket, err := second.Claim(t.Context(), "w", "s", fmt.Sprint("key", i), "digest")
+				if err == nil && ticket.Owned() && ticket.Check() == nil {
+					twice++
+				}
+			}
+			require.Zero(t, twice, "%d records written in %s before the restore", n, took)
+		})
+	}
+}
+
+// Guards against bookings that run a second time because the store refuses the first of the writes after its return.
+func TestRefusedRewriteInTheSettleTime(t *testing.T) {
+	runRecorders(t, func(t *testing.T, store *fakeStore, first, second *claim.Recorder) {
+		store.save()
+		for i := range 40 {
+			ticket, err := first.Claim(t.Context(), "w", "s", fmt.Sprint("key", i), "digest")
+			require.NoError(t, err)
+			require.NoError(t, ticket.Finish(t.Context(), claim.Result{Outcome: failure.Ran, Status: 201}))
+		}
+		store.restore()
+		store.mu.Lock()
+		for range 4 {
+			store.fail["put"] = append(store.fail["put"], faultRefused)
+		}
+		store.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		_, err := second.Claim(t.Context(), "w", "s", "other", "digest")
+		requireCode(t, err, "outcome-unknown", failure.Unknown)
+		time.Sleep(claim.DefaultSettleTime)
+		twice := 0
+		for i := range 40 {
+			ticket, err := second.Claim(t.Context(), "w", "s", fmt.Sprint("key", i), "digest")
+			if err == nil && ticket.Owned() && ticket.Check() == nil {
+				twice++
+			}
+		}
+		require.Zero(t, twice)
+	})
+}
