fix(kv): renew a lease before it is ended

A holder of a place lease whose first call after the return of a restored store was the end of its own lease ended the lease to which the store had given that ID meanwhile, with all keys of its holder. The registration of daemons had been mended by a renewal before; the guard does that now for all callers. Found by the review; TestHolderEndsNoLeaseOfTheNextEra fails before, and TestGuardKeepsErasApart makes no exception for revoke any more.

--- a/core/kv/eras.go
+++ b/core/kv/eras.go
@@ -188,9 +188,10 @@
 	return g.checkLease(lease)
 }
 
-// revoke does not send a lease of an earlier era, which would end the lease of whoever holds that ID now.
+// revoke does not send a lease of an earlier era, which would end the lease of whoever holds that ID now. It renews the
+// lease first: if this is the first call of a new era, the response shows it, and a renewal does no harm.
 func (g *guard) revoke(ctx context.Context, lease Lease) error {
-	if err := g.checkLease(lease); err != nil {
+	if err := g.renew(ctx, lease); err != nil {
 		return err
 	}
 	return g.store.Revoke(ctx, lease)
--- a/core/kv/eras_test.go
+++ b/core/kv/eras_test.go
@@ -109,9 +109,7 @@
 				s, store := newEraStore()
 				require.NoError(t, call(store))
 				s.restore(number)
-				if name != "revoke" {
-					require.Error(t, call(store), "the response is the first one of the era")
-				}
+				require.Error(t, call(store), "the response is the first one of the era")
 				_, _, err := store.List(t.Context(), "")
 				require.NoError(t, err)
 				sent := s.calls
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -332,3 +332,62 @@
 		<-done
 	})
 }
+
+// Guards against a holder that ends another one's lease: its first call after the return of the store is the end of its own
+// lease, whose ID has been given out again.
+func TestHolderEndsNoLeaseOfTheNextEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var eras kv.Eras
+		var mu sync.Mutex
+		era, down := uint64(1), false
+		var ended []uint64
+		call := func() (uint64, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if down {
+				return 0, kv.UnavailableError{Call: "x", Cause: context.DeadlineExceeded}
+			}
+			eras.Observe(era)
+			return era, nil
+		}
+		store := eras.Guard(kv.Store{
+			Get: func(context.Context, string) (kv.Entry, error) {
+				if _, err := call(); err != nil {
+					return kv.Entry{}, err
+				}
+				return kv.Entry{}, kv.NotFoundError{}
+			},
+			Grant: func(context.Context, time.Duration) (kv.Lease, error) {
+				e, err := call()
+				return kv.NewLease(e, "57"), err
+			},
+			Put: func(context.Context, string, []byte, kv.Revision, kv.Lease) (kv.Revision, error) {
+				e, err := call()
+				return kv.NewRevision(e, 5), err
+			},
+			Renew: func(context.Context, kv.Lease) error { _, err := call(); return err },
+			Revoke: func(_ context.Context, l kv.Lease) error {
+				e, err := call()
+				if err == nil && e != l.Era() {
+					ended = append(ended, e)
+				}
+				return err
+			},
+		})
+		h := &lease.Holder{Store: store, Place: "p", Era: eras.Current}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = h.Run(ctx) })
+		time.Sleep(time.Second)
+		mu.Lock()
+		down = true
+		mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		mu.Lock()
+		down, era = false, 2
+		mu.Unlock()
+		cancel()
+		group.Wait()
+		require.Empty(t, ended, "lease 57 of the new era is another holder's")
+	})
+}
--- a/io/peer/registration.go
+++ b/io/peer/registration.go
@@ -148,17 +148,13 @@
 	return revision, errors.Trace(err)
 }
 
-// revoke revokes the lease and thereby removes the registration, even if ctx has ended. It renews the lease first: after
-// a new era that this daemon has not noticed, the lease's ID may be another daemon's, and a renewal shows the era and
-// does no harm.
+// revoke revokes the lease and thereby removes the registration, even if ctx has ended.
 func (r *Registrar) revoke(ctx context.Context, lease kv.Lease) {
 	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
-	if r.KV.Renew(ctx, lease) == nil {
-		// The error is ignored because the lease expires in any case.
-		_ = r.KV.Revoke(ctx, lease)
-	}
+	// The error is ignored because the lease expires in any case.
+	_ = r.KV.Revoke(ctx, lease)
 }
