fix(config): report a write before a new era as unsettled

An operator was told that a sheet had not been written, although the first write of it may have taken effect and be in the copy from which the store came back: the second write isn't sent in the new era, and its error was returned as it was. Found by the review; TestWriteThatMayHaveTakenEffectBeforeANewEra fails before.

--- a/core/config/writer.go
+++ b/core/config/writer.go
@@ -98,7 +98,7 @@
 		if unavailable, ok := errors.AsType[kv.UnavailableError](err); ok {
 			mayBeWritten = mayBeWritten || unavailable.MayHaveTakenEffect
 		} else if _, ok := errors.AsType[kv.ConflictError](err); !ok {
-			return Applied{}, errors.Trace(err)
+			break
 		}
 		current, currentKeyRevision, err := w.read(ctx)
 		switch {
--- a/core/config/writer_test.go
+++ b/core/config/writer_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"testing/synctest"
 
+	"radishhollow/core/failure"
+	"radishhollow/core/kv"
+
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 )
@@ -143,3 +146,33 @@
 		}
 	})
 }
+
+// Guards against a write that is reported as not made although it may be in the copy that the store came back from.
+func TestWriteThatMayHaveTakenEffectBeforeANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var eras kv.Eras
+		eras.Observe(1)
+		gets := 0
+		w := &Writer{
+			KV: eras.Guard(kv.Store{
+				Get: func(context.Context, string) (kv.Entry, error) {
+					gets++
+					if gets == 1 {
+						value, err := record{Revision: 1, SheetNumber: 1, Digest: NewDocument(1, fieldsOf(1, "a")).Digest(), Document: fieldsOf(1, "a")}.encode()
+						require.NoError(t, err)
+						return kv.NewEntry(Key, value, kv.NewRevision(1, 7), false), nil
+					}
+					eras.Observe(2) // the header of a 503
+					return kv.Entry{}, kv.UnavailableError{Call: "get", Cause: context.DeadlineExceeded}
+				},
+				Put: func(context.Context, string, []byte, kv.Revision, kv.Lease) (kv.Revision, error) {
+					return kv.Revision{}, kv.UnavailableError{Call: "put", MayHaveTakenEffect: true, Cause: context.DeadlineExceeded}
+				},
+			}),
+			InForce: func() Document { return Document{} }, NewID: func() string { return "id" },
+		}
+		_, err := w.Apply(t.Context(), fieldsOf(2, "b"), nil)
+		require.Error(t, err)
+		require.Equal(t, failure.Unknown, failure.Of(err).Outcome())
+	})
+}
