fix(booking): report a repeated call that may have run as unknown

A call that may be repeated got 503, which promises that it has not run, if its last attempt was refused, although an earlier one had been cut and may have run.

--- a/core/booking/ending_test.go
+++ b/core/booking/ending_test.go
@@ -93,3 +93,27 @@
 		})
 	}
 }
+
+// Guards against a request that is reported as not run because its last attempt was refused, although an earlier one may
+// have run.
+func TestRefusalAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	for _, admit := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := fakeEndpoints{steps: steps{failWith(context.DeadlineExceeded), failWith(unreachable{})}}
+			call := booking.Call{Kind: config.KindIdempotent, Deadline: time.Now().Add(time.Minute), MaxAttempts: 2}
+			if admit {
+				n := 0
+				call.MaxAttempts = 3
+				call.Admit = func() error {
+					if n++; n > 1 {
+						return ending{}
+					}
+					return nil
+				}
+			}
+			_, err := f.sender(true).Do(t.Context(), call)
+			require.Error(t, err)
+			require.Equal(t, failure.Unknown, failure.Of(err).Outcome(), "with Admit: %t", admit)
+		})
+	}
+}
--- a/core/booking/idempotent.go
+++ b/core/booking/idempotent.go
@@ -26,8 +26,8 @@
 }
 
 // sendIdempotent sends an idempotent call, with retries and hedging within the retry budget. It returns the first
-// response whose outcome is Ran, or else the result of the last attempt that was sent, or of the last one if none was. If
-// that has not run because Call.Admit refused another attempt, it returns the error of Admit.
+// response whose outcome is Ran, or else the result of the last attempt that was sent, or of the last one if none was. An
+// attempt that did not run does not replace one that may have run. If none may have run because Call.Admit refused another attempt, it returns the error of Admit.
 func (s *Sender) sendIdempotent(ctx context.Context, call Call) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -51,7 +51,7 @@
 			if res.outcome == failure.Ran {
 				return res.response, nil
 			}
-			if res.sent || !last.sent {
+			if (res.sent || !last.sent) && !(last.sent && last.outcome == failure.Unknown && res.outcome == failure.NotRun) {
 				last = res
 			}
 			if res.sent && ctx.Err() == nil {
