fix(keyvalue): take no era from a server error

One answer of a process in the store's place, such as a 502, with a wrong era would have kept a daemon from the store until its restart. Found by the review; TestEraOfAServerErrorIsIgnored fails before.

--- a/io/keyvalue/client.go
+++ b/io/keyvalue/client.go
@@ -112,7 +112,11 @@
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
 	era := c.readEra(httpResponse.Header)
-	c.Eras.Observe(era)
+	// Another process may answer in the service's place, which then does so with a server error. An era that the service
+	// has never reached would be final.
+	if httpResponse.StatusCode < http.StatusInternalServerError {
+		c.Eras.Observe(era)
+	}
 	response, err := c.readResponse(call, httpResponse)
 	response.Era = era
 	return response, err
--- a/io/keyvalue/client_test.go
+++ b/io/keyvalue/client_test.go
@@ -198,3 +198,28 @@
 	require.Error(t, store.Revoke(t.Context(), kv.NewLease(0, "l")))
 	require.Equal(t, 4, calls)
 }
+
+// Guards against a server error of another process that ends all use of the service by an era which that never had.
+func TestEraOfAServerErrorIsIgnored(t *testing.T) {
+	era := "1"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Era", era)
+		if era == "9000000" {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		_, _ = w.Write([]byte(`{"items":[],"revision":5}`))
+	}))
+	defer server.Close()
+	client := &keyvalue.Client{Address: server.Listener.Addr().String(), HTTP: keyvalue.NewHTTPClient()}
+	store := client.Store()
+	_, _, err := store.List(t.Context(), "p")
+	require.NoError(t, err)
+	era = "9000000"
+	_, _, err = store.List(t.Context(), "p")
+	require.Error(t, err)
+	for _, era = range []string{"1", "2"} {
+		_, _, err = store.List(t.Context(), "p")
+		require.NoError(t, err)
+	}
+}
