fix(daemon): take expired endpoints back soon after a restore

Callers lost a sound endpoint for up to a minute: its entry had expired, because the endpoint did not reach the store, and the store then came back from a copy that has the entry.

Cause: a departure covered the restored entry for departureTTL. An entry changes only when more than its sequence changes, so the heartbeats of an endpoint that is alive never ended that.

Evidence: TestEndpointListTakesExpiredEndpointsBackSoon on the code before: the endpoint was still out 10 s after the return, with repeated lists and with one.

Change: a departure counts only until the era has settled, 8 s after its first list. The store has removed the entries of silent endpoints by then. A failed call starts the 8 s anew, because a store that is away removes nothing. What was withheld is kept and used when the time is over and the store answers, without a further list; a deletion, a later list or a malformed entry ends that.

Result: the test passes, and so does the package under the race detector. TestEndpointListForgetsRemovedCopies and TestEndpointListWithholdsDeparturesDuringAnOutage pass on the code before, too; they fail without the lines that they guard.

--- /dev/null
+++ b/daemon/departures_settle_test.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/core/kv"
+)
+
+// restoredCopies returns the entries of the endpoints a and b, unchanged since the copy of the given era was made.
+func restoredCopies(era uint64) []kv.Entry {
+	return []kv.Entry{readyAs("a", kv.NewRevision(era, 10)), readyAs("b", kv.NewRevision(era, 11))}
+}
+
+// expiredList returns a list with the endpoint b, and without a, whose entry expired 3 s ago.
+func expiredList() *endpointList {
+	l := newPlatformList(kv.Store{}, nil)
+	l.apply(restoredCopies(1), kv.NewRevision(1, 100), true)
+	changeTo(l, deletedAs("a", kv.NewRevision(1, 101)))
+	time.Sleep(3 * time.Second)
+	return l
+}
+
+// Guards against an endpoint that is kept out for a minute although it is alive: its entry expired because it did not
+// reach the store, and in the restored store its heartbeats change nothing but the sequence. The store may return the
+// entry again and again, or only once.
+func TestEndpointListTakesExpiredEndpointsBackSoon(t *testing.T) {
+	for name, lists := range map[string]bool{"lists": true, "one list": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := expiredList()
+				l.apply(restoredCopies(2), kv.NewRevision(2, 90), true)
+				require.Equal(t, "b", usable(l), "the endpoint may have left")
+				time.Sleep(5 * time.Second)
+				for range 5 {
+					time.Sleep(time.Second)
+					if lists {
+						l.apply(restoredCopies(2), kv.NewRevision(2, 90), true)
+					} else {
+						l.apply(nil, kv.NewRevision(2, 90), false)
+					}
+				}
+				require.Equal(t, "ab", usable(l))
+			})
+		})
+	}
+}
+
+// Guards against work for a departed endpoint whose restored entry is removed before the era has settled.
+func TestEndpointListForgetsRemovedCopies(t *testing.T) {
+	for name, remove := range map[string]func(l *endpointList){
+		"change": func(l *endpointList) { changeTo(l, deletedAs("a", kv.NewRevision(2, 91))) },
+		"list":   func(l *endpointList) { l.apply(restoredCopies(2)[1:], kv.NewRevision(2, 91), true) },
+		"malformed": func(l *endpointList) {
+			changeTo(l, kv.NewEntry("servers/a", []byte("x"), kv.NewRevision(2, 91), false))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := expiredList()
+				l.apply(restoredCopies(2), kv.NewRevision(2, 90), true)
+				time.Sleep(4 * time.Second)
+				remove(l)
+				time.Sleep(10 * time.Second)
+				require.Equal(t, "b", usable(l))
+			})
+		})
+	}
+}
+
+// Guards against work for a departed endpoint whose restored entry the store could not remove, because it went away again
+// soon after its return.
+func TestEndpointListWithholdsDeparturesDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := expiredList()
+		l.apply(restoredCopies(2), kv.NewRevision(2, 90), true)
+		for range 20 {
+			time.Sleep(time.Second)
+			l.recordFailure(kv.UnavailableError{Call: "watch"})
+			require.Equal(t, "b", usable(l))
+		}
+		l.apply(nil, kv.NewRevision(2, 90), false)
+		require.Equal(t, "b", usable(l))
+		time.Sleep(3 * time.Second)
+		changeTo(l, deletedAs("a", kv.NewRevision(2, 91)))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "b", usable(l))
+	})
+}
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -55,7 +55,7 @@
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, writeReport, holdBack and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
@@ -69,6 +69,10 @@
 	// eraBeganAt is the time at which this daemon first received a list of the era of revision, from the store or from a
 	// peer. It is zero for the first era.
 	eraBeganAt time.Time
+	// eraSettlesAt is the time until which departures of earlier eras count against the lists of this one.
+	eraSettlesAt time.Time
+	// withheld holds, by key, the registrations of this era that are not used because their endpoints left before it.
+	withheld map[string]route.Listing
 	// report is set only while the first list of a new era is applied.
 	report *eraReport
 	// heldBack holds the IDs of the endpoints that have been held back in this era.
@@ -176,6 +180,9 @@
 	if len(entries) > 0 || newEra {
 		l.revision = kv.Latest(revision, l.revision)
 	}
+	if full {
+		clear(l.withheld)
+	}
 	seen := l.applyEntries(entries, now, full)
 	for key := range l.registrations {
 		if full && !seen[key] {
@@ -187,15 +194,6 @@
 	l.writeReport("store")
 }
 
-// beginEra reports whether a list belongs to a later era than the current one, and records that.
-func (l *endpointList) beginEra(revision kv.Revision, now time.Time) bool {
-	if l.revision.Era() == 0 || revision.Era() <= l.revision.Era() {
-		return false
-	}
-	l.eraBeganAt, l.report, l.heldBack = now, &eraReport{before: l.revision}, nil
-	return true
-}
-
 func (l *endpointList) writeReport(source string) {
 	l.report.write(l.revision, source, len(l.registrations), l.metrics, l.log)
 	l.report = nil
@@ -225,6 +223,7 @@
 		l.log.WithField("key", entry.Key()).WithError(err).Warn("registration is malformed")
 		delete(l.registrations, entry.Key())
 		delete(l.missingUntil, entry.Key())
+		delete(l.withheld, entry.Key())
 		return true
 	}
 	if full {
@@ -238,8 +237,8 @@
 // may contain what the endpoint had written before the copy was made from which the store came back, and what this
 // daemon knows to be out of date. A change that a watch returns was written in the new era.
 func (l *endpointList) merge(key string, registration route.Listing, era uint64) bool {
-	if l.departed.covers(key, registration, era) {
-		l.holdBack(registration.Incarnation)
+	if l.isDeparted(key, registration, era) {
+		l.withhold(key, registration)
 		return false
 	}
 	known, found := l.registrations[key]
@@ -271,6 +270,7 @@
 	l.departed.forget(key, registration)
 	l.registrations[key] = registration
 	delete(l.missingUntil, key)
+	delete(l.withheld, key)
 }
 
 // handleDeletion drops a registration that was deleted in the store, or that the first list of a new era lacks. During
@@ -278,6 +278,7 @@
 // may have been written after the copy that the store came back from. It is then kept until the endpoint has had time to
 // register again.
 func (l *endpointList) handleDeletion(key string, now time.Time, newEra bool) {
+	delete(l.withheld, key)
 	registration, known := l.registrations[key]
 	if !known {
 		return
@@ -323,11 +324,11 @@
 	}
 }
 
-// dropOverdue removes the registrations that have been missing for too long.
+// dropOverdue removes the registrations that have been missing for too long, and uses those that are no longer withheld.
 func (l *endpointList) dropOverdue() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	overdue := false
+	overdue := l.release()
 	for key, until := range l.missingUntil {
 		if !time.Now().Before(until) {
 			l.drop(key)
@@ -353,6 +354,7 @@
 		l.log.WithError(err).Warn("store does not answer; keeping the last list")
 	}
 	l.lastFailure = time.Now()
+	l.recordUnsettled(l.lastFailure)
 }
 
 // recordReaderFailure records a failed call of the reader that the list comes from. Without it, this daemon would take
@@ -365,5 +367,6 @@
 	defer l.mu.Unlock()
 	if at.After(l.lastFailure) {
 		l.lastFailure = at
+		l.recordUnsettled(at)
 	}
 }
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -119,6 +119,7 @@
 		return false
 	}
 	l.log.WithFields(logrus.Fields{"revision": revision.String(), "era-of-peer": l.revision.Era()}).Warn("store is not in the era that a peer has reported")
+	l.withheld = nil
 	l.falseEra, l.revision, l.peerRevision = l.revision.Era(), kv.NewRevision(revision.Era(), 0), kv.Revision{}
 	return true
 }
