--- a/core/booking/idempotent.go
+++ b/core/booking/idempotent.go
@@ -27,7 +27,8 @@
 
 // sendIdempotent sends an idempotent call, with retries and hedging within the retry budget. It returns the first
 // response whose outcome is Ran, or else the result of the last attempt that was sent, or of the last one if none was. An
-// attempt that did not run does not replace one that may have run. If none may have run because Call.Admit refused another attempt, it returns the error of Admit.
+// attempt that did not run does not replace one that may have run. If none may have run because Call.Admit refused another
+// attempt, it returns the error of Admit.
 func (s *Sender) sendIdempotent(ctx context.Context, call Call) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -30,8 +30,8 @@
 func (t Ticket) Owned() bool { return t.owned }
 
 // Check must succeed immediately before each send. It fails if the daemon was paused for so long that the record may
-// have expired, or if the key-value service may have lost the record by coming back from an older copy. The age is measured with the monotonic and the wall clock, because the monotonic clock stops while the
-// machine is suspended.
+// have expired, or if the key-value service may have lost the record by coming back from an older copy. The age is
+// measured with the monotonic and the wall clock, because the monotonic clock stops while the machine is suspended.
 func (t Ticket) Check() error {
 	age := ageOf(t.claimedAt)
 	if !t.owned || age > cmp.Or(t.recorder.SendWithin, DefaultSendWithin) {
--- a/daemon/silent_endpoint_test.go
+++ b/daemon/silent_endpoint_test.go
@@ -18,7 +18,8 @@
 )
 
 // Guards against a sound engine that is silent for a second and gets no more requests although no other engine is
-// eligible, because its load report is late, its streams are silent or requests end before it responds, and against one that is chosen while others respond.
+// eligible, because its load report is late, its streams are silent or requests end before it responds, and against one that is
+// chosen while others respond.
 func TestSilentEngineIsTheLastChoice(t *testing.T) {
 	responded := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-responded }))
--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -63,7 +63,7 @@
 func (s *Server) ended() bool { return s.Ending != nil && s.Ending.Err() != nil }
 
 // readBodyUntilEnd is readBody, but refuses a request whose body is not complete when the daemon ends. A read deadline
-// that were set after the body has been read would end the request's context, because net/http takes the failed read for the
+// that is set after the body has been read would end the request's context, because net/http takes the failed read for the
 // end of the connection.
 func (s *Server) readBodyUntilEnd(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if s.Ending == nil || r.ContentLength == 0 {
