test: a soak in which the store comes back from older copies

Restores come between the other faults, several within seconds and up to twelve faults deep; the operator and the endpoints then write again. The number of daemons is a flag of both soaks now.

--- a/test/forward_soak_test.go
+++ b/test/forward_soak_test.go
@@ -24,11 +24,11 @@
 var (
 	soakSeeds     = flag.Int("soak-seeds", 1, "number of seeds of the soak test")
 	soakFirstSeed = flag.Uint64("soak-first", 1, "first seed of the soak test")
+	soakDaemons   = flag.Int("soak-daemons", 3, "number of daemons in the soak test")
 	soakSeconds   = flag.Int("soak-seconds", 6, "duration of the faults of each seed in seconds")
 )
 
 const (
-	soakDaemons = 3
 	// soakEvents is the number of events in a complete stream.
 	soakEvents = 12
 	soakAPIKey = "soak-key"
@@ -54,6 +54,10 @@
 
 	lastDaemon, lastEndpoint int // indexes in the previous call of injectFault
 
+	// restores lets the store come back from older copies, too. copies holds the latest ones.
+	restores bool
+	copies   []platformtest.Copy
+
 	mu         sync.Mutex
 	runs       map[string]int // executions of bookings, by request id
 	refusedIDs []string       // ids of bookings that were refused as not run
@@ -82,7 +86,7 @@
 		s.addEndpoint(fmt.Sprintf("plain-%d", i), "plain", "", s.serveBooking)
 	}
 	s.publishConfig()
-	for i := range soakDaemons {
+	for i := range *soakDaemons {
 		s.addDaemon(i)
 	}
 	return s
@@ -107,6 +111,10 @@
 // endpoints that cannot be reached do not count. A stream may run at up to five engines.
 func (s *soak) publishConfig() {
 	s.configVersion += 1 + s.random.IntN(3)
+	s.putConfig()
+}
+
+func (s *soak) putConfig() {
 	s.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[
  {"name":"once","host":"h","prefix":"/once/","type":"unsafe","timeout_ms":2000,"service":"plain","attempts":1},
  {"name":"version","host":"h","prefix":"/version/%d/","type":"safe","timeout_ms":2000,"service":"plain","attempts":2},
@@ -184,7 +192,7 @@
 	for i := 0; !s.isStopped(); i++ {
 		id := fmt.Sprintf("caller-%d-%d", n, i)
 		path := []string{"/once/x", "/stream/x"}[rand.IntN(2)]
-		r, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.addresses[rand.IntN(soakDaemons)]+path, nil)
+		r, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.addresses[rand.IntN(*soakDaemons)]+path, nil)
 		if !assert.NoError(s.t, err) { //nolint:testifylint // require must not be used outside the goroutine of the test.
 			return
 		}
@@ -244,7 +252,7 @@
 // No check watches for a daemon that exits by itself. The test fails if the next fault of that process is a pause, or
 // if no kill or terminate fault has restarted the daemon by the time awaitConfig runs.
 func (s *soak) injectFault() (name string, restore func()) {
-	s.lastDaemon = (s.lastDaemon + 1 + s.random.IntN(soakDaemons-1)) % soakDaemons
+	s.lastDaemon = (s.lastDaemon + 1 + s.random.IntN(*soakDaemons-1)) % *soakDaemons
 	s.lastEndpoint = (s.lastEndpoint + 1 + s.random.IntN(len(s.endpoints)-1)) % len(s.endpoints)
 	i, e := s.lastDaemon, s.endpoints[s.lastEndpoint]
 	switch s.random.IntN(14) {
@@ -304,7 +312,7 @@
 func (s *soak) injectFaults(duration time.Duration) {
 	var restores []func()
 	for end := time.Now().Add(duration); time.Now().Before(end); {
-		name, restore := s.injectFault()
+		name, restore := s.injectNext()
 		s.t.Logf("fault %s", name)
 		if restores = append(restores, restore); len(restores) == 2 {
 			restores[0]()
