fix(daemon): keep lost endpoints while the store is away again

Cause: endpoints that the first copy lacks are kept for restoreGrace, which ran out in the second outage, in which they could not register. They then counted as departed against the second copy. A deadline was not renewed either if the second copy lacked them as well.

Evidence: TestEndpointListKeepsLostEndpointsDuringAnotherOutage on the code before: the endpoint was out 3 s after the second outage began, in 3 of 3 cases; in TestEndpointListKeepsWhatTwoCopiesLack, it was out 2 s after the second return.

Change: while the store does not answer, restoreGrace starts anew for an endpoint that the copy lacks, and so it does with each new era.

Result: the tests pass, and so does the package under the race detector. TestEndpointListDropsRemovedEndpointsDuringAnotherOutage passes on the code before; it fails if the deadline of removed endpoints is extended as well.

--- a/daemon/departures_settle_test.go
+++ b/daemon/departures_settle_test.go
@@ -90,3 +90,73 @@
 		require.Equal(t, "b", usable(l))
 	})
 }
+
+// lostList returns a list whose endpoint b is missing in the first list of the second era, 1 s before the store goes away
+// again.
+func lostList() *endpointList {
+	l := newPlatformList(kv.Store{}, nil)
+	l.apply(restoredCopies(1), kv.NewRevision(1, 100), true)
+	l.apply(restoredCopies(2)[:1], kv.NewRevision(2, 60), true)
+	time.Sleep(time.Second)
+	return l
+}
+
+// Guards against the loss of a living endpoint that is missing after a return of the store, and can't register because
+// the store goes away again within seconds. The store then comes back with the same history, with one that has the
+// endpoint, or with one that lacks it.
+func TestEndpointListKeepsLostEndpointsDuringAnotherOutage(t *testing.T) {
+	for name, begin := range map[string]func(l *endpointList){
+		"same era": func(l *endpointList) { l.apply(nil, kv.NewRevision(2, 60), false) },
+		"present":  func(l *endpointList) { l.apply(restoredCopies(3), kv.NewRevision(3, 90), true) },
+		"lacking":  func(l *endpointList) { l.apply(restoredCopies(3)[:1], kv.NewRevision(3, 50), true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := lostList()
+				l.recordFailure(kv.UnavailableError{Call: "watch"})
+				time.Sleep(3 * time.Second)
+				require.Equal(t, "ab", usable(l))
+				begin(l)
+				require.Equal(t, "ab", usable(l))
+				time.Sleep(2 * time.Second)
+				require.Equal(t, "ab", usable(l), "entries may be written again until then")
+				time.Sleep(restoreGrace)
+				if name == "present" {
+					require.Equal(t, "ab", usable(l))
+				} else {
+					require.Equal(t, "a", usable(l), "one that is not written again is gone")
+				}
+			})
+		})
+	}
+}
+
+// Guards against the loss of a living endpoint that two copies lack, of which the second one comes before the endpoint
+// could register after the first, and without a failed call of this daemon.
+func TestEndpointListKeepsWhatTwoCopiesLack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := lostList()
+		l.apply(restoredCopies(3)[:1], kv.NewRevision(3, 50), true)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "ab", usable(l))
+		time.Sleep(restoreGrace)
+		require.Equal(t, "a", usable(l))
+	})
+}
+
+// Guards against work for an endpoint whose removal the store has acknowledged after an outage, and that is kept for
+// longer than the limit of 2 s because the store goes away again.
+func TestEndpointListDropsRemovedEndpointsDuringAnotherOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPlatformList(kv.Store{}, nil)
+		l.apply(restoredCopies(1), kv.NewRevision(1, 100), true)
+		l.recordFailure(kv.UnavailableError{Call: "watch"})
+		time.Sleep(time.Second)
+		changeTo(l, deletedAs("b", kv.NewRevision(1, 101)))
+		require.Equal(t, "ab", usable(l))
+		time.Sleep(500 * time.Millisecond)
+		l.recordFailure(kv.UnavailableError{Call: "watch"})
+		time.Sleep(1200 * time.Millisecond)
+		require.Equal(t, "a", usable(l))
+	})
+}
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -40,6 +40,14 @@
 	expiryInterval = 100 * time.Millisecond
 )
 
+// absence tells how long a registration is kept that the store lacks.
+type absence struct {
+	until time.Time
+	// lost is set if the registration was written after the copy from which the store came back. Otherwise, its deletion
+	// may be the effect of an outage.
+	lost bool
+}
+
 // endpointList keeps the instance list of a daemon with settings.InterfaceForward, which consists of the endpoints'
 // registrations in the store, and copies it to the routing table. During an outage of the store, it keeps the last list
 // and asks peers that still reach the store for a newer one.
@@ -59,10 +67,9 @@
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
-	// missingUntil holds, by key, the time until which a registration is kept whose deletion may be the effect of an
-	// outage, or that the copy lacks from which the store came back.
-	missingUntil map[string]time.Time
-	departed     departures
+	// missing holds, by key, the registrations that are kept for a time although the store lacks them.
+	missing  map[string]absence
+	departed departures
 	// revision is the store's revision at the last full read that was not empty, began a new era or the last watch with changes, or that
 	// of a list taken from a peer, whichever is the highest. A full read raises it even without a change of the list.
 	revision kv.Revision
@@ -99,7 +106,7 @@
 ) *endpointList {
 	l := &endpointList{
 		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, metrics: m, log: log,
-		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{}, own: newOwnAddresses(s),
+		registrations: map[string]route.Listing{}, missing: map[string]absence{}, own: newOwnAddresses(s),
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
@@ -140,7 +147,7 @@
 func (l *endpointList) newestByAddress(includeMissing bool) []route.Listing {
 	newest := make(map[string]route.Listing, len(l.registrations))
 	for key, registration := range l.registrations {
-		if _, missing := l.missingUntil[key]; missing && !includeMissing {
+		if _, missing := l.missing[key]; missing && !includeMissing {
 			continue
 		}
 		if other, taken := newest[registration.Address]; !taken || isNewer(registration, other) {
@@ -222,7 +229,7 @@
 		// The key has no valid registration any more, so its endpoint is removed.
 		l.log.WithField("key", entry.Key()).WithError(err).Warn("registration is malformed")
 		delete(l.registrations, entry.Key())
-		delete(l.missingUntil, entry.Key())
+		delete(l.missing, entry.Key())
 		delete(l.withheld, entry.Key())
 		return true
 	}
@@ -248,7 +255,7 @@
 		if known.Leaving {
 			l.holdBack(registration.Incarnation)
 		}
-		delete(l.missingUntil, key)
+		delete(l.missing, key)
 		return true
 	}
 	l.set(key, registration)
@@ -269,7 +276,7 @@
 	}
 	l.departed.forget(key, registration)
 	l.registrations[key] = registration
-	delete(l.missingUntil, key)
+	delete(l.missing, key)
 	delete(l.withheld, key)
 }
 
@@ -284,8 +291,8 @@
 		return
 	}
 	if grace := l.deletionGrace(registration, now, newEra); grace > 0 {
-		if _, missing := l.missingUntil[key]; !missing {
-			l.missingUntil[key] = now.Add(grace)
+		if known, missing := l.missing[key]; !missing || newEra && known.lost {
+			l.missing[key] = absence{until: now.Add(grace), lost: newEra}
 			l.report.keep(registration.Incarnation)
 		}
 		return
@@ -315,7 +322,7 @@
 	l.report.drop(l.registrations[key].Incarnation)
 	l.departed.record(key, l.registrations[key], l.revision.Era())
 	delete(l.registrations, key)
-	delete(l.missingUntil, key)
+	delete(l.missing, key)
 }
 
 func (l *endpointList) runExpiry(ctx context.Context) {
@@ -329,8 +336,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	overdue := l.release()
-	for key, until := range l.missingUntil {
-		if !time.Now().Before(until) {
+	for key, absent := range l.missing {
+		switch {
+		case absent.lost && l.lastFailure.After(l.lastResponse):
+			// The store is away again, so the endpoint can't register.
+			l.missing[key] = absence{until: time.Now().Add(restoreGrace), lost: true}
+		case !time.Now().Before(absent.until):
 			l.drop(key)
 			overdue = true
 		}
--- a/daemon/endpoint_list_test.go
+++ b/daemon/endpoint_list_test.go
@@ -29,7 +29,7 @@
 			}, nil
 		},
 		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, metrics: telemetry.New(), log: log,
-		registrations: map[string]route.Listing{}, missingUntil: map[string]time.Time{},
+		registrations: map[string]route.Listing{}, missing: map[string]absence{},
 	}
 }
 
