fix(daemon): take endpoints back that are written in the new era

Cause: peers do not pass on the sequence. A departure that was recorded from a peer's list covered each later sequence, and a departure of the store's own list covered each registration of a peer's list.

Evidence: TestEndpointListTakesWhatIsWrittenInTheNewEra on the code before: the endpoint was withheld in 2 of 2 cases.

Change: if one of the two sequences is not known, a registration whose revision is above that of the era's first list is newer than the departure. Both are of the same era, so the revisions can be compared.

Result: the test passes, and so does the package under the race detector.

--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"radishhollow/core/kv"
 	"radishhollow/core/route"
 )
 
@@ -36,6 +37,8 @@
 	byStart map[startKey]departure
 	// order holds the starts in the order in which they were recorded.
 	order []startKey
+	// firstList is the revision of the first list of the current era.
+	firstList kv.Revision
 }
 
 // record remembers that an endpoint left. era is that of the list that shows it.
@@ -58,11 +61,15 @@
 	delete(d.byStart, startKey{key, registration.StartedAtMS})
 }
 
-// covers reports whether a registration in a list of the given era is not newer than a departure of an earlier era.
+// covers reports whether a registration in a list of the given era is not newer than a departure of an earlier era. If a
+// sequence is not known, a registration that was written after the era's first list is newer.
 func (d *departures) covers(key string, registration route.Listing, era uint64) bool {
 	left, known := d.byStart[startKey{key, registration.StartedAtMS}]
 	if !known || left.era >= era || time.Since(left.at) >= departureTTL {
 		return false
 	}
-	return left.sequence == 0 || registration.Sequence <= left.sequence
+	if left.sequence == 0 || registration.Sequence == 0 {
+		return !registration.Revision.SameEra(d.firstList) || !registration.Revision.After(d.firstList)
+	}
+	return registration.Sequence <= left.sequence
 }
--- a/daemon/departures_settle_test.go
+++ b/daemon/departures_settle_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"radishhollow/core/kv"
+	"radishhollow/core/route"
 )
 
 // restoredCopies returns the entries of the endpoints a and b, unchanged since the copy of the given era was made.
@@ -160,3 +161,47 @@
 		require.Equal(t, "a", usable(l))
 	})
 }
+
+// withoutSequence returns the registrations as a peer passes them on.
+func withoutSequence(t *testing.T, l *endpointList, entries ...kv.Entry) []route.Listing {
+	list := parsed(t, l, entries...)
+	for i := range list {
+		list[i].Sequence = 0
+	}
+	return list
+}
+
+// Guards against an endpoint that is kept out although it has registered after the first list of the new era: if its
+// departure or its registration comes from a peer's list, which has no sequence, nothing but the revision tells.
+func TestEndpointListTakesWhatIsWrittenInTheNewEra(t *testing.T) {
+	for name, test := range map[string]struct {
+		departFromPeer bool
+		read           func(l *endpointList, entries []kv.Entry)
+	}{
+		"departure of a peer's list": {true, func(l *endpointList, entries []kv.Entry) {
+			l.apply(entries, kv.NewRevision(2, 96), true)
+		}},
+		"registration of a peer's list": {false, func(l *endpointList, entries []kv.Entry) {
+			l.replaceFromPeer(withoutSequence(t, l, entries...), kv.NewRevision(2, 96))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPlatformList(kv.Store{}, nil)
+				if test.departFromPeer {
+					l.replaceFromPeer(withoutSequence(t, l, restoredCopies(1)...), kv.NewRevision(1, 100))
+					l.replaceFromPeer(withoutSequence(t, l, restoredCopies(1)[1:]...), kv.NewRevision(1, 101))
+				} else {
+					l.apply(restoredCopies(1), kv.NewRevision(1, 100), true)
+					changeTo(l, deletedAs("a", kv.NewRevision(1, 101)))
+				}
+				l.apply(restoredCopies(2), kv.NewRevision(2, 60), true)
+				require.Equal(t, "b", usable(l))
+				l.apply(restoredCopies(2), kv.NewRevision(2, 90), true)
+				require.Equal(t, "b", usable(l), "the entry is that of the copy")
+				test.read(l, []kv.Entry{registeredAs("a", kv.NewRevision(2, 95), 50, "ready"), restoredCopies(2)[1]})
+				require.Equal(t, "ab", usable(l))
+			})
+		})
+	}
+}
--- a/daemon/endpoint_list_era.go
+++ b/daemon/endpoint_list_era.go
@@ -17,7 +17,7 @@
 	if revision.Era() <= l.revision.Era() {
 		return false
 	}
-	l.eraSettlesAt, l.withheld = now.Add(eraSettleTime), nil
+	l.eraSettlesAt, l.withheld, l.departed.firstList = now.Add(eraSettleTime), nil, revision
 	if l.revision.Era() == 0 {
 		return false
 	}
