fix(daemon): keep the later start of an endpoint after a restore

Callers lost a live endpoint after a return of the store, until the endpoint registered again.

Cause: if this daemon remembered no departure of an earlier start, because it had started after the restart, the registration of the earlier start in the copy replaced the known later one.

Evidence: TestEndpointListKeepsTheLaterStart on the code before: the list has the start at 16 instead of 17, with a copy in which it is draining and with one in which it is ready.

Change: merge withholds an earlier start than the known one of an earlier era, and keeps the known one for restoreGrace like any registration that the copy lacks.

--- a/daemon/departures_settle_test.go
+++ b/daemon/departures_settle_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,30 @@
 		})
 	}
 }
+
+// Guards against an earlier start of an endpoint, which the copy still has, that replaces the current one although the
+// current one is alive. This daemon has started after the restart, so it remembers no departure of the earlier start.
+func TestEndpointListKeepsTheLaterStart(t *testing.T) {
+	for _, state := range []string{"draining", "ready"} {
+		t.Run(state, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPlatformList(kv.Store{}, nil)
+				later := registeredAs("b", kv.NewRevision(1, 95), 1, "ready")
+				l.apply([]kv.Entry{later}, kv.NewRevision(1, 100), true)
+				value := strings.Replace(string(registeredAs("b", kv.Revision{}, 40, state).Value()), `"born":17`, `"born":16`, 1)
+				earlier := kv.NewEntry("servers/b", []byte(value), kv.NewRevision(2, 50), false)
+				l.apply([]kv.Entry{earlier}, kv.NewRevision(2, 60), true)
+				listings, _ := l.table.Listings()
+				require.Len(t, listings, 1)
+				require.EqualValues(t, 17, listings[0].StartedAtMS)
+				require.Equal(t, "b", usable(l), "the later start may be alive and is written again within 2 s")
+				time.Sleep(restoreGrace)
+				require.Empty(t, usable(l))
+				l.apply([]kv.Entry{earlier}, kv.NewRevision(2, 60), true)
+				require.Empty(t, usable(l), "the earlier start has ended")
+				changeTo(l, registeredAs("b", kv.NewRevision(2, 61), 1, "ready"))
+				require.Equal(t, "b", usable(l))
+			})
+		})
+	}
+}
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -240,28 +240,6 @@
 	return true
 }
 
-// merge applies a registration from a list of the given era, and reports whether its endpoint is present. Such a list
-// may contain what the endpoint had written before the copy was made from which the store came back, and what this
-// daemon knows to be out of date. A change that a watch returns was written in the new era.
-func (l *endpointList) merge(key string, registration route.Listing, era uint64) bool {
-	if l.isDeparted(key, registration, era) {
-		l.withhold(key, registration)
-		return false
-	}
-	known, found := l.registrations[key]
-	older := found && known.Revision.Era() < era && known.StartedAtMS == registration.StartedAtMS &&
-		(registration.Sequence < known.Sequence || registration.Sequence == known.Sequence && known.Leaving)
-	if older && !registration.Leaving {
-		if known.Leaving {
-			l.holdBack(registration.Incarnation)
-		}
-		delete(l.missing, key)
-		return true
-	}
-	l.set(key, registration)
-	return true
-}
-
 // set applies a registration that the endpoint has written after the last known one.
 func (l *endpointList) set(key string, registration route.Listing) {
 	old, known := l.registrations[key]
--- a/daemon/endpoint_list_era.go
+++ b/daemon/endpoint_list_era.go
@@ -38,6 +38,40 @@
 	return time.Now().Before(l.eraSettlesAt) && l.departed.covers(key, registration, era)
 }
 
+// merge applies a registration from a list of the given era, and reports whether its endpoint is present. Such a list
+// may contain what the endpoint had written before the copy was made from which the store came back, and what this
+// daemon knows to be out of date. A change that a watch returns was written in the new era.
+func (l *endpointList) merge(key string, registration route.Listing, era uint64) bool {
+	known, found := l.registrations[key]
+	if found && known.Revision.Era() < era && startedBefore(registration, known) {
+		// Without a departure, the earlier start would be taken once the later one has been dropped.
+		l.departed.record(key, registration, known.Revision.Era())
+		l.withhold(key, registration)
+		return false
+	}
+	if l.isDeparted(key, registration, era) {
+		l.withhold(key, registration)
+		return false
+	}
+	older := found && known.Revision.Era() < era && known.StartedAtMS == registration.StartedAtMS &&
+		(registration.Sequence < known.Sequence || registration.Sequence == known.Sequence && known.Leaving)
+	if older && !registration.Leaving {
+		if known.Leaving {
+			l.holdBack(registration.Incarnation)
+		}
+		delete(l.missing, key)
+		return true
+	}
+	l.set(key, registration)
+	return true
+}
+
+// startedBefore reports whether a registration is that of an earlier start of the endpoint than another one. Both times
+// were taken from the clock of the endpoint's machine; 0 is not known.
+func startedBefore(registration, other route.Listing) bool {
+	return registration.StartedAtMS != 0 && registration.StartedAtMS < other.StartedAtMS
+}
+
 // withhold keeps a registration unused until the era has settled.
 func (l *endpointList) withhold(key string, registration route.Listing) {
 	if l.withheld == nil {
