--- a/core/kv/eras.go
+++ b/core/kv/eras.go
@@ -27,7 +27,7 @@
 	return e.current
 }
 
-// Observe records the era of a response of the service, whatever its status.
+// Observe records the era of a response of the service.
 func (e *Eras) Observe(era uint64) {
 	e.mu.Lock()
 	before := e.current
@@ -39,7 +39,7 @@
 }
 
 // Guard returns a Store that calls store and keeps the eras apart. The functions of store must call Observe with the era
-// of each response before they return.
+// of a response before they return.
 func (e *Eras) Guard(store Store) Store {
 	g := &guard{eras: e, store: store}
 	return Store{
