fix(daemon): read the list anew after a false era of a peer

A draining endpoint stayed usable if a faulty peer had reported an era in which the store never was.

Cause: answers of the store's own era are ignored until the peer's era proves false. The changes of a watch among them were lost until the next list.

Change: kv.Follower has RelistDue, by which its user asks for a list at once; the endpoint list does so when an era proves false.

--- a/core/kv/follower.go
+++ b/core/kv/follower.go
@@ -32,6 +32,9 @@
 	// RelistInterval is the time between lists. It is checked only after a watch has returned, so while nothing changes
 	// the lists are at least WatchWait apart. Zero means DefaultRelistInterval.
 	RelistInterval time.Duration
+	// RelistDue is called after Apply for the changes of a watch, and reports whether the next list is due at once, whatever
+	// RelistInterval. It may be nil.
+	RelistDue func() bool
 	// Apply is called with all entries of a list, where full is true, or with the changes of a watch, and with the
 	// store's revision. It is called only from the goroutine of Run.
 	Apply func(entries []Entry, revision Revision, full bool)
@@ -82,6 +85,9 @@
 		}
 		after = revision
 		f.Apply(changes, revision, false)
+		if f.RelistDue != nil && f.RelistDue() {
+			return after, nil
+		}
 		if len(changes) > 0 {
 			// The error is ignored because Sleep fails only when ctx has ended, which the loop checks.
 			_ = clock.Sleep(ctx, f.BatchDelay)
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -92,8 +92,10 @@
 	// falseEra is an era that a peer reported and the store has not reached; 0 if there is none.
 	falseEra       uint64
 	peerAheadSince time.Time
-	lastResponse   time.Time
-	lastFailure    time.Time
+	// lacksChanges is set if changes of a watch may have been ignored because of a false era.
+	lacksChanges bool
+	lastResponse time.Time
+	lastFailure  time.Time
 	// newerAtPeer is set if a list has been taken from a peer since the store's last response, also without an outage.
 	// It is taken to mean that the store served other daemons, so that no registration expired because of an outage.
 	// Only apply resets it, after it has handled the deletions in the store's response.
@@ -111,7 +113,7 @@
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.InstancePoll.Duration,
-		Apply:          l.apply, OnError: l.recordFailure,
+		Apply:          l.apply, OnError: l.recordFailure, RelistDue: l.relistDue,
 	}
 	relayed.OnFailure = l.recordReaderFailure
 	// Unlike the table's list, which newNode set, this list has a revision and omits endpoints kept after an outage. fx
@@ -188,6 +190,7 @@
 		l.revision = kv.Latest(revision, l.revision)
 	}
 	if full {
+		l.lacksChanges = false
 		clear(l.withheld)
 	}
 	seen := l.applyEntries(entries, now, full)
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -119,11 +119,18 @@
 		return false
 	}
 	l.log.WithFields(logrus.Fields{"revision": revision.String(), "era-of-peer": l.revision.Era()}).Warn("store is not in the era that a peer has reported")
-	l.withheld = nil
+	l.withheld, l.lacksChanges = nil, true
 	l.falseEra, l.revision, l.peerRevision = l.revision.Era(), kv.NewRevision(revision.Era(), 0), kv.Revision{}
 	return true
 }
 
+// relistDue reports whether the list is to be read anew at once.
+func (l *endpointList) relistDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lacksChanges
+}
+
 // isFalse reports whether a peer's revision is of an era that the store has not reached, as it has shown.
 func (l *endpointList) isFalse(revision kv.Revision) bool {
 	return l.falseEra != 0 && revision.Era() >= l.falseEra
--- a/daemon/odd_entries_test.go
+++ b/daemon/odd_entries_test.go
@@ -73,7 +73,7 @@
 	l.log.SetOutput(io.Discard)
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: 100 * time.Millisecond, RelistInterval: 300 * time.Millisecond,
-		Apply: l.apply, OnError: l.recordFailure,
+		Apply: l.apply, OnError: l.recordFailure, RelistDue: l.relistDue,
 	}
 	return l
 }
