fix(daemon): drop an era that a peer only announces

A daemon asked its peers for a list every 300 ms for as long as it ran, if a faulty peer had announced an era in which the store never was. Callers saw nothing of it.

Cause: only a false era of a list that had been taken from a peer was dropped; an announced one kept peerRevision high.

Evidence: TestEndpointListDropsAnAnnouncedFalseEra on the code before: the announced revision is still ahead after 4 s.

Change: if the store still answers in the earlier era maxUnconfirmedEra after the announcement, and no list of the announced era has been received, the era counts as false until the store reaches it.

Result: the test passes, and so does the package under the race detector.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -63,7 +63,7 @@
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, dropPeerEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
@@ -89,6 +89,8 @@
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
 	// revision.
 	peerRevision kv.Revision
+	// peerEraSince is the time at which a peer first reported the era of peerRevision.
+	peerEraSince time.Time
 	// falseEra is an era that a peer reported and the store has not reached; 0 if there is none.
 	falseEra       uint64
 	peerAheadSince time.Time
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -53,6 +53,9 @@
 	if revision.After(l.revision) && !l.peerRevision.After(l.revision) {
 		l.peerAheadSince = time.Now()
 	}
+	if revision.Era() > l.peerRevision.Era() {
+		l.peerEraSince = time.Now()
+	}
 	l.peerRevision = kv.Latest(revision, l.peerRevision)
 }
 
@@ -114,16 +117,25 @@
 		if revision.Era() >= l.falseEra {
 			l.falseEra = 0
 		}
+		if l.peerRevision.Era() > revision.Era() && now.Sub(l.peerEraSince) >= maxUnconfirmedEra {
+			// The era was announced, but neither the store nor a peer has a list of it.
+			l.dropPeerEra(revision, l.peerRevision.Era())
+		}
 		return true
 	case now.Sub(l.eraBeganAt) < maxUnconfirmedEra:
 		return false
 	}
-	l.log.WithFields(logrus.Fields{"revision": revision.String(), "era-of-peer": l.revision.Era()}).Warn("store is not in the era that a peer has reported")
-	l.withheld, l.lacksChanges = nil, true
-	l.falseEra, l.revision, l.peerRevision = l.revision.Era(), kv.NewRevision(revision.Era(), 0), kv.Revision{}
+	l.dropPeerEra(revision, l.revision.Era())
+	l.withheld, l.lacksChanges, l.revision = nil, true, kv.NewRevision(revision.Era(), 0)
 	return true
 }
 
+// dropPeerEra ignores an era that a peer has reported until the store reaches it. The revision is that of the store.
+func (l *endpointList) dropPeerEra(revision kv.Revision, era uint64) {
+	l.log.WithFields(logrus.Fields{"revision": revision.String(), "era-of-peer": era}).Warn("store is not in the era that a peer has reported")
+	l.falseEra, l.peerRevision = era, kv.Revision{}
+}
+
 // relistDue reports whether the list is to be read anew at once.
 func (l *endpointList) relistDue() bool {
 	l.mu.Lock()
--- a/daemon/false_era_test.go
+++ b/daemon/false_era_test.go
@@ -53,3 +53,32 @@
 		require.Equal(t, "b", usable(l))
 	})
 }
+
+// Guards against a daemon that asks its peers for a list every 300 ms for as long as it runs, because a faulty peer has
+// announced an era of which no one has a list. An era that the store reaches late is not given up for that.
+func TestEndpointListDropsAnAnnouncedFalseEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPlatformList(kv.Store{}, nil)
+		l.apply(restoredCopies(1), kv.NewRevision(1, 100), true)
+		l.recordPeerRevision(kv.NewRevision(1, 150))
+		time.Sleep(10 * time.Second)
+		announce := func(revision kv.Revision, times int) {
+			for i := range times {
+				l.recordPeerRevision(revision)
+				time.Sleep(time.Second)
+				l.apply(nil, kv.NewRevision(1, uint64(101+i)), false)
+			}
+		}
+		announced := kv.NewRevision(2, 60)
+		announce(announced, 2)
+		require.Equal(t, announced, l.peerRevision, "the store may reach the era")
+		announce(announced, 2)
+		require.False(t, l.peerRevision.After(l.revision))
+		announce(announced.Next(), 1)
+		require.False(t, l.peerRevision.After(l.revision), "the peer announces the era again")
+
+		l.apply(restoredCopies(2), announced, true)
+		l.recordPeerRevision(announced.Next())
+		require.Equal(t, announced.Next(), l.peerRevision)
+	})
+}
