test(daemon): state the limits for forgetting departures

TestEndpointListForgetsDepartures slept departureTTL itself, so it could not fail on a time that is too long.

Change: it requires the endpoint back after 10 s with a store that answers, and TestEndpointListForgetsDeparturesBetweenFailures after 65 s with calls that fail now and then; TestDeparturesAreBounded requires a minute. The comment on departureTTL says what bounds the first time.

--- a/daemon/departures.go
+++ b/daemon/departures.go
@@ -10,8 +10,8 @@
 const (
 	// departureTTL is the time for which a departure is remembered. It covers a copy of the store that is 30 s old, the
 	// outage before its return, and the three heartbeats after which the store removes the entry of an endpoint that is
-	// silent. An endpoint that is alive, but whose heartbeats change nothing in its restored entry, is ignored for no
-	// longer than that.
+	// silent. An endpoint that is alive, but whose heartbeats change nothing in its restored entry, is ignored until the
+	// era has settled, and for no longer than this even if calls to the store keep failing.
 	departureTTL = time.Minute
 	// maxDepartures bounds the memory for departures. It is above the planned number of endpoints.
 	maxDepartures = 16384
--- a/daemon/departures_test.go
+++ b/daemon/departures_test.go
@@ -109,7 +109,25 @@
 		l := departedList(true)
 		copies := []kv.Entry{registeredAs("a", kv.NewRevision(2, 10), 5, "ready"), registeredAs("b", kv.NewRevision(2, 11), 5, "ready")}
 		l.apply(copies, kv.NewRevision(2, 60), true)
-		time.Sleep(departureTTL)
+		require.Equal(t, "a", usable(l))
+		time.Sleep(10 * time.Second)
+		l.apply(copies, kv.NewRevision(2, 60), true)
+		require.Equal(t, "ab", usable(l))
+	})
+}
+
+// Guards against an endpoint that stays away for as long as calls of this daemon to the store fail now and then, because
+// each failed call extends the time until the era has settled.
+func TestEndpointListForgetsDeparturesBetweenFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := departedList(true)
+		copies := []kv.Entry{registeredAs("a", kv.NewRevision(2, 10), 5, "ready"), registeredAs("b", kv.NewRevision(2, 11), 5, "ready")}
+		for range 13 {
+			l.apply(copies, kv.NewRevision(2, 60), true)
+			time.Sleep(2 * time.Second)
+			l.recordFailure(kv.UnavailableError{Call: "watch"})
+			time.Sleep(3 * time.Second)
+		}
 		l.apply(copies, kv.NewRevision(2, 60), true)
 		require.Equal(t, "ab", usable(l))
 	})
@@ -143,7 +161,7 @@
 		require.Len(t, d.byStart, maxDepartures)
 		require.LessOrEqual(t, len(d.order), maxDepartures)
 		require.True(t, d.covers(strconv.Itoa(3*maxDepartures-1), route.Listing{Sequence: 5}, 2))
-		time.Sleep(departureTTL)
+		time.Sleep(time.Minute)
 		d.record("x", route.Listing{Sequence: 5}, 1)
 		require.Len(t, d.byStart, 1)
 	})
