fix(daemon): keep what a peer kept from an earlier era

Cause: a peer passes on a registration that it keeps from an earlier era without a revision. It then counted as one of the new era, so that the entry of the store's copy replaced it.

Evidence: TestEndpointListKeepsWhatAPeerKept on the code before: the listing is not leaving.

Change: merge treats a known registration without a revision like one of an earlier era.

Result: the test passes, and so does the package under the race detector.

--- a/daemon/departures_settle_test.go
+++ b/daemon/departures_settle_test.go
@@ -233,3 +233,20 @@
 		})
 	}
 }
+
+// Guards against a draining endpoint that is handed on to peers as ready: a peer has reported it first in the new era, as
+// kept from the earlier one, and the store's copy has it as ready.
+func TestEndpointListKeepsWhatAPeerKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := departedList(false)
+		kept := withoutSequence(t, l, registeredAs("b", kv.NewRevision(2, 0), 9, "draining"))
+		l.replaceFromPeer(kept, kv.NewRevision(2, 60))
+		l.apply([]kv.Entry{registeredAs("b", kv.NewRevision(2, 11), 5, "ready")}, kv.NewRevision(2, 61), true)
+		listings, _, _ := l.Listings()
+		require.Len(t, listings, 1)
+		require.True(t, listings[0].Leaving)
+		changeTo(l, registeredAs("b", kv.NewRevision(2, 70), 10, "ready"))
+		listings, _, _ = l.Listings()
+		require.False(t, listings[0].Leaving, "this is the endpoint's newer word")
+	})
+}
--- a/daemon/endpoint_list_era.go
+++ b/daemon/endpoint_list_era.go
@@ -53,7 +53,9 @@
 		l.withhold(key, registration)
 		return false
 	}
-	older := found && known.Revision.Era() < era && known.StartedAtMS == registration.StartedAtMS &&
+	// A peer passes on what it keeps from an earlier era without a revision.
+	earlier := known.Revision.Era() < era || known.Revision.IsZero()
+	older := found && earlier && known.StartedAtMS == registration.StartedAtMS &&
 		(registration.Sequence < known.Sequence || registration.Sequence == known.Sequence && known.Leaving)
 	if older && !registration.Leaving {
 		if known.Leaving {
