--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -63,7 +63,7 @@
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, dropPeerEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
@@ -89,11 +89,15 @@
 	// peerRevision is the highest revision reported by a peer, and peerAheadSince the time since which it exceeds
 	// revision.
 	peerRevision kv.Revision
+	// peerEraSince is the time at which a peer first reported the era of peerRevision.
+	peerEraSince time.Time
 	// falseEra is an era that a peer reported and the store has not reached; 0 if there is none.
 	falseEra       uint64
 	peerAheadSince time.Time
-	lastResponse   time.Time
-	lastFailure    time.Time
+	// lacksChanges is set if changes of a watch may have been ignored because of a false era.
+	lacksChanges bool
+	lastResponse time.Time
+	lastFailure  time.Time
 	// newerAtPeer is set if a list has been taken from a peer since the store's last response, also without an outage.
 	// It is taken to mean that the store served other daemons, so that no registration expired because of an outage.
 	// Only apply resets it, after it has handled the deletions in the store's response.
@@ -111,7 +115,7 @@
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.InstancePoll.Duration,
-		Apply:          l.apply, OnError: l.recordFailure,
+		Apply:          l.apply, OnError: l.recordFailure, RelistDue: l.relistDue,
 	}
 	relayed.OnFailure = l.recordReaderFailure
 	// Unlike the table's list, which newNode set, this list has a revision and omits endpoints kept after an outage. fx
@@ -188,6 +192,7 @@
 		l.revision = kv.Latest(revision, l.revision)
 	}
 	if full {
+		l.lacksChanges = false
 		clear(l.withheld)
 	}
 	seen := l.applyEntries(entries, now, full)
