--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -63,15 +63,17 @@
 	own ownAddresses
 
 	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
-	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, dropPeerEra, isDeparted, release, recordUnsettled, writeReport, holdBack and drop must hold it.
+	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, dropPeerEra, isDeparted, release, recordUnsettled,
+	// writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
 	// registrations holds the registrations by their key in the store.
 	registrations map[string]route.Listing
 	// missing holds, by key, the registrations that are kept for a time although the store lacks them.
 	missing  map[string]absence
 	departed departures
-	// revision is the store's revision at the last full read that was not empty, began a new era or the last watch with changes, or that
-	// of a list taken from a peer, whichever is the highest. A full read raises it even without a change of the list.
+	// revision is the store's revision at the last full read that was not empty or began a new era, or at the last watch
+	// with changes, or that of a list taken from a peer, whichever is the highest. A full read raises it even without a
+	// change of the list.
 	revision kv.Revision
 	// eraBeganAt is the time at which this daemon first received a list of the era of revision, from the store or from a
 	// peer. It is zero for the first era.
--- a/daemon/endpoint_list_peer.go
+++ b/daemon/endpoint_list_peer.go
@@ -14,8 +14,8 @@
 const (
 	// peerListThreshold is the time after which a daemon asks its peers for a newer list. It counts from the store's
 	// last response if a call has failed since, or from the time at which a peer got ahead, which also shows a watch
-	// that hangs without an error. It is longer than the batch delay of package relay, within which a change reaches the watches of all
-	// daemons.
+	// that hangs without an error. It is longer than the batch delay of package relay, within which a change reaches the
+	// watches of all daemons.
 	peerListThreshold = 700 * time.Millisecond
 	// peerListInterval is the interval between two such requests.
 	peerListInterval = 300 * time.Millisecond
