fix(daemon): accept nothing later in a planned stop than what was established

A stopping daemon went on to accept connections for a second and more after it should have stopped, up to the last moments, in which it refuses their requests. Callers of kept connections got 503 although the stop had time left, since its listener closed late.

TestStopAcceptingLeavesLaterConnections fails without the line.

--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -49,6 +49,9 @@
 	acceptUntil time.Time
 }
 
+// expiredDeadline makes calls of a socket fail at once.
+var expiredDeadline = time.Unix(1, 0)
+
 func newCallerListener(address string, server *http.Server, log *logrus.Logger) *callerListener {
 	l := &callerListener{
 		address: address, server: server, log: log, ended: make(chan struct{}), conns: map[*callerConn]struct{}{},
@@ -85,7 +88,10 @@
 			return nil, net.ErrClosed
 		}
 		_ = l.socket.SetDeadline(time.Now().Add(finalReadTimeout))
-		if conn, err = l.socket.AcceptTCP(); errors.Is(err, os.ErrDeadlineExceeded) || l.acceptTimedOut() {
+		conn, err = l.socket.AcceptTCP()
+		// Without an expired deadline, the next call would wait for connections that are established later.
+		_ = l.socket.SetDeadline(expiredDeadline)
+		if errors.Is(err, os.ErrDeadlineExceeded) || l.acceptTimedOut() {
 			if conn != nil {
 				_ = conn.Close()
 			}
@@ -179,7 +185,7 @@
 	l.mu.Lock()
 	l.acceptUntil = time.Now().Add(acceptQueueTimeout)
 	l.mu.Unlock()
-	if err := l.socket.SetDeadline(time.Unix(1, 0)); err != nil {
+	if err := l.socket.SetDeadline(expiredDeadline); err != nil {
 		_ = l.socket.Close()
 	}
 }
--- a/daemon/caller_listener_test.go
+++ b/daemon/caller_listener_test.go
@@ -238,3 +238,30 @@
 	_, err = io.ReadAll(reader)
 	require.NoError(t, err, "a partial header holds the connection for the idle time")
 }
+
+// Guards against a stopping daemon that goes on to accept new connections after it has accepted one that was already
+// established.
+func TestStopAcceptingLeavesLaterConnections(t *testing.T) {
+	l := newCallerListener("127.0.0.1:0", &http.Server{ReadHeaderTimeout: time.Second}, nil)
+	socket, err := listen(t.Context(), l.address)
+	require.NoError(t, err)
+	l.socket = socket.(*net.TCPListener)
+	defer func() { _ = l.Close() }()
+	dial := func() {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", socket.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	dial()
+	l.stopAccepting()
+	_, err = l.Accept()
+	require.NoError(t, err, "the connection was established before")
+	accepted := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		accepted <- err
+	}()
+	time.Sleep(2 * acceptQueueTimeout)
+	dial()
+	require.ErrorIs(t, <-accepted, net.ErrClosed)
+}
