fix(forward): keep an endpoint's own status from promising that nothing ran

Cause: only the mark of a refusal and 421 state that a request has not run. An endpoint's own 408, 429 or 503 without the mark was passed on, although callers take these statuses for that statement. Streams that may not be resumed did the same.

Evidence: on the code before, TestForwardOwnStatusIsNoPromise fails in 6 of 6 cases (the caller gets 408, 429 and 503, for a booking and for a stream), and TestClassify with outcome ran.

Change: for a request that may run only once, such a response leaves the outcome unknown, so the caller gets 502 without the endpoint's signature or Retry-After. True refusals are tried elsewhere and end as 503 as before; answers to idempotent requests pass unchanged. TestForwardTrueRefusalIsAPromise and TestForwardOwnStatusOfIdempotentRequest hold that.

--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -44,6 +44,16 @@
 		r.Header.Get("Not-Run") == "1"
 }
 
+// PromisesNotRun reports whether callers and their HTTP libraries take a status for the promise that the request has not
+// run, and send the request again.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isMethodPreservingRedirect reports whether the response is a redirect that repeats the request at another URL with
 // the same method and body.
 func (r Response) isMethodPreservingRedirect() bool {
--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -79,6 +79,10 @@
 	case call.Kind == config.KindIdempotent && response.Status >= http.StatusInternalServerError:
 		// Another endpoint may succeed; if none does, the caller gets this response.
 		return failure.Unknown
+	case call.Kind != config.KindIdempotent && booking.PromisesNotRun(response.Status):
+		// Without the mark of a refusal, the endpoint may have run the request before it failed. A caller that gets such a
+		// status sends the request again.
+		return failure.Unknown
 	default:
 		return failure.Ran
 	}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -248,8 +248,9 @@
 }
 
 // readErrorResponse reads a response that is not a stream and returns the matching error. It keeps a complete response
-// that the endpoint produced in errorResponse, unless it is a refusal. One above maxErrorBodyBytes is not kept, because its
-// first part would look complete to the caller.
+// that the endpoint produced in errorResponse, unless it is a refusal or, for a stream that may run only once, has a status
+// that promises callers that the request has not run. One above maxErrorBodyBytes is not kept, because its first part would
+// look complete to the caller.
 func (h *streamHandler) readErrorResponse(ctx context.Context, address string, response *http.Response) error {
 	f := h.server.Format
 	// The context of Open does not bound the read of the body.
@@ -259,7 +260,8 @@
 	if f.isRefusal(response.StatusCode, response.Header) {
 		return errors.Trace(RefusedError{Endpoint: address, Status: response.StatusCode})
 	}
-	if err == nil && len(body) <= maxErrorBodyBytes && response.Header.Get(f.Signature) != "" {
+	falsePromise := !h.request.route.Resumable && booking.PromisesNotRun(response.StatusCode)
+	if err == nil && len(body) <= maxErrorBodyBytes && response.Header.Get(f.Signature) != "" && !falsePromise {
 		h.errorResponse = &booking.Response{Status: response.StatusCode, Header: response.Header, Body: body}
 	}
 	return errors.Trace(EndpointError{Endpoint: address, Status: response.StatusCode})
