fix(booking): take a service's own 408 and 421 for an unknown outcome

On the project's own interface, a service's own 408 or 421 reached callers as the outcome of a call that may run only once, and was recorded under its key. HTTP libraries repeat a request after these statuses.

Cause: classify knew only 429 and the 5xx statuses as ones that leave it open whether the call ran.

Evidence: TestDo, cases "own timeout" and "own misdirection", on the code before: outcome ran.

Change: classify asks PromisesNotRun, as the forwarded interface does.

--- a/core/booking/sender.go
+++ b/core/booking/sender.go
@@ -243,7 +243,7 @@
 		return failure.Unknown
 	case response.isRefusal() && call.Service.TrustsRefusals && !response.ConnectionReused:
 		return failure.NotRun
-	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
+	case response.Status >= http.StatusInternalServerError || PromisesNotRun(response.Status):
 		return failure.Unknown
 	case response.isMethodPreservingRedirect() && !call.Request.ReuseConnection:
 		// Without ReuseConnection, the call is not idempotent (see Do). The caller's HTTP library would follow the redirect
--- a/core/booking/sender_test.go
+++ b/core/booking/sender_test.go
@@ -89,6 +89,8 @@
 		{name: "server error", steps: steps{respondWith(500, ""), ok}, sent: 1, outcome: failure.Unknown},
 		{name: "untrusted refusal", steps: steps{refused, ok}, sent: 1, outcome: failure.Unknown},
 		{name: "untrusted rate limit", steps: steps{respondWith(429, "1"), ok}, sent: 1, outcome: failure.Unknown},
+		{name: "own timeout", trusted: true, steps: steps{respondWith(408, ""), ok}, sent: 1, outcome: failure.Unknown},
+		{name: "own misdirection", trusted: true, steps: steps{respondWith(421, ""), ok}, sent: 1, outcome: failure.Unknown},
 		{name: "trusted refusal", trusted: true, steps: steps{refused, ok}, sent: 2, outcome: failure.Ran},
 		{name: "trusted, no header", trusted: true, steps: steps{respondWith(503, ""), ok}, sent: 1, outcome: failure.Unknown},
 		{name: "endpoint unreachable", steps: steps{failWith(unreachable{}), ok}, sent: 2, outcome: failure.Ran},
