fix(retry): start a process with no saved retries

Cause: each process spent its whole part of the limit within its own window. A process that starts again does not know what the one before it has spent, the shares of the others grow when one dies, and a daemon that sees no other took the whole slack.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -34,6 +34,8 @@
 	mu    sync.Mutex
 	peers map[string]*Peer
 	marks map[markKey]markState
+	// hasList is set once the platform's list has been received.
+	hasList bool
 }
 
 // MergeRequest merges the view that a calling peer sent.
@@ -138,6 +140,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.hasList = true
 	for _, p := range t.peers {
 		p.listed = false
 	}
@@ -168,6 +171,13 @@
 	}
 }
 
+// HasList reports whether the platform's list has been received. Before that, there may be peers that the table lacks.
+func (t *Table) HasList() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasList
+}
+
 // Count returns the number of peers.
 func (t *Table) Count() int {
 	t.mu.Lock()
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -36,8 +36,7 @@
 
 const (
 	// retrySlackFraction is the fraction of the shared retry slack that is divided among the known daemons. The rest is
-	// left for daemons that are not known yet. The retry ratio needs no such margin, because each daemon's window is a
-	// tenth longer than the platform's.
+	// left for daemons that are not known yet, and for retries that were taken but have not reached their endpoint.
 	retrySlackFraction = 0.9
 	// reachabilityTimeout limits the connection attempt to an endpoint that may be dead. A round trip within a region
 	// takes a few ms.
@@ -100,11 +99,17 @@
 	return policy
 }
 
+// newRetryWindow returns the retry budgets of the services. The number of daemons is unknown before the platform's list.
 func newRetryWindow(s settings.Settings, members *member.Table) *retry.Window {
 	f := s.Forward
 	return &retry.Window{
 		Span: f.RetryWindow.Duration, Ratio: f.RetryRatio, Slack: float64(f.RetrySlack) * retrySlackFraction,
-		Daemons: func() int { return members.Count() + 1 },
+		Daemons: func() int {
+			if !members.HasList() {
+				return 0
+			}
+			return members.Count() + 1
+		},
 	}
 }
 
@@ -117,8 +122,9 @@
 }
 
 func newForwardServer(
-	s settings.Settings, documents *config.Store, table *route.Table, client *service.Client, window *retry.Window,
-	endpoints *endpointList, register *quarantine.Register, drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
+	s settings.Settings, documents *config.Store, table *route.Table, members *member.Table, client *service.Client,
+	window *retry.Window, endpoints *endpointList, register *quarantine.Register, drain *Drain, m *telemetry.Metrics,
+	log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
 	server := &forward.Server{
@@ -133,7 +139,7 @@
 		Usable: table.Usable, CopyKVCache: kvCacheCopier(client), ReleaseKVCopy: kvCopyReleaser(client, log),
 		ObserveAttempt: streamObserver(table),
 		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
-		DaemonCount: window.Daemons, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
+		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
 		MaxBufferedBytes: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100,
 		Place:            s.Place, Metrics: m, Log: log,
 	}
