feat(daemon): log what a planned stop leaves unfinished

The log could not tell a process that was killed from lines that were lost or a handler that had not ended.

Change: a stop writes the number of requests that are still being served, and a line for each of the first 50; the last line of a process has the number of log lines that were dropped, on each way out.

Evidence: TestForwardStopSeries stops five processes in a short series under streams that outlast the grace, and kills them at its end. The cause is open.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -53,11 +53,11 @@
 	err = daemon.Run(ctx, s, log, ready, fx.Supply(daemon.Reloads(reloads)))
 	if err != nil {
 		// If a component failed, the daemon has logged the component's error under the same message before the drain.
-		log.WithError(err).Error("daemon ends")
+		log.WithError(err).WithField("dropped-lines", out.Dropped()).Error("daemon ends")
 		_, _ = fmt.Fprintf(stderr, "radishhollow serve: %v\n", err)
 		return ExitFailed
 	}
-	log.Info("daemon ends")
+	log.WithField("dropped-lines", out.Dropped()).Info("daemon ends")
 	return ExitOK
 }
 
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -114,6 +114,7 @@
 	durations     streamDurations
 	callDurations callDurations
 	ends          endDetector
+	open          openRequests
 	// background tracks the goroutines of the replicators. None starts once closed is set.
 	background   sync.WaitGroup
 	backgroundMu sync.Mutex
@@ -190,6 +191,8 @@
 	// gin presets status 404 for paths without a handler.
 	c.Status(http.StatusOK)
 	q, err := s.parse(c.Writer, c.Request)
+	s.open.add(q)
+	defer s.open.remove(q)
 	defer func() { s.bufferedBytes.Add(-int64(len(q.body))) }()
 	if err == nil {
 		err = s.reserveBody(q)
