fix(sse): give up a stream whose buffer is full at once

Cause: closing a stream waits for its reader, and the reader waited for room in a full buffer that nobody empties any more. That wait ended only with the request.

Evidence: on the code before, TestCloseWithAFullBuffer deadlocks and TestForwardMovesAFloodedStream gets one event of 20 at its time limit of 4 s.

Change: Close also closes the buffer.

Result: both tests pass; the stream goes on elsewhere within 0.2 s.

--- a/io/sse/stream.go
+++ b/io/sse/stream.go
@@ -38,8 +38,8 @@
 }
 
 // NewStream starts to read chunks with next, which decodes them from the body, until next returns an error. That error
-// is io.EOF after a complete response. A wait for room in the buffer ends with ctx. Closing the stream calls cancel,
-// which must abort a read in progress.
+// is io.EOF after a complete response. A wait for room in the buffer ends with ctx or when the stream is closed, which
+// also calls cancel. Cancel must abort a read in progress.
 func NewStream(
 	ctx context.Context, body io.ReadCloser, cancel context.CancelFunc, next func() (generation.Chunk, error),
 ) generation.Stream {
@@ -93,6 +93,8 @@
 			s.waitForEnd()
 		}
 		s.cancel()
+		// Nobody takes the buffered chunks any more, so a wait for room would only end with the request.
+		s.chunks.Close()
 		<-s.done
 	})
 	return nil
