fix(retry): earn a service's retries from the daemon's start

A daemon that had run for a while broke off the first streams of a service whose engines failed, because it had no retry for them: since an account earned its share of the slack from its first request on.

Change: the share is earned from the start of the daemon.

Evidence: TestWindowEarnsFromTheStart fails on the code before; the models of the fleet pass with the change.

--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -48,7 +48,7 @@
 
 func (f *fleet) start(i int) {
 	f.windows[i] = &retry.Window{
-		Span: fleetSpan, Ratio: fleetRatio, Slack: ownSlack, Daemons: func() int { return f.known[i] },
+		Span: fleetSpan, Ratio: fleetRatio, Slack: ownSlack, Daemons: func() int { return f.known[i] }, Started: time.Now(),
 	}
 }
 
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -38,10 +38,11 @@
 	Slack float64
 	// Daemons returns the number of daemons that share Slack, or zero while it is unknown.
 	Daemons func() int
+	// Started is the time of the daemon's start. From then on it earns its share of Slack, also for a key without requests.
+	Started time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	start    time.Time
 	fleet    fleet
 }
 
@@ -93,15 +94,15 @@
 func (w *Window) account(key string) *account {
 	now := time.Now()
 	if w.accounts == nil {
-		w.accounts, w.start = map[string]*account{}, now
+		w.accounts = map[string]*account{}
 	}
 	w.fleet.update(w.Daemons(), now)
 	a := w.accounts[key]
 	if a == nil {
-		a = &account{earnedAt: now}
+		a = &account{earnedAt: w.Started}
 		w.accounts[key] = a
 	}
-	a.advance(int64(now.Sub(w.start) / (w.Span / windowIntervals)))
+	a.advance(int64(now.Sub(w.Started) / (w.Span / windowIntervals)))
 	w.save(a, (1-savedPart)*w.slack()*float64(now.Sub(a.earnedAt))/float64(w.Span))
 	a.earnedAt = now
 	return a
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -21,7 +21,7 @@
 // part of Slack, whether they were saved or not.
 func TestWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &retry.Window{Span: 10 * time.Second, Ratio: 0.5, Slack: 40, Daemons: func() int { return 5 }}
+		w := &retry.Window{Started: time.Now(), Span: 10 * time.Second, Ratio: 0.5, Slack: 40, Daemons: func() int { return 5 }}
 		require.Zero(t, takeAll(w, "service"), "a new process does not know what the one before it has spent")
 		time.Sleep(time.Minute)
 		require.Equal(t, 4, takeAll(w, "service"), "half of a fifth of the slack is saved")
@@ -42,7 +42,7 @@
 // Guards against retries that are saved without bound in a quiet time.
 func TestWindowBoundsWhatIsSaved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &retry.Window{Span: 10 * time.Second, Ratio: 0.5, Slack: 40, Daemons: func() int { return 5 }}
+		w := &retry.Window{Started: time.Now(), Span: 10 * time.Second, Ratio: 0.5, Slack: 40, Daemons: func() int { return 5 }}
 		for range 600 {
 			w.RecordRequest("service")
 			time.Sleep(100 * time.Millisecond)
@@ -56,7 +56,7 @@
 // Guards against retries of one service that use the budget of another.
 func TestWindowKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &retry.Window{Span: 10 * time.Second, Slack: 2, Daemons: func() int { return 1 }}
+		w := &retry.Window{Started: time.Now(), Span: 10 * time.Second, Slack: 2, Daemons: func() int { return 1 }}
 		for _, key := range []string{"a", "b"} {
 			w.RecordRequest(key)
 		}
@@ -67,10 +67,20 @@
 	})
 }
 
+// Guards against a daemon that has run for a while and can't retry the first request to a service that has been idle.
+func TestWindowEarnsFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &retry.Window{Started: time.Now(), Span: 10 * time.Second, Slack: 40, Daemons: func() int { return 5 }}
+		time.Sleep(5 * time.Second)
+		w.RecordRequest("service")
+		require.Equal(t, 2, takeAll(w, "service"), "half of what is earned in a window")
+	})
+}
+
 // Guards against a retry that reached no endpoint and is lost, or given back to a daemon that has saved all it may.
 func TestWindowReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &retry.Window{Span: 10 * time.Second, Slack: 2, Daemons: func() int { return 1 }}
+		w := &retry.Window{Started: time.Now(), Span: 10 * time.Second, Slack: 2, Daemons: func() int { return 1 }}
 		w.RecordRequest("a")
 		time.Sleep(time.Minute)
 		require.True(t, w.TakeRetry("a"))
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -104,6 +104,7 @@
 	f := s.Forward
 	return &retry.Window{
 		Span: f.RetryWindow.Duration, Ratio: f.RetryRatio, Slack: float64(f.RetrySlack) * retrySlackFraction,
+		Started: time.Now(),
 		Daemons: func() int {
 			if !members.HasList() {
 				return 0
