fix(forward): let error responses of streams share the memory for bodies

Cause: up to 1 MB of each error response was read and kept outside the limit that all other bodies share. The body of a refusal was read, too, although nobody gets it.

Change: memory.Budget holds what messages of all connections take together; service.Client uses it in place of its own counter, and an error response takes its share until the request ends. Without a share it is not kept, as one above 1 MB. Of a refusal's body 16 KB are read.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -21,6 +21,7 @@
 	"radishhollow/core/route"
 	"radishhollow/io/forward"
 	"radishhollow/io/keyvalue"
+	"radishhollow/io/memory"
 	"radishhollow/io/peer"
 	"radishhollow/io/service"
 	"radishhollow/io/settings"
@@ -117,7 +118,7 @@
 func newForwardClient(lifecycle fx.Lifecycle, s settings.Settings) *service.Client {
 	client := service.New(s.Timeouts.Connect.Duration, s.Timeouts.EndpointIdle.Duration)
 	client.Check = platform.Format().Check
-	client.MemoryLimit = int64(s.Forward.MemoryMB) << 20 * responseMemoryPercent / 100
+	client.Memory = &memory.Budget{Limit: int64(s.Forward.MemoryMB) << 20 * responseMemoryPercent / 100}
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error { return client.Close() }})
 	return client
 }
@@ -129,7 +130,8 @@
 ) *forward.Server {
 	format := platform.Format()
 	server := &forward.Server{
-		Format: format, Document: documents.Current, Pick: table.Pick, Open: client.Open, InstanceListRevision: endpoints.listRevision,
+		Format: format, Document: documents.Current, Pick: table.Pick, Open: client.Open, ReadBody: client.ReadBody, ResponseMemory: client.Memory,
+		InstanceListRevision: endpoints.listRevision,
 		Reachable: func(ctx context.Context, address string) bool {
 			return client.Reachable(ctx, address, reachabilityTimeout)
 		},
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -22,6 +22,7 @@
 	"radishhollow/core/kv"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
+	"radishhollow/io/memory"
 	"radishhollow/io/telemetry"
 )
 
@@ -101,6 +102,11 @@
 	DaemonCount func() int
 	// Closing reports whether the server closes the connections in use because the time to drain has passed. It may be nil.
 	Closing func() bool
+	// ReadBody reads the body of a response of Open, which takes memory of the daemon until release is called. It may be
+	// called once also after an error.
+	ReadBody func(address string, response *http.Response, maxBytes int64) (body []byte, release func(), err error)
+	// ResponseMemory is the memory that the large events of streams share with other responses. Nil means no limit.
+	ResponseMemory *memory.Budget
 	// MaxBufferedBytes bounds the total size of the request bodies held in memory.
 	MaxBufferedBytes int64
 
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -40,6 +40,8 @@
 	writeTimeout = 10 * time.Second
 	// maxErrorBodyBytes bounds the body of an endpoint's error response.
 	maxErrorBodyBytes = 1 << 20
+	// maxRefusalBytes bounds what is read of the body of a refusal, which nobody gets.
+	maxRefusalBytes = 16 << 10
 )
 
 // silenceTimeouts declare a silent engine lost early enough for the stream to resume within 700 ms, the usual
@@ -87,6 +89,8 @@
 	// errorResponse is the last error response of an engine. It is passed on if the stream fails before its first
 	// event.
 	errorResponse *booking.Response
+	// releaseError returns the memory of errorResponse.
+	releaseError func()
 	// firstEventWait is the wait for the first event, and longestPause the longest wait for a later one.
 	firstEventWait, longestPause time.Duration
 	// deliveredEvents counts the events that were written to the caller, the last one at deliveredAt.
@@ -114,6 +118,8 @@
 	defer cancel()
 	h.ctx = ctx
 	defer h.stopTracking()
+	h.releaseError = func() {}
+	defer func() { h.releaseError() }()
 	maxRuns := 1
 	if q.route.Resumable {
 		maxRuns = q.route.Attempts
@@ -255,15 +261,19 @@
 	f := h.server.Format
 	// The context of Open does not bound the read of the body.
 	defer context.AfterFunc(ctx, func() { _ = response.Body.Close() })()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes+1))
-	_ = response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if f.isRefusal(response.StatusCode, response.Header) {
+		// The connection can be used again only after a body that was read to its end.
+		_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
 		return errors.Trace(RefusedError{Endpoint: address, Status: response.StatusCode})
 	}
+	body, release, err := h.server.ReadBody(address, response, maxErrorBodyBytes)
 	falsePromise := !h.request.route.Resumable && booking.PromisesNotRun(response.StatusCode)
-	if err == nil && len(body) <= maxErrorBodyBytes && response.Header.Get(f.Signature) != "" && !falsePromise {
+	if err == nil && response.Header.Get(f.Signature) != "" && !falsePromise {
 		h.errorResponse = &booking.Response{Status: response.StatusCode, Header: response.Header, Body: body}
+		release, h.releaseError = h.releaseError, release
 	}
+	release()
 	return errors.Trace(EndpointError{Endpoint: address, Status: response.StatusCode})
 }
 
--- a/io/service/buffer.go
+++ b/io/service/buffer.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
-	"sync/atomic"
+	"net/http"
 
 	"github.com/juju/errors"
+
+	"radishhollow/io/memory"
 )
 
 const (
@@ -16,42 +18,35 @@
 	readBytes = 32 << 10
 )
 
-// bodyBuffer reads response bodies into memory, of which all bodies that are being read share a limit. An endpoint in
-// trouble may send bytes without end. It is safe for concurrent use.
-type bodyBuffer struct {
-	reserved atomic.Int64
-}
-
-// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1. memoryLimit applies to all
-// bodies together, apart from the first freeBodyBytes of each; zero means no limit.
-func (b *bodyBuffer) readAll(address string, from io.Reader, length, maxBytes, memoryLimit int64) ([]byte, error) {
+// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1. The share grows with the body, of
+// which an endpoint in trouble may send bytes without end.
+func readAll(address string, from io.Reader, length, maxBytes int64, share *memory.Share) ([]byte, error) {
 	if length > maxBytes {
 		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
 	}
 	var body bytes.Buffer
-	var held int64
-	defer func() { b.reserved.Add(-held) }()
 	for {
-		n, err := io.CopyN(&body, from, readBytes)
+		_, err := io.CopyN(&body, from, readBytes)
+		size := int64(body.Len())
+		if size > maxBytes {
+			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
+		}
 		if errors.Is(err, io.EOF) {
-			break
+			return body.Bytes(), nil
 		}
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if int64(body.Len()) > maxBytes {
-			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
-		}
-		if body.Len() <= freeBodyBytes {
-			continue
-		}
-		held += n
-		if total := b.reserved.Add(n); memoryLimit > 0 && total > memoryLimit {
-			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: int64(body.Len())})
+		if !share.Grow(size) {
+			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: size})
 		}
 	}
-	if int64(body.Len()) > maxBytes {
-		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
-	}
-	return body.Bytes(), nil
+}
+
+// ReadBody reads the body of a response of Open, of up to maxBytes. The body takes a share of Memory until release is called,
+// which the caller must do also after an error.
+func (c *Client) ReadBody(address string, response *http.Response, maxBytes int64) (body []byte, release func(), err error) {
+	share := memory.NewShare(c.Memory, freeBodyBytes)
+	body, err = readAll(address, response.Body, response.ContentLength, maxBytes, &share)
+	return body, share.Release, err
 }
--- a/io/service/buffer_test.go
+++ b/io/service/buffer_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+
+	"radishhollow/io/memory"
 )
 
 // endlessReader returns bytes without end. held counts those that were read by all readers which share it, and peak is
@@ -45,7 +47,7 @@
 		endless := newEndlessReader()
 		var open, reading sync.WaitGroup
 		const limit = 4 << 20
-		b := &bodyBuffer{}
+		budget := &memory.Budget{Limit: limit}
 		open.Add(endpoints)
 		for range endpoints {
 			reading.Go(func() {
@@ -53,28 +55,31 @@
 				open.Wait()
 				body, release := endless.own()
 				defer release()
-				_, err := b.readAll("10.0.0.1:1", body, -1, DefaultMaxResponseBytes, limit)
+				share := memory.NewShare(budget, freeBodyBytes)
+				defer share.Release()
+				_, err := readAll("10.0.0.1:1", body, -1, DefaultMaxResponseBytes, &share)
 				_, tooLarge := errors.AsType[TooLargeError](err)
 				require.True(t, tooLarge)
 			})
 		}
 		reading.Wait()
 		require.LessOrEqual(t, endless.peak.Load(), int64(limit)+int64(endpoints)*(freeBodyBytes+2*readBytes), "%d endpoints", endpoints)
-		require.Zero(t, b.reserved.Load(), "memory that is no longer in use must be available again")
+		require.Zero(t, budget.Used(), "memory that is no longer in use must be available again")
 	}
 }
 
 // Guards against small responses that fail while large ones use the shared memory, and against a large one that fails
 // without need.
 func TestSmallBodiesNeedNoShare(t *testing.T) {
-	const limit = 1 << 20
-	b := &bodyBuffer{}
-	b.reserved.Store(limit)
-	body, err := b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), freeBodyBytes), -1, DefaultMaxResponseBytes, limit)
+	budget := &memory.Budget{Limit: 1 << 20}
+	large := memory.NewShare(budget, 0)
+	require.True(t, large.Grow(1<<20))
+	share := memory.NewShare(budget, freeBodyBytes)
+	body, err := readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), freeBodyBytes), -1, DefaultMaxResponseBytes, &share)
 	require.NoError(t, err)
 	require.Len(t, body, freeBodyBytes)
-	b.reserved.Store(0)
-	body, err = b.readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), 1<<20), 1<<20, DefaultMaxResponseBytes, limit)
+	large.Release()
+	body, err = readAll("10.0.0.1:1", io.LimitReader(newEndlessReader(), 1<<20), 1<<20, DefaultMaxResponseBytes, &share)
 	require.NoError(t, err)
 	require.Len(t, body, 1<<20)
 }
@@ -82,7 +87,7 @@
 // Guards against reading a body whose stated length is above the limit.
 func TestStatedLengthAboveTheLimit(t *testing.T) {
 	body := newEndlessReader()
-	_, err := new(bodyBuffer).readAll("10.0.0.1:1", body, 100, 99, 1<<30)
+	_, err := readAll("10.0.0.1:1", body, 100, 99, &memory.Share{})
 	_, tooLarge := errors.AsType[TooLargeError](err)
 	require.True(t, tooLarge)
 	require.Zero(t, body.held.Load())
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -16,6 +16,7 @@
 
 	"radishhollow/core/booking"
 	"radishhollow/core/route"
+	"radishhollow/io/memory"
 )
 
 // Defaults and limits of Client.
@@ -39,13 +40,12 @@
 	singleUse        *http.Transport
 	pooled           *http.Transport
 	maxResponseBytes int64
-	bodies           bodyBuffer
 	// Check rejects a response by its head, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
 	Check func(r booking.Request, head ResponseHead) error
-	// MemoryLimit is the memory in bytes that all response bodies together may take while they are read, apart from a
-	// small part of each. Zero means no limit. It must be set before the first request.
-	MemoryLimit int64
+	// Memory is the memory that all response bodies share while they are read, apart from a small part of each. Nil means no
+	// limit. It must be set before the first request.
+	Memory *memory.Budget
 	// Observe receives the incarnation and state in the header of each response to Send. It may be nil and must be set
 	// before the first request.
 	Observe func(address, incarnation, state string)
@@ -114,7 +114,8 @@
 	if r.MaxResponseBytes > 0 {
 		maxBytes = min(maxBytes, r.MaxResponseBytes)
 	}
-	body, err := c.bodies.readAll(address, resp.Body, resp.ContentLength, maxBytes, c.MemoryLimit)
+	body, release, err := c.ReadBody(address, resp, maxBytes)
+	defer release()
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
