fix(sse): bound the memory of events that are read but not delivered

Engines that send large events without end could end a process, and with it the requests of other callers: 20 of them took 440 MB on a machine of 134 MB while callers read slowly, 200 of them 1,650 MB at any speed of the callers.

Cause: a stream buffered 64 events, whatever their size, and each may have 128 KB.

Change: a stream reads on only while at most 32 KB of its events wait for delivery, and what an event has beyond 8 KB takes a share of the memory that all response bodies have together. An event without a share ends its run as one that is too long.

--- a/io/forward/events.go
+++ b/io/forward/events.go
@@ -24,6 +24,22 @@
 	ended        bool
 }
 
+// eventBody is a response body that returns the memory of its latest event when it is closed.
+type eventBody struct {
+	io.ReadCloser
+	reader *sse.EventReader
+}
+
+// Close closes the body. It must not be called during next.
+func (b eventBody) Close() error {
+	b.reader.Close()
+	return b.ReadCloser.Close()
+}
+
+func (c *eventChunker) body(body io.ReadCloser) io.ReadCloser {
+	return eventBody{ReadCloser: body, reader: c.reader}
+}
+
 // next returns the next event as a chunk. At the end of the body it returns a chunk with FinishStop or emptyEnd, and io.EOF
 // after that. An event without an id has offset -1, which generation.Log refuses.
 func (c *eventChunker) next() (generation.Chunk, error) {
--- a/io/forward/resumed_answer.go
+++ b/io/forward/resumed_answer.go
@@ -87,8 +87,10 @@
 
 // newChunker returns the chunker for the response to an attempt. It must be called before the first header is kept.
 func (h *streamHandler) newChunker(address string, start generation.Start, response *http.Response) *eventChunker {
+	reader := sse.NewEventReader(response.Body)
+	reader.Memory = h.server.ResponseMemory
 	return &eventChunker{
-		reader: sse.NewEventReader(response.Body), generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
+		reader: reader, generation: start.Generation, attempt: start.Attempt, lastID: start.Offset,
 		offset: start.Offset, emptyEnd: h.emptyEnd(address, start.Offset, statesEnd(response)),
 		mustContinue: h.header != nil || h.request.route.Resumable,
 	}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -245,12 +245,12 @@
 		cancel()
 		return generation.Stream{}, err
 	}
-	next := h.newChunker(address, start, response).next
+	chunker := h.newChunker(address, start, response)
 	if h.header == nil {
 		h.header = response.Header
 	}
 	h.startReplicator(nextCopy)
-	return sse.NewStream(h.ctx, response.Body, cancel, next), nil
+	return sse.NewStream(h.ctx, chunker.body(response.Body), cancel, chunker.next), nil
 }
 
 // readErrorResponse reads a response that is not a stream and returns the matching error. It keeps a complete response
