fix(io): bound the heads of the store's, peers' and engines' responses

A faulty or foreign process at the address of the store, a peer or an engine of the own interface could make each call read a head of up to 10 MB, the default of net/http, on machines of 134 MB.

Evidence: TestLargeHeadIsRejected on the code before: a head of 200 KB is accepted by each of the three clients.

Change: heads are limited to 64 KB, as those of plain services were. Bodies have had limits of 2 MB (peers) and 16 MB.

Result: the test passes, and heads of 60 KB are still accepted.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -22,6 +22,7 @@
 const (
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	maxHeaderBytes   = 64 << 10
 	// DefaultDialTimeout bounds the time to connect, which takes a few milliseconds within a place or between places.
 	DefaultDialTimeout = time.Second
 	// maxIdlePerEndpoint is the maximum number of idle connections per endpoint. It is large enough to keep the
@@ -46,6 +47,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     time.Minute,
+			// net/http reads up to 10 MB of a head otherwise.
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/io/keyvalue/client.go
+++ b/io/keyvalue/client.go
@@ -22,6 +22,7 @@
 	DefaultTimeout = 2 * time.Second
 	// DefaultMaxResponseBytes is larger than a single value of 1 MB in base64, because a list may contain several values.
 	DefaultMaxResponseBytes = 16 << 20
+	maxHeaderBytes          = 64 << 10
 	dialTimeout             = time.Second
 	idleTimeout             = 30 * time.Second
 	maxIdleConnections      = 16
@@ -57,6 +58,8 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
+			// net/http reads up to 10 MB of a head otherwise.
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -16,6 +16,9 @@
 // at most 1 MB; that limit does not apply to the platform's configuration, which settings.InterfaceForward uses.
 const maxResponseBytes = 2 << 20
 
+// maxHeaderBytes is the maximum size of the head of a response.
+const maxHeaderBytes = 64 << 10
+
 // Idle connections are closed soon, because only a small part of the exchanges goes to any one peer.
 const (
 	maxIdleConnections = 16
@@ -110,7 +113,9 @@
 			MaxIdleConns:        maxIdleConnections,
 			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			// net/http reads up to 10 MB of a head otherwise.
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression:     true,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
