--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -89,7 +89,7 @@
 	// errorResponse is the last error response of an engine. It is passed on if the stream fails before its first
 	// event.
 	errorResponse *booking.Response
-	// releaseError returns the memory of errorResponse.
+	// releaseError returns the memory of errorResponse. It is nil if there is none.
 	releaseError func()
 	// firstEventWait is the wait for the first event, and longestPause the longest wait for a later one.
 	firstEventWait, longestPause time.Duration
@@ -118,8 +118,7 @@
 	defer cancel()
 	h.ctx = ctx
 	defer h.stopTracking()
-	h.releaseError = func() {}
-	defer func() { h.releaseError() }()
+	defer h.dropErrorResponse()
 	maxRuns := 1
 	if q.route.Resumable {
 		maxRuns = q.route.Attempts
@@ -270,13 +269,22 @@
 	body, release, err := h.server.ReadBody(address, response, maxErrorBodyBytes)
 	falsePromise := !h.request.route.Resumable && booking.PromisesNotRun(response.StatusCode)
 	if err == nil && response.Header.Get(f.Signature) != "" && !falsePromise {
+		h.dropErrorResponse()
 		h.errorResponse = &booking.Response{Status: response.StatusCode, Header: response.Header, Body: body}
-		release, h.releaseError = h.releaseError, release
+		h.releaseError = release
+	} else {
+		release()
 	}
-	release()
 	return errors.Trace(EndpointError{Endpoint: address, Status: response.StatusCode})
 }
 
+func (h *streamHandler) dropErrorResponse() {
+	if h.errorResponse != nil {
+		h.releaseError()
+		h.errorResponse = nil
+	}
+}
+
 func (h *streamHandler) health(address string) (alive bool, slowdown float64) {
 	return h.server.Reachable(h.ctx, address), reachableSlowdown
 }
--- a/test/forward_endless_test.go
+++ b/test/forward_endless_test.go
@@ -90,7 +90,6 @@
 type endlessDeployment struct {
 	address string
 	daemon  *harness.Process
-	ids     func() string
 }
 
 func newEndlessDeployment(t *testing.T, endpoints int, handler func(w http.ResponseWriter, r *http.Request)) *endlessDeployment {
