fix(forward): reserve the memory of a request's body before it is read

Cause: a body was read into a growing buffer first and counted after that, so that the limit refused bodies that were in memory already, and nothing bounded those that were being read.

Change: the memory of a body with a length is reserved at once, before it is read into a buffer of that size; it waits for up to a quarter of the request's time, so that callers are served one after the other. One without a length reserves as it grows. A body that gets no memory is refused as not run, and the rest of it is read and discarded, as the caller would otherwise get a reset in place of the refusal.

Tests: TestReserveBody, which required the limit after the read, is replaced by TestBodiesShareMemory and TestBodyWaitsForMemoryInVain, which require the same limit during the read, the refusal and the return of the memory. TestReadBody is as strict as before; TestReadBodyIsWhole is new.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -42,8 +42,8 @@
 	// reachabilityTimeout limits the connection attempt to an endpoint that may be dead. A round trip within a region
 	// takes a few ms.
 	reachabilityTimeout = 100 * time.Millisecond
-	// bodyMemoryPercent is the share of the instance's memory that request bodies may use. Reading a body takes up to
-	// twice its size.
+	// bodyMemoryPercent is the share of the instance's memory that request bodies may use. Until its garbage is collected,
+	// a body may take up to twice its size.
 	bodyMemoryPercent = 20
 	// responseMemoryPercent is the share of the instance's memory that response bodies may use while they are read,
 	// apart from a small part of each. Growing a body takes up to three times its size.
@@ -143,8 +143,8 @@
 		ObserveAttempt: streamObserver(table),
 		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
 		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
-		MaxBufferedBytes: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100,
-		Place:            s.Place, Metrics: m, Log: log,
+		RequestMemory: memory.Budget{Limit: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100},
+		Place:         s.Place, Metrics: m, Log: log,
 	}
 	sender := &booking.Sender{
 		Pick: table.Pick, Send: format.SendFunc(client, markingAttemptLogger(table, server)),
--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -65,9 +65,9 @@
 // readBodyUntilEnd is readBody, but refuses a request whose body is not complete when the daemon ends. A read deadline
 // that is set after the body has been read would end the request's context, because net/http takes the failed read for the
 // end of the connection.
-func (s *Server) readBodyUntilEnd(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func (s *Server) readBodyUntilEnd(w http.ResponseWriter, r *http.Request, q *request) ([]byte, error) {
 	if s.Ending == nil || r.ContentLength == 0 {
-		return readBody(w, r, limit)
+		return s.readBody(w, r, q)
 	}
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(s.Ending, func() {
@@ -75,7 +75,7 @@
 		// An error means that the connection has ended, which the read reports.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	})
-	body, err := readBody(w, r, limit)
+	body, err := s.readBody(w, r, q)
 	if stop() {
 		return body, err
 	}
--- a/io/forward/error.go
+++ b/io/forward/error.go
@@ -83,11 +83,12 @@
 
 func (e BodyError) Outcome() failure.Outcome { return failure.NotRun }
 
-// OverloadedError reports a request whose body would exceed the memory limit for request bodies.
+// OverloadedError reports a request whose body does not fit into the memory that request bodies share. Bytes is the memory
+// that it needs.
 type OverloadedError struct{ Bytes, Limit int64 }
 
 func (e OverloadedError) Error() string {
-	return fmt.Sprintf("request bodies would use %d bytes of memory; the limit is %d", e.Bytes, e.Limit)
+	return fmt.Sprintf("no memory for a request body of %d bytes; all bodies have %d", e.Bytes, e.Limit)
 }
 
 func (e OverloadedError) Code() string { return "overloaded" }
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
+	"radishhollow/io/memory"
 )
 
 // request is a caller's request together with its route, service and workspace from the configuration.
@@ -29,6 +29,7 @@
 	header          http.Header // forwarded to the endpoint, with the headers that differ by attempt added
 	deadline        time.Time
 	body            []byte
+	memory          memory.Share // of the body
 	host            string
 	method          string
 	target          string // the request target as the caller sent it
@@ -74,7 +75,7 @@
 	q.promptTokens, q.maxOutputTokens = s.Format.TokenCounts(r.Header)
 	q.parts = s.Format.Parts(r.Header)
 	var err error
-	q.body, err = s.readBodyUntilEnd(w, r, int64(q.document.Limits().BodyBytes))
+	q.body, err = s.readBodyUntilEnd(w, r, q)
 	return q, err
 }
 
@@ -132,26 +133,6 @@
 	return header
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, errors.Trace(BodyError{Limit: limit})
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
-		return nil, errors.Trace(BodyError{Limit: limit})
-	}
-	if err != nil {
-		return nil, errors.Trace(BodyError{Limit: limit, Cause: err})
-	}
-	return body, nil
-}
-
 // endpointRequest returns the request as sent to endpoints, without the headers that differ by attempt.
 func (q *request) endpointRequest() booking.Request {
 	return booking.Request{
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -107,15 +106,14 @@
 	ReadBody func(address string, response *http.Response, maxBytes int64) (body []byte, release func(), err error)
 	// ResponseMemory is the memory that the large events of streams share with other responses. Nil means no limit.
 	ResponseMemory *memory.Budget
-	// MaxBufferedBytes bounds the total size of the request bodies held in memory.
-	MaxBufferedBytes int64
+	// RequestMemory is the memory that request bodies share, from before they are read until their requests end.
+	RequestMemory memory.Budget
 
 	// Place is the place of this daemon.
 	Place   string
 	Metrics *telemetry.Metrics
 	Log     *logrus.Logger
 
-	bufferedBytes atomic.Int64
 	silenceTimes  silenceTimes
 	durations     streamDurations
 	callDurations callDurations
@@ -199,10 +197,7 @@
 	q, err := s.parse(c.Writer, c.Request)
 	s.open.add(q)
 	defer s.open.remove(q)
-	defer func() { s.bufferedBytes.Add(-int64(len(q.body))) }()
-	if err == nil {
-		err = s.reserveBody(q)
-	}
+	defer q.memory.Release()
 	if err == nil {
 		err = s.checkTimeLeft(q)
 	}
@@ -218,15 +213,6 @@
 	s.finish(c, q, err)
 }
 
-// reserveBody adds the request's body, which stays in memory until the response is complete, to the memory in use. The
-// caller must subtract it again, also after an error.
-func (s *Server) reserveBody(q *request) error {
-	if total := s.bufferedBytes.Add(int64(len(q.body))); total > s.MaxBufferedBytes {
-		return errors.Trace(OverloadedError{Bytes: total, Limit: s.MaxBufferedBytes})
-	}
-	return nil
-}
-
 // LogAttempt logs one attempt of a request whose response is not streamed.
 func (s *Server) LogAttempt(r booking.Request, choice route.Choice, status int, err error) {
 	fields := s.choiceFields(choice)
@@ -291,6 +277,9 @@
 	if err != nil && !started {
 		status = statusOf(err, q.deadline)
 		s.writeError(c, status, err)
+		if _, overloaded := errors.AsType[OverloadedError](err); overloaded {
+			discardBody(c.Writer, c.Request)
+		}
 	}
 	s.observeRequest(q, status, callerGone, err)
 	if err != nil && started {
@@ -304,7 +293,7 @@
 	if status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter(err).Seconds(), 'f', 3, 64))
 	}
-	if code := failure.Of(err).Code(); code == "body-too-large" || code == "body-incomplete" {
+	if code := failure.Of(err).Code(); code == "body-too-large" || code == "body-incomplete" || code == "overloaded" {
 		// A connection cannot be reused while part of the request body on it is unread.
 		header.Set("Connection", "close")
 	}
