--- a/test/forward_endless_test.go
+++ b/test/forward_endless_test.go
@@ -68,16 +68,22 @@
 	}
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 	return map[string]endlessCase{
-		"head":                   {"/once/x", raw("200 OK", "", "A: "+text[:4000]+"\r\n"), false},
-		"header line":            {"/once/x", raw("200 OK", "A: ", text), false},
-		"interim responses":      {"/once/x", func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, "", "HTTP/1.1 103 Early Hints\r\n\r\n") }, false},
-		"body without length":    {"/once/x", raw("200 OK", "\r\n", text), false},
-		"body with length":       {"/once/x", raw("200 OK", "Content-Length: 8000000\r\n\r\n", text), false},
-		"chunks":                 {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n", chunk), false},
-		"chunk extension":        {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n1;a=", text), false},
-		"trailer":                {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: "+text[:4000]+"\r\n"), false},
-		"error body":             {"/stream/x", raw("500 Error", "\r\n", text), false},
-		"refusal's body":         {"/stream/x", raw("503 Busy", platformtest.NotRunHeader+": 1\r\n\r\n", text), false},
+		"head":                {"/once/x", raw("200 OK", "", "A: "+text[:4000]+"\r\n"), false},
+		"header line":         {"/once/x", raw("200 OK", "A: ", text), false},
+		"interim responses":   {"/once/x", func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, "", "HTTP/1.1 103 Early Hints\r\n\r\n") }, false},
+		"body without length": {"/once/x", raw("200 OK", "\r\n", text), false},
+		"body with length":    {"/once/x", raw("200 OK", "Content-Length: 8000000\r\n\r\n", text), false},
+		"chunks":              {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n", chunk), false},
+		"chunk extension":     {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n1;a=", text), false},
+		"trailer":             {"/once/x", raw("200 OK", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: "+text[:4000]+"\r\n"), false},
+		"error body":          {"/stream/x", raw("500 Error", "\r\n", text), false},
+		"refusal's body":      {"/stream/x", raw("503 Busy", platformtest.NotRunHeader+": 1\r\n\r\n", text), false},
+		"large bodies, slow callers": {"/once/x", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)*60))
+			for range 60 {
+				_, _ = io.WriteString(w, text)
+			}
+		}, true},
 		"event":                  {"/stream/x", raw("200 OK", "Content-Type: text/event-stream\r\n\r\ndata: ", text), false},
 		"events":                 {"/stream/x", writeEvents, false},
 		"events, slow callers":   {"/stream/x", writeEvents, true},
