fix(sse): take the end of a long line for no end of an event

Cause: such a line fills the buffer of the reader, so that its line end is read alone. That looked like the empty line with which an event ends. What followed counted as a gap, so the stream went on elsewhere after an event without its end.

Evidence: TestEventReaderKeepsLongLines on the code before: the event of a line of 4,096 bytes ends early.

Change: the rest of a line that did not fit into the buffer is no line of its own.

--- a/io/sse/event.go
+++ b/io/sse/event.go
@@ -62,6 +62,8 @@
 func (r *EventReader) Next() (id int, event []byte, err error) {
 	r.share.Release()
 	r.share = memory.NewShare(r.Memory, freeEventBytes)
+	// continued is set while a line is read that is longer than the buffer. Its end may be alone in the last part.
+	continued := false
 	for {
 		line, err := r.input.ReadSlice('\n')
 		if event = append(event, line...); !r.share.Grow(int64(cap(event))) {
@@ -70,6 +72,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
+			continued = true
 			continue
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			return 0, nil, io.EOF
@@ -81,9 +84,10 @@
 		if len(event) > maxEventBytes {
 			return 0, nil, TruncatedError{Cause: bufio.ErrTooLong}
 		}
-		if line := bytes.TrimRight(line, "\r\n"); len(line) == 0 {
+		if line := bytes.TrimRight(line, "\r\n"); len(line) == 0 && !continued {
 			return eventID(event), event, nil
 		}
+		continued = false
 	}
 }
 
--- a/io/sse/event_test.go
+++ b/io/sse/event_test.go
@@ -65,3 +65,25 @@
 		}
 	})
 }
+
+// Guards against a line that fills the reader's buffer and whose end is taken for that of the event, so that the event is
+// joined with the next one.
+func TestEventReaderKeepsLongLines(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n"} {
+		for _, buffers := range []int{1, 2} {
+			for length := buffers*4096 - 3; length <= buffers*4096+3; length++ {
+				first := "id: 1" + end + "data: " + strings.Repeat("x", length-len("data: ")) + end + "data: y" + end + end
+				second := "id: 2" + end + end
+				reader := sse.NewEventReader(strings.NewReader(first + second))
+				for id, want := range []string{first, second} {
+					got, event, err := reader.Next()
+					require.NoError(t, err)
+					require.Equal(t, id+1, got, "a line of %d bytes", length)
+					require.True(t, bytes.Equal([]byte(want), event), "a line of %d bytes", length)
+				}
+				_, _, err := reader.Next()
+				require.ErrorIs(t, err, io.EOF)
+			}
+		}
+	}
+}
