fix(forward): keep the KV cache calls of each run on connections of their own

Cause: the calls that copy KV caches went over the kept connections of their engine. Their answers name no run, so a late extra answer about one run was taken for that to the call of another one, whose stream then went on from the wrong copy.

Change: each run that keeps a copy by such calls has connections of its own, on which a late answer is about the same run. One connection is opened for a run, not for a call.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -139,7 +139,7 @@
 			return client.ConnectTimesOut(ctx, address, reachabilityTimeout)
 		},
 		LoadQueryCandidates: table.LoadQueryCandidates, RefreshLoad: loadRefresher(table, client, log),
-		Usable: table.Usable, CopyKVCache: kvCacheCopier(client), ReleaseKVCopy: kvCopyReleaser(client, log),
+		Usable: table.Usable, NewKVCopier: newKVCopiers(client, log),
 		ObserveAttempt: streamObserver(table),
 		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
 		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
@@ -191,6 +191,16 @@
 	}
 }
 
+// newKVCopiers returns a function that returns a KVCopier for each run.
+func newKVCopiers(client *service.Client, log *logrus.Logger) func() forward.KVCopier {
+	return func() forward.KVCopier {
+		dedicated := client.Dedicated()
+		return forward.KVCopier{
+			Copy: kvCacheCopier(dedicated), Release: kvCopyReleaser(dedicated, log), Close: dedicated.CloseIdleConnections,
+		}
+	}
+}
+
 // kvCacheCopier returns a function that copies the KV cache of a run from its engine to another one, or renews a copy.
 func kvCacheCopier(client *service.Client) func(ctx context.Context, address, runID, target string) (handle string, err error) {
 	return func(ctx context.Context, address, runID, target string) (string, error) {
--- a/io/forward/replicator.go
+++ b/io/forward/replicator.go
@@ -41,6 +41,8 @@
 	// movesSupported reports whether the engines support moves, which are KV cache copies on request.
 	movesSupported bool
 
+	copier KVCopier
+
 	// ctx ends with the run.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -85,6 +87,8 @@
 // loop moves the KV cache and renews the moved copy before it expires, until the run ends or maxFailedMoves is
 // reached.
 func (r *replicator) loop() {
+	r.copier = r.server.NewKVCopier()
+	defer r.copier.Close()
 	defer r.releaseUnused()
 	for failures := 0; failures < maxFailedMoves; {
 		pause := r.copyLifetime / 2
@@ -107,7 +111,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), moveTimeout)
 	defer cancel()
-	handle, err := r.server.CopyKVCache(ctx, r.source.Address(), r.runID, holder.Address())
+	handle, err := r.copier.Copy(ctx, r.source.Address(), r.runID, holder.Address())
 	if err != nil && r.ctx.Err() != nil {
 		return false
 	}
@@ -185,5 +189,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), releaseTimeout)
 	defer cancel()
-	r.server.ReleaseKVCopy(ctx, r.source.Address(), handle)
+	r.copier.Release(ctx, r.source.Address(), handle)
 }
--- a/io/forward/replicator_test.go
+++ b/io/forward/replicator_test.go
@@ -33,6 +33,10 @@
 	return !e.lost[address]
 }
 
+func (e *fakeEngines) newCopier() KVCopier {
+	return KVCopier{Copy: e.move, Release: e.release, Close: func() {}}
+}
+
 func (e *fakeEngines) move(ctx context.Context, _, _, to string) (string, error) {
 	time.Sleep(e.delay)
 	if ctx.Err() != nil {
@@ -66,7 +70,7 @@
 	log.SetOutput(io.Discard)
 	r := &replicator{
 		server: &Server{
-			Usable: e.usable, CopyKVCache: e.move, ReleaseKVCopy: e.release, Log: log, Metrics: telemetry.New(),
+			Usable: e.usable, NewKVCopier: e.newCopier, Log: log, Metrics: telemetry.New(),
 		},
 		runID: "r", source: route.NewChoice("a", "1", "p", nil), movesSupported: true, copyLifetime: 4 * time.Second,
 		current: kvCopy{holder: route.NewChoice("b", "1", "q", nil), reference: "b/r"},
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -83,11 +83,8 @@
 	RecordLived func(parts []quarantine.Part)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
-	// CopyKVCache copies the KV cache of a run from its engine to another one and returns the handle of the copy, which
-	// is valid at the run's engine. The same call with the engine that holds the copy renews the copy. ReleaseKVCopy
-	// frees such a copy.
-	CopyKVCache   func(ctx context.Context, address, run, to string) (handle string, err error)
-	ReleaseKVCopy func(ctx context.Context, address, handle string)
+	// NewKVCopier returns the calls that keep a copy of one run's KV cache.
+	NewKVCopier func() KVCopier
 	// ObserveAttempt receives the result of each attempt of a stream; it may be nil.
 	ObserveAttempt func(choice route.Choice, err error)
 	// RecordRequest adds a request to the service's retry budget, and TakeRetry takes one retry from the budget.
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -88,11 +88,25 @@
 	}
 }
 
+// Dedicated returns a client with the same settings whose requests use no connection that carries those of another client,
+// for requests whose responses cannot be told from one another. Its idle connections must be closed after use.
+func (c *Client) Dedicated() *Client {
+	return &Client{
+		singleUse: c.singleUse.Clone(), pooled: c.pooled.Clone(), maxResponseBytes: c.maxResponseBytes, Check: c.Check,
+		Memory: c.Memory, Observe: c.Observe,
+	}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() error {
+	c.CloseIdleConnections()
+	return nil
+}
+
+// CloseIdleConnections closes the idle connections. The client can still be used.
+func (c *Client) CloseIdleConnections() {
 	c.pooled.CloseIdleConnections()
 	c.singleUse.CloseIdleConnections()
-	return nil
 }
 
 // Send sends the request once. It returns a SendError if there is no response; its Written field is false only if no
