fix(forward): wait for a reachable engine that is silent for a second

Cause: the stream of a silent engine was moved after 0.6 to 0.8 s although the engine accepted connections. A sound engine may be silent for a second or so, and not every engine ends a run whose connection is closed.

Evidence: TestForwardWaitsForASoundEngine on the code before: the stream leaves an engine that is silent for a second, and ends after three of six events.

Change: a reachable engine counts as silent after 1.2 to 1.6 s. One that accepts no connection still does after 0.3 to 0.4 s.

An engine that is silent for longer and keeps runs without a connection still works on; nothing asks it to stop.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -309,8 +309,9 @@
 // single attempt often times out on a link with packet loss.
 const connectAttemptsPerProbe = 2
 
-// reachableSlowdown multiplies the silence timeout of an engine that is reachable.
-const reachableSlowdown = 2
+// reachableSlowdown multiplies the silence timeout of an engine that is reachable. A sound engine may be silent for a second
+// or so, and some go on with a run whose connection is closed, so that two engines would work on it.
+const reachableSlowdown = 4
 
 // sendHeader sends the response header of the first engine to the caller, once.
 func (h *streamHandler) sendHeader() error {
