fix(service): send a target that begins with two slashes unchanged

Cause: net/http writes the scheme before an opaque part of a URL that begins with two slashes.

Evidence: TestTargetIsUnchanged on the code before.

Change: such a target is sent as a path and a query. A character in it that is not allowed in a path is still escaped.

--- a/io/service/client.go
+++ b/io/service/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -236,11 +237,16 @@
 
 // requestURL returns the URL of r.Target or, if that is empty, of r.Path and r.Query.
 func requestURL(address string, r booking.Request) (url.URL, error) {
-	if r.Target != "" {
+	rawPath, query, emptyQuery := r.Path, r.Query, false
+	if r.Target != "" && !strings.HasPrefix(r.Target, "//") {
 		return url.URL{Scheme: "http", Host: address, Opaque: r.Target}, nil
 	}
-	path, err := url.PathUnescape(r.Path)
-	return url.URL{Scheme: "http", Host: address, Path: path, RawPath: r.Path, RawQuery: r.Query}, err
+	if r.Target != "" {
+		// net/http would write the scheme before an opaque part that begins with two slashes.
+		rawPath, query, emptyQuery = strings.Cut(r.Target, "?")
+	}
+	path, err := url.PathUnescape(rawPath)
+	return url.URL{Scheme: "http", Host: address, Path: path, RawPath: rawPath, RawQuery: query, ForceQuery: emptyQuery}, err
 }
 
 // Load fetches the endpoint's load report within loadTimeout. It returns a LoadError if the report is unusable, and
