fix(route): let a later start of an endpoint end its mark

Evidence: TestRestartEndsAMark on the code before: an endpoint that started later stays unusable, also after its row was removed.

Change: a mark has the start of the endpoint that it belongs to, and ends with a row of a later start. A row of the same or an earlier start changes nothing, and neither does one whose start, or that of the mark, is not known.

--- a/core/route/mark.go
+++ b/core/route/mark.go
@@ -35,6 +35,8 @@
 	dead    bool
 	// at is the time of the first mark of either kind, unless setMark has renewed it for a dead mark.
 	at time.Time
+	// startedAtMS is Listing.StartedAtMS of the endpoint when it was marked last, or 0 if it was not known.
+	startedAtMS int64
 }
 
 // MarkLeaving stops new work on an incarnation at once. The incarnation need not be listed yet.
@@ -95,9 +97,21 @@
 	}
 	state.dead = state.dead || dead
 	state.leaving = state.leaving || !dead
+	if e := t.endpoints[key.address]; e != nil && e.listing.Incarnation == key.incarnation {
+		state.startedAtMS = e.listing.StartedAtMS
+	}
 	t.marks[key] = state
 }
 
+// dropMarkOfEarlierStart removes the mark of an incarnation that has started again since, which is how an endpoint comes back
+// from a planned restart. A row of the start that was marked, or of an earlier one, changes nothing.
+func (t *Table) dropMarkOfEarlierStart(l Listing) {
+	key := markKey{l.Address, l.Incarnation}
+	if state := t.marks[key]; state.startedAtMS != 0 && l.StartedAtMS > state.startedAtMS {
+		delete(t.marks, key)
+	}
+}
+
 // dropExpiredMarks removes the marks of unlisted incarnations that exceed the age set by markRetentionFactor. A leaving
 // mark of a listed incarnation does not expire. Only Marks calls this method. With
 // settings.InterfaceForward, nothing calls Marks, and only Policy.MaxMarks bounds the number of marks.
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -187,14 +187,14 @@
 	case e.listing.Incarnation != l.Incarnation:
 		e = t.replaceEndpoint(e, l.Incarnation)
 	case e.listing.StartedAtMS != l.StartedAtMS:
-		// The endpoint was restarted under the same incarnation and has lost its state. The incarnation stays current
-		// and keeps its marks.
+		// The endpoint was restarted under the same incarnation and has lost its state. The incarnation stays current.
 		e = t.replaceEndpoint(e, l.Incarnation)
 		e.pastIncarnations = e.pastIncarnations[1:]
 	}
 	old := e.listing
 	e.listing = l
-	// A later row of the same incarnation that is not leaving does not remove the mark.
+	t.dropMarkOfEarlierStart(l)
+	// A later row of the same start that is not leaving does not remove the mark.
 	if l.Leaving {
 		t.setMark(markKey{l.Address, l.Incarnation}, false, time.Now())
 	}
