fix(peer): bound the time in which lost peer keys are missing

A daemon that starts while the store lacks the peer keys creates other ones; until it has those of the others, the two sides do not believe each other.

Cause: each daemon that finds the keys missing writes them with a chance of 1/daemons at each check, about one check in a watch. Nothing bounds the number of checks in which all of them leave it to the others.

Change: the chance doubles with each check that finds the write still due, so that with 5 daemons the fourth check of a daemon writes for certain, and with 118 the eighth.

TestSharedKeysAreWrittenAgain is unchanged.

--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -59,7 +59,7 @@
 // runList lists the daemons and follows the changes. During an outage of the platform the last list stays in use.
 // Unlike kv.Follower, runList accepts a list with a lower revision than the one before.
 func (r *Registrar) runList(ctx context.Context) {
-	r.shared = &sharedKeys{store: r.KV, keys: &r.Node.Keys}
+	r.shared = &sharedKeys{store: r.KV, keys: &r.Node.Keys, draw: rand.IntN}
 	for ctx.Err() == nil {
 		entries, revision, err := r.KV.List(ctx, MembersPrefix)
 		if err == nil {
--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	mathrand "math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,6 +20,8 @@
 	// keyRotationInterval is the time after which the next key becomes the signing key. A daemon that has had no
 	// connection to the key-value service for less than this time already knows that key.
 	keyRotationInterval = time.Hour
+	// maxSkippedDoublings is enough for a certain write among any number of daemons.
+	maxSkippedDoublings = 30
 )
 
 // keysValue is the value at sharedKeysKey.
@@ -46,6 +47,10 @@
 	former [][]byte
 	// malformed is set while the entry holds no usable keys, or has been lost with the end of an era.
 	malformed bool
+	// skipped is the number of checks that found a write due since the last one of any daemon, and left it to others.
+	skipped int
+	// draw returns a random number from 0 up to n, without n.
+	draw func(n int) int
 }
 
 // applyEntry applies the entry at sharedKeysKey. It ignores all other entries and older revisions.
@@ -59,6 +64,7 @@
 		s.revision, s.malformed = entry.Revision(), true
 		return
 	}
+	s.skipped = 0
 	if entry.Revision().After(s.revision) {
 		s.changedAt = time.Now()
 		s.former = s.formerKey(keys, entry.Revision().Era())
@@ -110,24 +116,19 @@
 	return value.Keys, true
 }
 
-// rotateIfDue creates the keys if there are none, and rotates them if they are old enough. It acts with a probability
-// of 1/daemons, so that of all daemons that check at the same time about one writes.
+// rotateIfDue creates the keys if there are none, writes lost ones again, and rotates them if they are old enough. The
+// first check acts with a probability of 1/daemons, so that of all daemons that check at the same time about one writes.
+// Each later check doubles it: while no daemon writes, the keys of those that run are unknown to a daemon that starts.
 func (s *sharedKeys) rotateIfDue(ctx context.Context, daemons int) {
-	var value keysValue
-	if mathrand.IntN(max(daemons, 1)) > 0 {
+	keys := s.dueKeys()
+	if keys == nil {
 		return
 	}
-	switch {
-	case s.malformed && len(s.current) > 0:
-		value.Keys = s.current
-	case s.revision.IsZero() || s.malformed:
-		value.Keys = [][]byte{newKey(), newKey()}
-	case time.Since(s.changedAt) >= keyRotationInterval && len(s.current) > 1:
-		value.Keys = [][]byte{s.current[1], newKey(), s.current[0]}
-	default:
+	if s.draw(max(daemons, 1)) >= 1<<min(s.skipped, maxSkippedDoublings) {
+		s.skipped++
 		return
 	}
-	raw, err := json.Marshal(value)
+	raw, err := json.Marshal(keysValue{Keys: keys})
 	if err != nil {
 		return
 	}
@@ -136,6 +137,20 @@
 	_, _ = s.store.Put(ctx, sharedKeysKey, raw, s.revision, kv.Lease{})
 }
 
+// dueKeys returns the keys that are to be written, or nil if the stored ones may stay.
+func (s *sharedKeys) dueKeys() [][]byte {
+	switch {
+	case s.malformed && len(s.current) > 0:
+		return s.current
+	case s.revision.IsZero() || s.malformed:
+		return [][]byte{newKey(), newKey()}
+	case time.Since(s.changedAt) >= keyRotationInterval && len(s.current) > 1:
+		return [][]byte{s.current[1], newKey(), s.current[0]}
+	default:
+		return nil
+	}
+}
+
 func newKey() []byte {
 	key := make([]byte, keyBytes)
 	// rand.Read never returns an error.
