fix(daemon): keep an endpoint beside a registration of an unknown service

Cause: the routing table has one endpoint for an address, and of several registrations the newest was taken, whatever its service.

Change: one whose service the configuration has goes before one whose service it does not have; among equal ones the newest stays in force. The list is applied again after each change of the configuration.

--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/clock"
+	"radishhollow/core/config"
 	"radishhollow/core/guard"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
@@ -61,8 +60,10 @@
 	log       *logrus.Logger
 	// own holds the addresses of this daemon, which are never those of endpoints.
 	own ownAddresses
+	// configs holds the configuration, whose services tell the registrations of endpoints from those of other writers.
+	configs *config.Store
 
-	// mu guards the fields below. Callers of the methods newestByAddress, beginEra, applyEntries, add, merge, set,
+	// mu guards the fields below. Callers of the methods currentByAddress, beginEra, applyEntries, add, merge, set,
 	// handleDeletion, handleMissingAtPeer, deletionGrace, confirmEra, dropPeerEra, isDeparted, release, recordUnsettled,
 	// writeReport, holdBack and drop must hold it.
 	mu sync.Mutex
@@ -107,12 +108,13 @@
 }
 
 func newEndpointList(
-	s settings.Settings, store kv.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
+	s settings.Settings, store kv.Store, configs *config.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
 	isolation *member.IsolationDetector, m *telemetry.Metrics, log *logrus.Logger,
 ) *endpointList {
 	l := &endpointList{
 		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, metrics: m, log: log,
 		registrations: map[string]route.Listing{}, missing: map[string]absence{}, own: newOwnAddresses(s),
+		configs: configs,
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
@@ -129,7 +131,7 @@
 // Run follows the store until ctx ends.
 func (l *endpointList) Run(ctx context.Context) error {
 	// The error of the follower is that of its context, which guard.Run returns, too.
-	return guard.Run(ctx, l.runPeerFetch, l.runExpiry, func(ctx context.Context) { _ = l.follower.Run(ctx) })
+	return guard.Run(ctx, l.runPeerFetch, l.runExpiry, l.runConfigChanges, func(ctx context.Context) { _ = l.follower.Run(ctx) })
 }
 
 // Listings returns the list for peers and its revision, and false if there is no list yet. It omits registrations that
@@ -138,7 +140,7 @@
 func (l *endpointList) Listings() ([]route.Listing, kv.Revision, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.newestByAddress(false), l.revision, l.synced
+	return l.currentByAddress(false), l.revision, l.synced
 }
 
 // listRevision returns the revision of the list and the time since the store's last response.
@@ -148,32 +150,6 @@
 	return l.revision, time.Since(l.lastResponse)
 }
 
-// newestByAddress returns the newest registration of each address. The registration of a crashed endpoint exists for
-// some seconds beside that of its successor at the same address.
-func (l *endpointList) newestByAddress(includeMissing bool) []route.Listing {
-	newest := make(map[string]route.Listing, len(l.registrations))
-	for key, registration := range l.registrations {
-		if _, missing := l.missing[key]; missing && !includeMissing {
-			continue
-		}
-		if other, taken := newest[registration.Address]; !taken || isNewer(registration, other) {
-			newest[registration.Address] = registration
-		}
-	}
-	return slices.Collect(maps.Values(newest))
-}
-
-// isNewer reports whether a registration is newer than another one at the same address. Revisions of different eras do
-// not tell: a restored registration has one of the later era although it was written before the other. The times of the
-// starts do, since both were taken from the clock of the machine at this address.
-func isNewer(registration, other route.Listing) bool {
-	sameEra := registration.Revision.SameEra(other.Revision)
-	if sameEra || registration.StartedAtMS == other.StartedAtMS || registration.StartedAtMS == 0 || other.StartedAtMS == 0 {
-		return registration.Revision.After(other.Revision)
-	}
-	return registration.StartedAtMS > other.StartedAtMS
-}
-
 // apply applies a full read of the store or the changes of a watch, also if its revision is lower than that of a list
 // taken from a peer in the same era. What was read in an earlier era than that list is ignored for a while. An empty full
 // read leaves the revision and removes all registrations, except those that handleDeletion keeps for a time.
@@ -204,7 +180,7 @@
 		}
 	}
 	l.newerAtPeer = false
-	l.table.Sync(l.newestByAddress(true))
+	l.table.Sync(l.currentByAddress(true))
 	l.writeReport("store")
 }
 
@@ -332,7 +308,7 @@
 		}
 	}
 	if overdue {
-		l.table.Sync(l.newestByAddress(true))
+		l.table.Sync(l.currentByAddress(true))
 	}
 }
 
--- a/daemon/endpoint_list_test.go
+++ b/daemon/endpoint_list_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/config"
 	"radishhollow/core/kv"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
@@ -28,7 +29,8 @@
 				Revision: e.Revision(),
 			}, nil
 		},
-		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, metrics: telemetry.New(), log: log,
+		table: route.New("d", policy), isolation: &member.IsolationDetector{Timeout: time.Minute}, metrics: telemetry.New(),
+		log: log, configs: &config.Store{},
 		registrations: map[string]route.Listing{}, missing: map[string]absence{},
 	}
 }
