feat(route): heed endpoints that leave or rest by their own word

Cause: no code read the two headers.

Change: the routing table keeps both beside the marks of an incarnation's start, and each choice of an endpoint reads them there: attempts, retries, resumes, holders of copies and load queries. Calls about copies of KV caches are not sent to an endpoint that rests. A response counts after the check of its id.

Evidence: with announcements ignored, TestForwardHeedsAnnouncements sends 12 to 19 of 30 requests to the endpoint in 7 of its 9 cases (streams are refused or fail over there), and TestForwardRefusesWhileAllEndpointsRest, TestEngineCallsHeedARest and the tests of the headers fail.

--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -25,6 +25,17 @@
 	ReuseConnection bool
 	// MaxResponseBytes is the maximum size of the response body. Zero means the limit of the client.
 	MaxResponseBytes int64
+	// OnHead receives the head of the response before its body is read, unless the response is rejected. It may be nil.
+	OnHead func(head ResponseHead)
+}
+
+// ResponseHead is a response without its body.
+type ResponseHead struct {
+	Status int
+	Header http.Header
+	// ConnectionReused is set if the connection carried another request before, so that the response may be a late one to
+	// that request.
+	ConnectionReused bool
 }
 
 // Response is a complete response, received from an endpoint or replayed from an idempotency record.
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -213,13 +213,17 @@
 }
 
 // recordPickError records that no endpoint was found and makes excluded endpoints eligible again. It reports whether
-// FirstPickBound has passed without an attempt that may have run.
+// FirstPickBound has passed without an attempt that may have run, or will have before an endpoint ends its rest.
 func (r *driverCall) recordPickError(err error) (boundPassed bool) {
 	if r.lastErr == nil {
 		r.lastErr = err
 	}
 	clear(r.exclude)
-	return r.runs == 0 && r.FirstPickBound > 0 && time.Since(r.started) >= r.FirstPickBound
+	waited := time.Since(r.started)
+	if resting, ok := errors.AsType[route.RestingError](err); ok {
+		waited += resting.Left
+	}
+	return r.runs == 0 && r.FirstPickBound > 0 && waited >= r.FirstPickBound
 }
 
 // takeRetry takes one retry from the retry budget for the next attempt, unless the reserved move has one. The first
--- a/core/route/choice.go
+++ b/core/route/choice.go
@@ -5,6 +5,7 @@
 	address       string
 	incarnation   string
 	place         string
+	startedAtMS   int64 // Listing.StartedAtMS of the endpoint
 	release       func()
 	prefillDone   func()
 	load          int
--- a/core/route/error.go
+++ b/core/route/error.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"time"
 
 	"radishhollow/core/failure"
 )
@@ -15,6 +17,7 @@
 	ReasonUnlisted      Reason = "not-listed"
 	ReasonExcluded      Reason = "excluded"
 	ReasonMarked        Reason = "leaving-or-dead"
+	ReasonResting       Reason = "resting"
 	ReasonNotReady      Reason = "not-ready"
 	ReasonSpecNotLoaded Reason = "spec-not-loaded"
 	ReasonCircuitOpen   Reason = "circuit-open"
@@ -36,3 +39,25 @@
 func (e NoEndpointError) Code() string { return "no-endpoint" }
 
 func (e NoEndpointError) Outcome() failure.Outcome { return failure.NotRun }
+
+// RestingError reports that the endpoints that could serve want no requests from this daemon at present. Nothing was sent.
+type RestingError struct {
+	Kind Kind
+	Name string
+	// Left is the time until the first of them returns.
+	Left time.Duration
+}
+
+func (e RestingError) Error() string {
+	return fmt.Sprintf("the endpoints of %s %q rest; the first returns in %s", e.Kind, e.Name, e.Left)
+}
+
+func (e RestingError) Code() string { return "endpoints-resting" }
+
+func (e RestingError) Outcome() failure.Outcome { return failure.NotRun }
+
+// RetryAfter returns a random time after the return of the first endpoint, so that callers do not return together.
+func (e RestingError) RetryAfter() time.Duration { return e.Left + rand.N(e.Left/4+minRetrySpread) }
+
+// minRetrySpread is the shortest interval over which RestingError.RetryAfter spreads callers.
+const minRetrySpread = 500 * time.Millisecond
--- a/core/route/mark.go
+++ b/core/route/mark.go
@@ -29,12 +29,14 @@
 
 type markKey struct{ address, incarnation string }
 
-// markState is the mark of one incarnation, which may be leaving and dead at the same time.
+// markState is the mark of one incarnation, which may be leaving, dead and resting at the same time.
 type markState struct {
 	leaving bool
 	dead    bool
-	// at is the time of the first mark of either kind, unless setMark has renewed it for a dead mark.
+	// at is the time of the first mark as leaving or dead, or of the first rest before it, unless setMark has renewed it for a dead mark.
 	at time.Time
+	// restUntil is the time until which the incarnation wants no requests from this daemon. Peers do not get it.
+	restUntil time.Time
 	// startedAtMS is Listing.StartedAtMS of the endpoint when it was marked last, or 0 if it was not known.
 	startedAtMS int64
 }
@@ -88,6 +90,9 @@
 // for the new dead mark to take effect.
 func (t *Table) setMark(key markKey, dead bool, at time.Time) {
 	state, exists := t.marks[key]
+	if exists && !state.leaving && !state.dead {
+		state.at = at
+	}
 	if exists && dead && at.Sub(state.at) >= t.policy.DeadMarkTTL {
 		state.at = at
 	}
@@ -140,6 +145,8 @@
 	delete(t.marks, oldest)
 }
 
+func (s markState) isResting(now time.Time) bool { return now.Before(s.restUntil) }
+
 func (t *Table) markStatus(e *endpoint, now time.Time) (leaving, dead bool) {
 	state, ok := t.marks[markKey{e.listing.Address, e.listing.Incarnation}]
 	if !ok {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -9,7 +9,8 @@
 )
 
 // Pick chooses the endpoint of one attempt and reserves the attempt's load on it until Choice.Release. It does not
-// wait: it returns a NoEndpointError if no endpoint is eligible, and the error of ctx if ctx has ended.
+// wait: it returns a NoEndpointError if no endpoint is eligible, or a RestingError if those that could serve rest, and the
+// error of ctx if ctx has ended.
 func (t *Table) Pick(ctx context.Context, criteria Criteria) (Choice, error) {
 	if err := ctx.Err(); err != nil {
 		return Choice{}, errors.Trace(err)
@@ -22,6 +23,9 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	pool, reason := t.eligiblePool(criteria, now)
+	if len(pool) == 0 && reason == ReasonResting {
+		return Choice{}, errors.Trace(RestingError{criteria.Kind, criteria.Name, t.shortestRest(criteria, now)})
+	}
 	if len(pool) == 0 {
 		return Choice{}, errors.Trace(NoEndpointError{criteria.Kind, criteria.Name, criteria.Spec, reason})
 	}
@@ -45,7 +49,7 @@
 
 // choiceFor returns a Choice of the endpoint whose Release frees the reservation.
 func (t *Table) choiceFor(e *endpoint, r *reservation) Choice {
-	choice := NewChoice(e.listing.Address, e.listing.Incarnation, e.listing.Place, func() {
+	choice := e.choice(func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		e.release(r, time.Now())
@@ -100,12 +104,12 @@
 
 // filterReasons maps the highest number of filters that an endpoint passed to the Reason.
 var filterReasons = []Reason{
-	ReasonUnlisted, ReasonExcluded, ReasonMarked, ReasonNotReady, ReasonSpecNotLoaded,
+	ReasonUnlisted, ReasonExcluded, ReasonMarked, ReasonResting, ReasonNotReady, ReasonSpecNotLoaded,
 	ReasonCircuitOpen, ReasonHeadroom, ReasonNone,
 }
 
 // allFilters is the result of passedFilters for an eligible endpoint.
-const allFilters = 7
+const allFilters = 8
 
 // passedFilters returns the number of filters that the endpoint passes; allFilters means that it is eligible.
 func (t *Table) passedFilters(e *endpoint, criteria Criteria, now time.Time, silentToo bool) int {
@@ -118,14 +122,16 @@
 		return 1
 	case leaving || dead:
 		return 2
-	case e.isUnavailable(now, t.policy, silentToo):
+	case t.restLeft(e, now) > 0:
 		return 3
-	case !e.serves(criteria):
+	case e.isUnavailable(now, t.policy, silentToo):
 		return 4
-	case e.isBlocked(now, silentToo):
+	case !e.serves(criteria):
 		return 5
-	case t.atCapacity(e, criteria):
+	case e.isBlocked(now, silentToo):
 		return 6
+	case t.atCapacity(e, criteria):
+		return 7
 	default:
 		return allFilters
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -84,9 +84,10 @@
 		t.setMark(key, false, now)
 	case marked && mark.dead && now.Sub(mark.at) >= t.policy.ReportLag:
 		// A report made after the mark shows that the endpoint was only paused or partitioned.
-		delete(t.marks, key)
-		if mark.leaving {
-			t.setMark(key, false, mark.at)
+		if mark.dead = false; mark.leaving || mark.isResting(now) {
+			t.marks[key] = mark
+		} else {
+			delete(t.marks, key)
 		}
 	}
 }
@@ -99,7 +100,7 @@
 	return e != nil && e.listing.Incarnation == incarnation
 }
 
-// Usable reports whether work may go to the incarnation: it is listed, reachable, and neither leaving nor dead.
+// Usable reports whether work may go to the incarnation: it is listed, reachable, and neither leaving, dead nor resting.
 func (t *Table) Usable(address, incarnation string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,7 +110,7 @@
 	}
 	now := time.Now()
 	leaving, dead := t.markStatus(e, now)
-	return !leaving && !dead && (e.silent || !e.recentlyUnreachable(now, t.policy))
+	return !leaving && !dead && t.restLeft(e, now) == 0 && (e.silent || !e.recentlyUnreachable(now, t.policy))
 }
 
 // Alive reports whether a listed endpoint has sent a recent report, has not been set unreachable since, and isn't
--- a/daemon/broken_load_report_test.go
+++ b/daemon/broken_load_report_test.go
@@ -70,7 +70,7 @@
 	client := service.New(time.Second, time.Minute)
 	t.Cleanup(func() { _ = client.Close() })
 	client.Check = platform.Format().Check
-	query := loadRefresher(table, client, log)
+	query := loadRefresher(table, client, newTestAnnouncements(table), log)
 	return table, func() {
 		query(t.Context(), address)
 		// The next query is to use a new connection.
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -48,9 +48,6 @@
 	// responseMemoryPercent is the share of the instance's memory that response bodies may use while they are read,
 	// apart from a small part of each. Growing a body takes up to three times its size.
 	responseMemoryPercent = 10
-	// maxControlBytes is the maximum size of a load report, which lists the engine's runs, and of the other responses
-	// of engines that are not for callers.
-	maxControlBytes = 256 << 10
 	// heapPercent is the share of the instance's memory that the Go heap may use.
 	heapPercent = 65
 )
@@ -129,6 +126,7 @@
 	log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
+	announced := newAnnouncements(table, m, log)
 	server := &forward.Server{
 		Format: format, Document: documents.Current, Pick: table.Pick, Open: client.Open, ReadBody: client.ReadBody, ResponseMemory: client.Memory,
 		InstanceListRevision: endpoints.listRevision,
@@ -138,16 +136,16 @@
 		ConnectTimesOut: func(ctx context.Context, address string) bool {
 			return client.ConnectTimesOut(ctx, address, reachabilityTimeout)
 		},
-		LoadQueryCandidates: table.LoadQueryCandidates, RefreshLoad: loadRefresher(table, client, log),
-		Usable: table.Usable, NewKVCopier: newKVCopiers(client, log),
-		ObserveAttempt: streamObserver(table),
-		RecordRequest:  window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
+		LoadQueryCandidates: table.LoadQueryCandidates, RefreshLoad: loadRefresher(table, client, announced, log),
+		Usable: table.Usable, NewKVCopier: newKVCopiers(client, announced, log),
+		ObserveHead: announced.observe, ObserveAttempt: streamObserver(table),
+		RecordRequest: window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
 		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
 		RequestMemory: memory.Budget{Limit: int64(s.Forward.MemoryMB) << 20 * bodyMemoryPercent / 100},
 		Place:         s.Place, Metrics: m, Log: log,
 	}
 	sender := &booking.Sender{
-		Pick: table.Pick, Send: format.SendFunc(client, markingAttemptLogger(table, server)),
+		Pick: table.Pick, Send: announced.send(format.RequestID, format.SendFunc(client, markingAttemptLogger(table, server))),
 		Classify: format.Classify, ObserveSend: sendObserver(table),
 		TakeRetry: func(call booking.Call) bool { return window.TakeRetry(call.Service.Name) },
 	}
@@ -156,78 +154,6 @@
 	return server
 }
 
-// loadRefresher returns a function that queries the load of an engine. An engine whose query fails is marked as
-// unreachable for Policy.UnreachableTTL, or as silent if it did not answer within the query's timeout. As in sendObserver,
-// a query canceled by its caller is ignored, because it says nothing about the engine.
-func loadRefresher(
-	table *route.Table, client *service.Client, log *logrus.Logger,
-) func(ctx context.Context, address string) {
-	return func(ctx context.Context, address string) {
-		response, err := client.Send(ctx, address, booking.Request{
-			Method: http.MethodGet, Path: platform.LoadReportPath, ReuseConnection: true, MaxResponseBytes: maxControlBytes,
-		})
-		if errors.Is(err, context.Canceled) {
-			return
-		}
-		if err != nil {
-			log.WithField("address", address).WithError(err).Warn("engine does not report its load")
-			if errors.Is(err, context.DeadlineExceeded) {
-				table.SetSilent(address)
-			} else {
-				table.SetAddressUnreachable(address)
-			}
-			return
-		}
-		if response.Status != http.StatusOK {
-			log.WithFields(logrus.Fields{"address": address, "status": response.Status}).Warn("engine refuses to report its load")
-			return
-		}
-		load, err := platform.DecodeLoadReport(response.Body)
-		if err != nil {
-			log.WithField("address", address).WithError(err).Warn("load report is malformed")
-			return
-		}
-		table.RecordQueriedLoad(address, load)
-	}
-}
-
-// newKVCopiers returns a function that returns a KVCopier for each run.
-func newKVCopiers(client *service.Client, log *logrus.Logger) func() forward.KVCopier {
-	return func() forward.KVCopier {
-		dedicated := client.Dedicated()
-		return forward.KVCopier{
-			Copy: kvCacheCopier(dedicated), Release: kvCopyReleaser(dedicated, log), Close: dedicated.CloseIdleConnections,
-		}
-	}
-}
-
-// kvCacheCopier returns a function that copies the KV cache of a run from its engine to another one, or renews a copy.
-func kvCacheCopier(client *service.Client) func(ctx context.Context, address, runID, target string) (handle string, err error) {
-	return func(ctx context.Context, address, runID, target string) (string, error) {
-		request, err := platform.KVCopyRequest(runID, target)
-		if err != nil {
-			return "", errors.Trace(err)
-		}
-		request.MaxResponseBytes = maxControlBytes
-		response, err := client.Send(ctx, address, request)
-		if err != nil {
-			return "", err
-		}
-		return platform.KVCopyHandle(response)
-	}
-}
-
-// kvCopyReleaser returns a function that releases a copy of a KV cache.
-func kvCopyReleaser(client *service.Client, log *logrus.Logger) func(ctx context.Context, address, handle string) {
-	return func(ctx context.Context, address, handle string) {
-		request := platform.KVReleaseRequest(handle)
-		request.MaxResponseBytes = maxControlBytes
-		if _, err := client.Send(ctx, address, request); err != nil {
-			log.WithField("address", address).WithError(err).Info("failed to release a KV cache copy; it is kept until it expires")
-		}
-	}
-}
-
 // markingAttemptLogger returns a function that logs each attempt of a request whose response is not streamed. After
 // status 421, it also marks the endpoint as dead, because another endpoint responds at its address. It reports nothing
 // to the circuit breaker.
--- a/daemon/kv_copier_test.go
+++ b/daemon/kv_copier_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/route"
 	"radishhollow/io/service"
 	"radishhollow/platform"
 )
@@ -58,7 +59,7 @@
 	}()
 	client := service.New(time.Second, time.Minute)
 	client.Check = platform.Format().Check
-	newCopier := newKVCopiers(client, logrus.New())
+	newCopier := newKVCopiers(client, newTestAnnouncements(route.New("d", route.DefaultPolicy())), logrus.New())
 	for _, run := range []string{"a", "b", "c"} {
 		copier := newCopier()
 		for range 3 {
--- a/daemon/load_refresher_test.go
+++ b/daemon/load_refresher_test.go
@@ -37,7 +37,7 @@
 	client := service.New(time.Second, time.Minute)
 	defer func() { _ = client.Close() }()
 	client.Check = platform.Format().Check
-	refresh := loadRefresher(table, client, log)
+	refresh := loadRefresher(table, client, newTestAnnouncements(table), log)
 	picks := func() (atBusy int) {
 		for range 40 {
 			choice, err := table.Pick(t.Context(), route.Criteria{Kind: route.KindModel, Name: "m"})
--- a/daemon/silent_endpoint_test.go
+++ b/daemon/silent_endpoint_test.go
@@ -35,7 +35,7 @@
 		"load query": func(table *route.Table, _ route.Choice) {
 			ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
 			defer cancel()
-			loadRefresher(table, client, log)(ctx, silent)
+			loadRefresher(table, client, newTestAnnouncements(table), log)(ctx, silent)
 		},
 		"streams": func(table *route.Table, choice route.Choice) {
 			for range 5 {
--- a/io/forward/response.go
+++ b/io/forward/response.go
@@ -28,7 +28,7 @@
 //
 // A refusal without an id comes from an endpoint that has not read the request, as one that refuses a connection. On a
 // kept connection it may be an earlier refusal that a faulty endpoint wrote once more, so it proves nothing there.
-func (f Format) Check(r booking.Request, head service.ResponseHead) error {
+func (f Format) Check(r booking.Request, head booking.ResponseHead) error {
 	want, got := r.Header.Get(f.RequestID), head.Header.Get(f.RequestID)
 	signed := head.Header.Get(f.Signature) != ""
 	switch {
--- a/io/forward/response_test.go
+++ b/io/forward/response_test.go
@@ -42,9 +42,9 @@
 		{"unsigned", http.Header{"Id": {"1"}}, false},
 		{"encoded", http.Header{"Id": {"1"}, "Signed": {"x"}, "Content-Encoding": {"gzip"}}, false},
 	} {
-		require.Equal(t, tt.ok, testFormat().Check(r, service.ResponseHead{Header: tt.header}) == nil, tt.name)
+		require.Equal(t, tt.ok, testFormat().Check(r, booking.ResponseHead{Header: tt.header}) == nil, tt.name)
 		ok := tt.ok && tt.header.Get("Id") == "1"
-		require.Equal(t, ok, testFormat().Check(r, service.ResponseHead{Header: tt.header, ConnectionReused: true}) == nil, tt.name)
+		require.Equal(t, ok, testFormat().Check(r, booking.ResponseHead{Header: tt.header, ConnectionReused: true}) == nil, tt.name)
 	}
 }
 
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -85,6 +85,8 @@
 	Usable func(address, incarnation string) bool
 	// NewKVCopier returns the calls that keep a copy of one run's KV cache.
 	NewKVCopier func() KVCopier
+	// ObserveHead receives the head of each response of a stream's endpoint and the id of the request; it may be nil.
+	ObserveHead func(choice route.Choice, requestID string, head booking.ResponseHead)
 	// ObserveAttempt receives the result of each attempt of a stream; it may be nil.
 	ObserveAttempt func(choice route.Choice, err error)
 	// RecordRequest adds a request to the service's retry budget, and TakeRetry takes one retry from the budget.
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -213,14 +213,8 @@
 	ctx context.Context, address string, start generation.Start,
 ) (generation.Stream, error) {
 	f := h.server.Format
-	r := h.request.endpointRequest()
-	r.Header = r.Header.Clone()
 	h.setChoice(start.Choice)
-	f.setAttemptHeaders(r.Header, h.choice, h.request.deadline)
-	if start.Offset > 0 {
-		r.Header.Set(f.LastEventID, strconv.Itoa(start.Offset))
-	}
-	r.ReuseConnection = h.tried.mayReuseConnection(address)
+	r := h.attemptRequest(start)
 	nextCopy := h.setCopyHeaders(ctx, address, start.Offset, r.Header)
 	h.startRun(nextCopy)
 	h.probeLimiter.reset()
@@ -252,6 +246,22 @@
 	return sse.NewStream(h.ctx, chunker.body(response.Body), cancel, chunker.next), nil
 }
 
+// attemptRequest returns the request of an attempt, without the headers about copies of the KV cache.
+func (h *streamHandler) attemptRequest(start generation.Start) booking.Request {
+	f := h.server.Format
+	r := h.request.endpointRequest()
+	r.Header = r.Header.Clone()
+	f.setAttemptHeaders(r.Header, start.Choice, h.request.deadline)
+	if start.Offset > 0 {
+		r.Header.Set(f.LastEventID, strconv.Itoa(start.Offset))
+	}
+	r.ReuseConnection = h.tried.mayReuseConnection(start.Choice.Address())
+	if h.server.ObserveHead != nil {
+		r.OnHead = func(head booking.ResponseHead) { h.server.ObserveHead(start.Choice, h.request.id, head) }
+	}
+	return r
+}
+
 // readErrorResponse reads a response that is not a stream and returns the matching error. It keeps a complete response
 // that the endpoint produced in errorResponse, unless it is a refusal or, for a stream that may run only once, has a status
 // that promises callers that the request has not run. One above maxErrorBodyBytes is not kept, because its first part would
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -43,7 +43,7 @@
 	maxResponseBytes int64
 	// Check rejects a response by its head, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
-	Check func(r booking.Request, head ResponseHead) error
+	Check func(r booking.Request, head booking.ResponseHead) error
 	// Memory is the memory that all response bodies share while they are read, apart from a small part of each. Nil means no
 	// limit. It must be set before the first request.
 	Memory *memory.Budget
@@ -52,15 +52,6 @@
 	Observe func(address, incarnation, state string)
 }
 
-// ResponseHead is a response without its body, as Client.Check receives it.
-type ResponseHead struct {
-	Status int
-	Header http.Header
-	// ConnectionReused is set if the connection carried another request before, so that the response may be a late one to
-	// that request.
-	ConnectionReused bool
-}
-
 // New returns a Client that waits up to dialTimeout for a new connection and closes a connection that has been idle for
 // idleTimeout.
 func New(dialTimeout, idleTimeout time.Duration) *Client {
@@ -161,25 +152,29 @@
 	if err != nil {
 		return nil, false, errors.Trace(SendError{Endpoint: address, Written: writtenOrBlocked(conn), Cause: err})
 	}
-	if err := c.check(r, resp, reused); err != nil {
+	head := booking.ResponseHead{Status: resp.StatusCode, Header: resp.Header, ConnectionReused: reused}
+	if err := c.check(r, head); err != nil {
 		// Further data on this connection may belong to other requests.
 		_ = conn.Close()
 		_ = resp.Body.Close()
 		return nil, false, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
+	if r.OnHead != nil {
+		r.OnHead(head)
+	}
 	return resp, reused, nil
 }
 
 // check rejects a response whose status cannot be passed on, or that Check rejects. net/http writes no final response
 // with a status below 200 other than 101, after which the connection has another protocol.
-func (c *Client) check(r booking.Request, resp *http.Response, reused bool) error {
-	if resp.StatusCode < http.StatusOK {
-		return StatusError{Status: resp.StatusCode}
+func (c *Client) check(r booking.Request, head booking.ResponseHead) error {
+	if head.Status < http.StatusOK {
+		return StatusError{Status: head.Status}
 	}
 	if c.Check == nil {
 		return nil
 	}
-	return c.Check(r, ResponseHead{Status: resp.StatusCode, Header: resp.Header, ConnectionReused: reused})
+	return c.Check(r, head)
 }
 
 // Open sends the request once and returns the response with its body unread. The context applies only until Open
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -34,8 +34,13 @@
 	Restarts          = "restarts"           // class is the component
 	Eras              = "store_eras"         // class is store, endpoints, registration or keys
 	RestoredEndpoints = "restored_endpoints" // class is kept, held-back or dropped
+	Announcements     = "announcements"      // class is leaving, rest or malformed
 	Quarantine        = "quarantine"         // class is end, lived, refused, quarantined or released
 )
 
-// QuarantinedParts is the name of a gauge.
-const QuarantinedParts = "quarantined_parts"
+// Names of gauges.
+const (
+	QuarantinedParts = "quarantined_parts"
+	LeavingEndpoints = "leaving_endpoints"
+	RestingEndpoints = "resting_endpoints"
+)
