fix(daemon): wait for peers in the product, too

Beside that, an empty list of daemons counted as no peers, though the copy may be older than all registrations.

Evidence: a print in peerCatchUp.pending showed no call.

An empty list of a store in a later era than the first is no reason to be ready; a second after the start ends the wait as before. Registrar.OnListed gets the revision of the list.

--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -99,9 +99,9 @@
 		KV: store, Node: node, TTL: s.Timeouts.LeaseTTL.Duration, WatchWait: s.Timeouts.WatchWait.Duration,
 		RelistInterval: s.Timeouts.ConfigPoll.Duration, BatchDelay: memberBatchDelay,
 		// A daemon that starts learns what its peers know, such as quarantined parts, as soon as it knows them.
-		OnListed: func() {
+		OnListed: func(revision kv.Revision) {
 			if drain.peers != nil {
-				drain.peers.listed.Store(true)
+				drain.peers.recordList(revision)
 			}
 			exchanger.TriggerExchange()
 		},
@@ -116,6 +116,7 @@
 		// The relay batches the changes. A further pause would let shared keys reach some daemons later than others, which
 		// would not believe each other until then.
 		registrar.BatchDelay, registrar.ShareKeys = 0, len(s.PeerKeys) == 0
+		drain.peers = &peerCatchUp{startedAt: time.Now(), members: node.Table, documents: node.Store}
 	}
 	return registrar
 }
--- a/daemon/peer_catch_up.go
+++ b/daemon/peer_catch_up.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"radishhollow/core/config"
+	"radishhollow/core/kv"
 	"radishhollow/core/member"
 )
 
@@ -18,8 +19,17 @@
 	startedAt time.Time
 	members   *member.Table
 	documents *config.Store
-	// listed is set once the list of daemons has been read.
-	listed atomic.Bool
+	// listed is set once the list of daemons has been read, and restored if the store has come back from an older copy
+	// before.
+	listed, restored atomic.Bool
+}
+
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
+func (c *peerCatchUp) recordList(revision kv.Revision) {
+	c.restored.Store(revision.Era() > firstEra)
+	c.listed.Store(true)
 }
 
 func (c *peerCatchUp) pending() bool {
@@ -30,7 +40,8 @@
 		return true
 	}
 	peers := c.members.Peers()
-	heard := len(peers) == 0
+	// The copy may be older than the registrations, which the daemons write again within a second of the store's return.
+	heard := len(peers) == 0 && !c.restored.Load()
 	for _, p := range peers {
 		if p.Revision() > c.documents.Current().Revision() {
 			return true
--- a/daemon/peer_catch_up_test.go
+++ b/daemon/peer_catch_up_test.go
@@ -25,15 +25,22 @@
 	}
 	for name, test := range map[string]struct {
 		listed []member.Member
+		era    uint64
 		step   func(d *Drain)
 		ready  bool
 	}{
-		"no peers":                        {nil, func(*Drain) {}, true},
-		"peer not heard":                  {[]member.Member{{Address: address}}, func(*Drain) {}, false},
-		"peer has the same configuration": {[]member.Member{{Address: address}}, func(d *Drain) { heard(d, 19) }, true},
-		"peer has an older configuration": {[]member.Member{{Address: address}}, func(d *Drain) { heard(d, 18) }, true},
-		"peer has a newer configuration":  {[]member.Member{{Address: address}}, func(d *Drain) { heard(d, 20) }, false},
-		"newer configuration fetched": {[]member.Member{{Address: address}}, func(d *Drain) {
+		"no peers":                        {nil, 1, func(*Drain) {}, true},
+		"no peers at a store without era": {nil, 0, func(*Drain) {}, true},
+		"no peers at a restored store":    {nil, 2, func(*Drain) {}, false},
+		"peer registers at a restored store": {nil, 2, func(d *Drain) {
+			d.peers.members.SetListed([]member.Member{{Address: address}})
+			heard(d, 19)
+		}, true},
+		"peer not heard":                  {[]member.Member{{Address: address}}, 1, func(*Drain) {}, false},
+		"peer has the same configuration": {[]member.Member{{Address: address}}, 1, func(d *Drain) { heard(d, 19) }, true},
+		"peer has an older configuration": {[]member.Member{{Address: address}}, 1, func(d *Drain) { heard(d, 18) }, true},
+		"peer has a newer configuration":  {[]member.Member{{Address: address}}, 1, func(d *Drain) { heard(d, 20) }, false},
+		"newer configuration fetched": {[]member.Member{{Address: address}}, 1, func(d *Drain) {
 			heard(d, 20)
 			offer(d, 20)
 		}, true},
@@ -51,7 +58,7 @@
 				d.checkInitialized()
 				require.False(t, d.Ready(), "the list of daemons has not been read")
 				d.peers.members.SetListed(test.listed)
-				d.peers.listed.Store(true)
+				d.peers.recordList(kv.NewRevision(test.era, 1))
 				test.step(d)
 				d.checkInitialized()
 				require.Equal(t, test.ready, d.Ready())
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -39,8 +39,8 @@
 	// ShareKeys states that the peer keys are kept in the key-value service. The Registrar then reads and rotates them,
 	// and each read of them replaces Node.Keys, also if a reload of the settings has set them.
 	ShareKeys bool
-	// OnListed is called after each full read of the list, when Node.Table has its daemons. It may be nil.
-	OnListed func()
+	// OnListed is called after each full read of the list at a revision, when Node.Table has its daemons. It may be nil.
+	OnListed func(revision kv.Revision)
 	// OnLost is called when the store is seen to have lost what this daemon had written or knew: "registration" or
 	// "keys". The revision before is that of the lost entry. Calls come from the goroutine of RunList. It may be nil.
 	OnLost func(what string, before, revision kv.Revision)
@@ -94,7 +94,7 @@
 	members := map[string]member.Member{}
 	r.applyList(members, entries, after)
 	if r.OnListed != nil {
-		r.OnListed()
+		r.OnListed(after)
 	}
 	relistAt := time.Now().Add(r.RelistInterval)
 	for ctx.Err() == nil && time.Now().Before(relistAt) {
--- a/io/peer/registrar_test.go
+++ b/io/peer/registrar_test.go
@@ -337,7 +337,7 @@
 		synctest.Wait()
 		known := -1
 		node, stop := startRegistrar(f, "127.0.0.1:2", func(r *Registrar) {
-			r.OnListed = func() { known = len(r.Node.Table.Addresses()) }
+			r.OnListed = func(kv.Revision) { known = len(r.Node.Table.Addresses()) }
 		})
 		synctest.Wait()
 		stop()
