fix(service): hold the memory of a body until it is written

Callers: a process that exceeds its memory ends with all requests.

Cause: a body gave its memory back to the budget as soon as it was read, and then waited in memory for its caller. The trace of the collector shows 190 MB in use after a collection, so it was no garbage. The buffer of a body had up to twice the size that was counted.

Change: the forwarded interface keeps the memory of all bodies of a request until its response is written (Request.Keep, memory.Holder), and the capacity of the buffer is counted. Bodies may use 15 % of the memory in place of 10 %, since growing them no longer takes three times their size.

TestKeptBodyHoldsItsMemory and TestReadAllAroundTheBuffers are new; the bound of TestEndlessBodiesShareALimit is tighter by 64 KB for each endpoint.

--- a/core/booking/message.go
+++ b/core/booking/message.go
@@ -25,6 +25,9 @@
 	ReuseConnection bool
 	// MaxResponseBytes is the maximum size of the response body. Zero means the limit of the client.
 	MaxResponseBytes int64
+	// Keep receives the function that returns the memory of the response body to the client's budget, which is otherwise
+	// returned when Send ends. It may be nil.
+	Keep func(release func())
 	// OnHead receives the head of the response before its body is read, unless the response is rejected. It may be nil.
 	OnHead func(head ResponseHead)
 }
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -45,9 +45,9 @@
 	// bodyMemoryPercent is the share of the instance's memory that request bodies may use. Until its garbage is collected,
 	// a body may take up to twice its size.
 	bodyMemoryPercent = 20
-	// responseMemoryPercent is the share of the instance's memory that response bodies may use while they are read,
-	// apart from a small part of each. Growing a body takes up to three times its size.
-	responseMemoryPercent = 10
+	// responseMemoryPercent is the share of the instance's memory that response bodies may use until they are written to
+	// their callers, apart from a small part of each. Growing a body takes half of its size more for a moment.
+	responseMemoryPercent = 15
 	// heapPercent is the share of the instance's memory that the Go heap may use.
 	heapPercent = 65
 )
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -243,6 +243,10 @@
 		call.MaxAttempts = q.route.Attempts
 		call.HedgeAfter = q.route.Target() * hedgeAfterPercent / 100
 	}
+	// A caller that reads slowly keeps the body in memory until it is written.
+	held := &memory.Holder{}
+	defer held.Close()
+	call.Request.Keep = held.Keep
 	sentAt := time.Now()
 	response, err := s.Do(c.Request.Context(), call)
 	if err == nil || time.Until(q.deadline) <= 0 {
--- a/io/service/buffer.go
+++ b/io/service/buffer.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 
@@ -14,32 +13,49 @@
 	// freeBodyBytes is the part of each body that takes no share of the common memory, so that small responses do not
 	// fail because of large ones.
 	freeBodyBytes = 64 << 10
-	// readBytes is the size of the reads, and of the steps in which memory is reserved.
-	readBytes = 32 << 10
+	// firstBufferBytes is the size of the first buffer of a body, which doubles as the body is read.
+	firstBufferBytes = 4 << 10
 )
 
-// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1. The share grows with the body, of
-// which an endpoint in trouble may send bytes without end.
+// readAll reads a body of up to maxBytes. length is the stated length of the body, or -1. The buffer and the share grow with
+// the body, of which an endpoint in trouble may send bytes without end.
 func readAll(address string, from io.Reader, length, maxBytes int64, share *memory.Share) ([]byte, error) {
 	if length > maxBytes {
 		return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
 	}
-	var body bytes.Buffer
+	limit := maxBytes
+	if length >= 0 {
+		limit = length
+	}
+	body := make([]byte, 0, min(firstBufferBytes, limit))
+	// A body may end where its buffer does, so more memory is needed only for a further byte.
+	var further [512]byte
 	for {
-		_, err := io.CopyN(&body, from, readBytes)
-		size := int64(body.Len())
-		if size > maxBytes {
-			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: maxBytes})
+		full := len(body) == cap(body)
+		into := body[len(body):cap(body)]
+		if full {
+			into = further[:]
+		}
+		n, err := from.Read(into)
+		size := int64(len(body) + n)
+		if size > limit {
+			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: limit})
 		}
+		if full && n > 0 {
+			grown := min(max(2*int64(cap(body)), size), limit)
+			if !share.Grow(grown) {
+				return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: int64(len(body))})
+			}
+			body = append(make([]byte, 0, grown), body...)
+			copy(body[len(body):cap(body)], further[:n])
+		}
+		body = body[:size]
 		if errors.Is(err, io.EOF) {
-			return body.Bytes(), nil
+			return body, nil
 		}
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if !share.Grow(size) {
-			return nil, errors.Trace(TooLargeError{Endpoint: address, Limit: size})
-		}
 	}
 }
 
--- a/io/service/buffer_test.go
+++ b/io/service/buffer_test.go
@@ -1,14 +1,20 @@
 package service
 
 import (
+	"bytes"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"radishhollow/core/booking"
 	"radishhollow/io/memory"
 )
 
@@ -63,7 +69,7 @@
 			})
 		}
 		reading.Wait()
-		require.LessOrEqual(t, endless.peak.Load(), int64(limit)+int64(endpoints)*(freeBodyBytes+2*readBytes), "%d endpoints", endpoints)
+		require.LessOrEqual(t, endless.peak.Load(), int64(limit)+int64(endpoints)*(freeBodyBytes+512), "%d endpoints", endpoints)
 		require.Zero(t, budget.Used(), "memory that is no longer in use must be available again")
 	}
 }
@@ -84,6 +90,28 @@
 	require.Len(t, body, 1<<20)
 }
 
+// Guards against a body that is lost or cut where its buffer ends, and against an endpoint that sends more than its stated
+// length.
+func TestReadAllAroundTheBuffers(t *testing.T) {
+	for _, size := range []int{0, 1, 511, 512, firstBufferBytes - 1, firstBufferBytes, firstBufferBytes + 1, 100_000} {
+		text := bytes.Repeat([]byte("0123456789abcdef!"), size/17+1)[:size]
+		for _, length := range []int64{-1, int64(size)} {
+			for _, from := range []io.Reader{bytes.NewReader(text), iotest.OneByteReader(bytes.NewReader(text)), iotest.DataErrReader(bytes.NewReader(text))} {
+				var share memory.Share
+				body, err := readAll("10.0.0.1:1", from, length, int64(size), &share)
+				require.NoError(t, err)
+				require.Equal(t, string(text), string(body))
+				require.LessOrEqual(t, cap(body), max(size, firstBufferBytes))
+			}
+		}
+		if size > 0 {
+			_, err := readAll("10.0.0.1:1", bytes.NewReader(text), int64(size)-1, int64(size), &memory.Share{})
+			_, tooLarge := errors.AsType[TooLargeError](err)
+			require.True(t, tooLarge)
+		}
+	}
+}
+
 // Guards against reading a body whose stated length is above the limit.
 func TestStatedLengthAboveTheLimit(t *testing.T) {
 	body := newEndlessReader()
@@ -92,3 +120,22 @@
 	require.True(t, tooLarge)
 	require.Zero(t, body.held.Load())
 }
+
+// Guards against bodies that are kept for slow callers and exceed the memory, because it is returned as soon as they are
+// read.
+func TestKeptBodyHoldsItsMemory(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) }))
+	defer server.Close()
+	client := New(time.Second, time.Minute)
+	defer func() { _ = client.Close() }()
+	client.Memory = &memory.Budget{Limit: 4 << 20}
+	var kept memory.Holder
+	for _, keep := range []func(func()){nil, kept.Keep} {
+		response, err := client.Send(t.Context(), server.Listener.Addr().String(), booking.Request{Method: http.MethodGet, Path: "/", Keep: keep})
+		require.NoError(t, err)
+		require.Len(t, response.Body, 1<<20)
+		require.Equal(t, keep != nil, client.Memory.Used() >= 1<<20-freeBodyBytes)
+	}
+	kept.Close()
+	require.Zero(t, client.Memory.Used())
+}
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -44,8 +44,8 @@
 	// Check rejects a response by its head, for example one that belongs to another request. The connection of a
 	// rejected response is closed. Check may be nil and must be set before the first request.
 	Check func(r booking.Request, head booking.ResponseHead) error
-	// Memory is the memory that all response bodies share while they are read, apart from a small part of each. Nil means no
-	// limit. It must be set before the first request.
+	// Memory is the memory that all response bodies share, apart from a small part of each, while they are read and as long
+	// as Request.Keep says. Nil means no limit. It must be set before the first request.
 	Memory *memory.Budget
 	// Observe receives the incarnation and state in the header of each response to Send. It may be nil and must be set
 	// before the first request.
@@ -121,7 +121,11 @@
 		maxBytes = min(maxBytes, r.MaxResponseBytes)
 	}
 	body, release, err := c.ReadBody(address, resp, maxBytes)
-	defer release()
+	if r.Keep != nil {
+		r.Keep(release)
+	} else {
+		defer release()
+	}
 	if err != nil {
 		return booking.Response{}, errors.Trace(ResponseError{Endpoint: address, Status: resp.StatusCode, Cause: err})
 	}
