fix(route): let a response without an announcement change nothing

Each response took the lock of the routing table, and could set the start to which an existing mark of its endpoint belongs. Found in the read of the change, not seen by callers: the start differs only for an endpoint that is no longer listed. The tests of packages route and daemon pass.

--- a/core/route/announcement.go
+++ b/core/route/announcement.go
@@ -37,7 +37,7 @@
 	if a.Rest > 0 {
 		news.Rest = t.setRest(key, min(a.Rest, MaxRest), now)
 	}
-	if state, exists := t.marks[key]; exists {
+	if state, exists := t.marks[key]; exists && a != (Announcement{}) {
 		state.startedAtMS = c.startedAtMS
 		t.marks[key] = state
 	}
--- a/core/route/mark.go
+++ b/core/route/mark.go
@@ -33,7 +33,8 @@
 type markState struct {
 	leaving bool
 	dead    bool
-	// at is the time of the first mark as leaving or dead, or of the first rest before it, unless setMark has renewed it for a dead mark.
+	// at is the time of the first mark as leaving or dead, or of the first rest before it, unless setMark has renewed it
+	// for a dead mark.
 	at time.Time
 	// restUntil is the time until which the incarnation wants no requests from this daemon. Peers do not get it.
 	restUntil time.Time
--- a/daemon/announcements.go
+++ b/daemon/announcements.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		a.metrics.Count(telemetry.Announcements, "malformed")
 	}
+	if announcement == (route.Announcement{}) {
+		return
+	}
 	news := a.table.RecordAnnouncement(choice, announcement)
 	entry := a.log.WithFields(logrus.Fields{"endpoint": choice.Incarnation(), "address": choice.Address(), "request": requestID})
 	if news.Leaving {
