fix(peer): count one check of lost keys in a second

While many daemons start, each of them checks the peer keys after every change of the list, several times a second. With the doubled chance of each check, more of them would write than needed before the first write has reached all. Only one check in a second counts now. Found in the read of the change, not seen by callers.

--- a/io/peer/shared_keys.go
+++ b/io/peer/shared_keys.go
@@ -20,6 +20,9 @@
 	// keyRotationInterval is the time after which the next key becomes the signing key. A daemon that has had no
 	// connection to the key-value service for less than this time already knows that key.
 	keyRotationInterval = time.Hour
+	// spreadTime is the time in which a write reaches all daemons. A daemon that checks more often, as while others start,
+	// must not take this for a write that is missing.
+	spreadTime = time.Second
 	// maxSkippedDoublings is enough for a certain write among any number of daemons.
 	maxSkippedDoublings = 30
 )
@@ -47,8 +50,10 @@
 	former [][]byte
 	// malformed is set while the entry holds no usable keys, or has been lost with the end of an era.
 	malformed bool
-	// skipped is the number of checks that found a write due since the last one of any daemon, and left it to others.
-	skipped int
+	// skipped is the number of checks that found a write due since the last one of any daemon, and left it to others. It
+	// counts one check, the one at skippedAt, for each spreadTime.
+	skipped   int
+	skippedAt time.Time
 	// draw returns a random number from 0 up to n, without n.
 	draw func(n int) int
 }
@@ -118,14 +123,16 @@
 
 // rotateIfDue creates the keys if there are none, writes lost ones again, and rotates them if they are old enough. The
 // first check acts with a probability of 1/daemons, so that of all daemons that check at the same time about one writes.
-// Each later check doubles it: while no daemon writes, the keys of those that run are unknown to a daemon that starts.
+// Each later check, after spreadTime, doubles it: while no daemon writes, the keys of those that run are unknown to a daemon that starts.
 func (s *sharedKeys) rotateIfDue(ctx context.Context, daemons int) {
 	keys := s.dueKeys()
 	if keys == nil {
 		return
 	}
 	if s.draw(max(daemons, 1)) >= 1<<min(s.skipped, maxSkippedDoublings) {
-		s.skipped++
+		if now := time.Now(); now.Sub(s.skippedAt) >= spreadTime {
+			s.skipped, s.skippedAt = s.skipped+1, now
+		}
 		return
 	}
 	raw, err := json.Marshal(keysValue{Keys: keys})
