--- a/review/play2/case_events.go
+++ b/review/play2/case_events.go
@@ -15,7 +15,7 @@
 // runFirstEvents returns whether the rule was broken by requests with a part that crashes runners as they begin to write.
 func runFirstEvents(ctx context.Context, dir string, rec *record, trouble bool) (broken bool, err error) {
 	c := &quarantineCase{record: rec, target: map[string]*daemonProcess{}}
-	c.fleet, err = startFleet(ctx, dir, rec, quarantineCount, func(r *runner) {
+	c.fleet, err = startFleet(ctx, dir, rec, func(r *runner) {
 		r.onArrival, r.onCrash, r.crashEvents = c.recordArrival, c.recordCrash, eventsBeforeEnd
 		if trouble {
 			r.crashPart = deadlyPart
@@ -25,7 +25,7 @@
 		return false, err
 	}
 	defer c.fleet.close()
-	if !awaitReady(ctx, c.fleet.daemons, notReadyTimeout) {
+	if !awaitReady(ctx, c.fleet.daemons) {
 		return false, notReadyError{}
 	}
 	began := time.Now()
--- a/review/play2/case_lines.go
+++ b/review/play2/case_lines.go
@@ -17,12 +17,12 @@
 
 // runLines returns whether the rule was broken by proper requests whose heads have many short lines, one at a time.
 func runLines(ctx context.Context, dir string, rec *record, trouble bool) (broken bool, err error) {
-	fleet, err := startFleet(ctx, dir, rec, quarantineCount, func(*runner) {})
+	fleet, err := startFleet(ctx, dir, rec, func(*runner) {})
 	if err != nil {
 		return false, err
 	}
 	defer fleet.close()
-	if !awaitReady(ctx, fleet.daemons, notReadyTimeout) {
+	if !awaitReady(ctx, fleet.daemons) {
 		return false, notReadyError{}
 	}
 	lines := 0
--- a/review/play2/case_quarantine.go
+++ b/review/play2/case_quarantine.go
@@ -14,17 +14,16 @@
 	sharedPart = "5c1e07a2:200"
 	deadlyPart = "91bd3f06:300"
 
-	fleetDowntime   = time.Second
-	firstDeadlyAt   = 4 * time.Second
-	deadlyInterval  = 5 * time.Second
-	deadlyEach      = 2
-	fleetKilledAt   = 24600 * time.Millisecond
-	quarantineEnds  = 90 * time.Second
-	deadlyAtOnce    = 6
-	crashesOfRule   = 5
-	requestsOfRule  = 3
-	soundPerSecond  = 3
-	quarantineCount = 18
+	fleetDowntime  = time.Second
+	firstDeadlyAt  = 4 * time.Second
+	deadlyInterval = 5 * time.Second
+	deadlyEach     = 2
+	fleetKilledAt  = 24600 * time.Millisecond
+	quarantineEnds = 90 * time.Second
+	deadlyAtOnce   = 6
+	crashesOfRule  = 5
+	requestsOfRule = 3
+	soundPerSecond = 3
 )
 
 // quarantineCase sends requests with a part that crashes runners, and counts those that reach runners late.
@@ -45,14 +44,14 @@
 // runQuarantine returns whether the rule was broken.
 func runQuarantine(ctx context.Context, dir string, rec *record, trouble bool) (broken bool, err error) {
 	c := &quarantineCase{record: rec, target: map[string]*daemonProcess{}}
-	c.fleet, err = startFleet(ctx, dir, rec, quarantineCount, func(r *runner) {
+	c.fleet, err = startFleet(ctx, dir, rec, func(r *runner) {
 		r.crashPart, r.onArrival, r.onCrash = deadlyPart, c.recordArrival, c.recordCrash
 	})
 	if err != nil {
 		return false, err
 	}
 	defer c.fleet.close()
-	if !awaitReady(ctx, c.fleet.daemons, notReadyTimeout) {
+	if !awaitReady(ctx, c.fleet.daemons) {
 		return false, notReadyError{}
 	}
 	began := time.Now()
--- a/review/play2/daemon.go
+++ b/review/play2/daemon.go
@@ -167,9 +167,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// awaitReady waits until all daemons are ready.
-func awaitReady(ctx context.Context, daemons []*daemonProcess, timeout time.Duration) bool {
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+// awaitReady waits until all daemons are ready, up to notReadyTimeout.
+func awaitReady(ctx context.Context, daemons []*daemonProcess) bool {
+	for end := time.Now().Add(notReadyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, d := range daemons {
 			if d.Ready(ctx) {
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -30,7 +30,7 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(ctx context.Context, dir string, rec *record, trouble bool) (broken bool, err error){
-	"quarantine": runQuarantine, "first-events": runFirstEvents, "short-lines": runLines,
+	"quarantine": runQuarantine, "first-events": runFirstEvents, "short-lines": runLines, "silence": runSilence,
 }
 
 func main() {
--- a/review/play2/platform.go
+++ b/review/play2/platform.go
@@ -10,6 +10,9 @@
 // places are those of the site acec-tempisque.
 var places = []string{"canas", "canas", "bagaces", "liberia", "filadelfia"}
 
+// runnerCount is the number of model runners of that site.
+const runnerCount = 18
+
 // modelService is the name of the service of the model runners.
 const modelService = "huvo11a"
 
@@ -43,14 +46,14 @@
 }
 
 // startFleet starts a deployment with a daemon for each of the places, and runners for which prepare is called.
-func startFleet(ctx context.Context, dir string, rec *record, runners int, prepare func(r *runner)) (*fleet, error) {
+func startFleet(ctx context.Context, dir string, rec *record, prepare func(r *runner)) (*fleet, error) {
 	s, err := startStore(ctx)
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{store: s, record: rec}
 	s.Put("op/config", configuration(1))
-	for i := range runners {
+	for i := range runnerCount {
 		r := &runner{store: s, record: rec, service: modelService, place: places[i%len(places)], answer: shortAnswer}
 		r.onArrival, r.onCrash = func(arrival) {}, func() {}
 		prepare(r)
