test: review case 9, ordinary callers beside a crowd of heads with short lines

Ordinary callers get 503 for as long as the answers to a crowd last whose heads have 1,000 short lines and 13 KB, although their runners are free and the process has memory left: a prompt whose body comes after its head shares the part of the budget that large heads have. The case of a silent runner is dropped, because case 3 of the first review shows that fault.

--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -30,7 +32,7 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(ctx context.Context, dir string, rec *record, trouble bool) (broken bool, err error){
-	"quarantine": runQuarantine, "first-events": runFirstEvents, "short-lines": runLines, "silence": runSilence,
+	"quarantine": runQuarantine, "first-events": runFirstEvents, "short-lines": runLines, "crowd": runCrowd,
 }
 
 func main() {
@@ -56,7 +58,10 @@
 	if os.Getenv("KEEP") == "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), caseTimeout)
+	// The end of the context ends the daemons, also after a signal.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
 	defer cancel()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.log("case %s, disruption: %t, files in %s", args[0], trouble, dir)
--- a/review/play2/runner.go
+++ b/review/play2/runner.go
@@ -49,13 +49,9 @@
 	// crashEvents is the number of events that the runner writes before it ends because of crashPart.
 	crashEvents int
 	answer      answerSize
-	// goesOn is set for a runner that completes a run although its channel was closed. onWork is called when a run begins, and
-	// the function that it returns when the run ends. Either may be left out.
-	goesOn    bool
-	onWork    func(id, runner string) (done func())
-	onArrival func(a arrival)
-	onCrash   func()
-	address   string
+	onArrival   func(a arrival)
+	onCrash     func()
+	address     string
 
 	mu       sync.Mutex
 	id       string
@@ -66,8 +62,6 @@
 	conns    map[net.Conn]struct{}
 	running  int
 	down     bool
-	// silentUntil is the time until which the runner sends nothing.
-	silentUntil time.Time
 }
 
 // registration is a runner's entry in the store.
@@ -229,21 +223,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Radishhollow-Upstream-Signature", "signed-by-"+r.id)
 	w.Header().Set("X-Radishhollow-Weight-Versions", "1")
-	ctx := q.Context()
-	if r.goesOn {
-		ctx = context.WithoutCancel(ctx)
-	}
-	if r.onWork != nil {
-		defer r.onWork(a.id, r.id)()
-	}
 	more := strings.Repeat("x", r.answer.bytes)
 	for id := first + 1; id <= r.answer.events; id++ {
-		if sleep(ctx, r.silenceLeft()) != nil {
-			return
-		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d of %s %s\n\n", id, id, a.id, more)
 		_ = http.NewResponseController(w).Flush()
-		if sleep(ctx, r.answer.gap) != nil {
+		if sleep(q.Context(), r.answer.gap) != nil {
 			return
 		}
 		if a.crashed && id-first == r.crashEvents {
@@ -253,19 +237,6 @@
 	}
 }
 
-// fallSilent makes the runner send nothing for a time, after which it goes on.
-func (r *runner) fallSilent(d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.silentUntil = time.Now().Add(d)
-}
-
-func (r *runner) silenceLeft() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Until(r.silentUntil)
-}
-
 func (r *runner) addRunning(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
