test: crowds of heads at each listener, and ordinary requests beside them

Callers that nobody controls were played at the callers' listener, and at the internal ones spread over all of them.

testCrowd got stricter: memory includes what the kernel has received and the process has not read, and an ordinary request is answered after the crowd too.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -124,27 +124,38 @@
 }
 
 func testCrowd(t *testing.T, c crowd, targets []target) {
+	testCrowdBeside(t, c, targets, targets, memoryMB*descriptorsPerMB)
+}
+
+// testCrowdBeside sends a crowd to the targets and one ordinary request to each of the listeners, beside the crowd and after it.
+func testCrowdBeside(t *testing.T, c crowd, targets, listeners []target, descriptors int) {
 	process := targets[0].process
-	for _, l := range targets {
+	for _, l := range listeners {
 		awaitOK(t, l)
 	}
 	before := peakMemoryKB(t, process.PID())
 	g := gather(c, targets)
-	defer g.end()
-	most := 0
+	end := sync.OnceFunc(g.end)
+	defer end()
+	most, mostMemory := 0, 0
 	watch := func() {
 		for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			most = max(most, openDescriptors(t, process.PID()))
+			mostMemory = max(mostMemory, memoryKB(t, process.PID(), "VmRSS:")+unreadKB(t, targets))
 		}
 	}
 	watch()
-	for _, l := range targets {
-		l.requireAnswer(t)
+	for _, l := range listeners {
+		l.requireAnswer(t, "beside the crowd")
 	}
 	watch()
-	peak := peakMemoryKB(t, process.PID())
+	peak := max(peakMemoryKB(t, process.PID()), mostMemory)
 	t.Logf("memory %d MB before, %d MB with the crowd, %d descriptors", before>>10, peak>>10, most)
 	require.Less(t, peak, memoryMB<<10, "KB of memory")
-	require.Less(t, most, memoryMB*descriptorsPerMB, "open descriptors")
+	require.Less(t, most, descriptors, "open descriptors")
+	end()
+	for _, l := range listeners {
+		l.requireAnswer(t, "after the crowd")
+	}
 	require.False(t, process.Exited())
 }
--- a/test/crowd/deployment_test.go
+++ b/test/crowd/deployment_test.go
@@ -2,9 +2,11 @@
 package crowd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -41,21 +43,46 @@
 }
 
 // requireAnswer sends one ordinary request and requires status 200.
-func (l target) requireAnswer(t *testing.T) {
+func (l target) requireAnswer(t *testing.T, when string) {
 	t.Helper()
 	r, err := l.ordinary(t.Context())
 	require.NoError(t, err)
 	client := &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
-	require.NoError(t, err, "an ordinary request beside the crowd")
+	require.NoError(t, err, "an ordinary request to %s %s", l.path, when)
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
+	body, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, response.StatusCode, "an ordinary request beside the crowd")
+	require.Equal(t, http.StatusOK, response.StatusCode, "an ordinary request to %s %s: %.300s", l.path, when, body)
+}
+
+// sendShape sends an ordinary request with further lines in its head and returns the status of its response.
+func (l target) sendShape(t *testing.T, shape func(head string) string) int {
+	t.Helper()
+	r, err := l.ordinary(t.Context())
+	require.NoError(t, err)
+	r.Close = true
+	var text strings.Builder
+	require.NoError(t, r.Write(&text))
+	head, body, _ := strings.Cut(text.String(), "\r\n\r\n")
+	head += "\r\n"
+	conn, err := net.DialTimeout("tcp", l.address, answerTimeout)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(answerTimeout)))
+	_, err = io.WriteString(conn, head+shape(head)+"\r\n"+body)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
 }
 
 // startForward starts a daemon with interface "forward" and returns its listeners.
-func startForward(t *testing.T) map[string]target {
+func startForward(t *testing.T) map[string]target { return startForwardWith(t, 0) }
+
+// startForwardWith is startForward with a limit of the process's descriptors, unless that is zero.
+func startForwardWith(t *testing.T, descriptors int) map[string]target {
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	e := platformtest.NewEndpoint("i-1")
@@ -67,10 +94,23 @@
 	t.Cleanup(large.CloseClientConnections)
 	large.Handler = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) }
 	store.Put("servers/i-2", large.Registration("large", "a", "ready", ""))
+	held := platformtest.NewEndpoint("i-3")
+	ended := make(chan struct{})
+	t.Cleanup(held.Close)
+	t.Cleanup(held.CloseClientConnections)
+	t.Cleanup(func() { close(ended) })
+	held.Handler = func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-ended:
+		}
+	}
+	store.Put("servers/i-3", held.Registration("held", "a", "ready", ""))
 	store.Put("op/config", `{"version":1,"routes":[
  {"name":"once","host":"h","prefix":"/once/","type":"unsafe","timeout_ms":9000,"service":"plain","attempts":1},
- {"name":"large","host":"h","prefix":"/large/","type":"unsafe","timeout_ms":9000,"service":"large","attempts":1}],
- "services":[{"name":"plain","max_conns":9000},{"name":"large","max_conns":9000}],"tenants":[{"name":"t","api_keys":["k"]}]}`)
+ {"name":"large","host":"h","prefix":"/large/","type":"unsafe","timeout_ms":9000,"service":"large","attempts":1},
+ {"name":"held","host":"h","prefix":"/held/","type":"unsafe","timeout_ms":60000,"service":"held","attempts":1}],
+ "services":[{"name":"held","max_conns":9000},{"name":"plain","max_conns":9000},{"name":"large","max_conns":9000}],"tenants":[{"name":"t","api_keys":["k"]}]}`)
 	callers, ready := harness.FreeAddress(t), harness.FreeAddress(t)
 	peers, operators := harness.FreeAddress(t), harness.FreeAddress(t)
 	path := filepath.Join(t.TempDir(), "daemon.toml")
@@ -78,7 +118,11 @@
 		"operator-listen = %q\nplatform = %q\n[timeouts]\nwatch-wait = \"2s\"\ndrain-delay = \"100ms\"\ndrain = \"1s\"\n"+
 		"[forward]\nmemory-mb = %d\n", callers, ready, peers, operators, store.Address(), memoryMB)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	process := harness.StartProcess(t, harness.Binary(t), "serve", "--settings", path)
+	command := []string{harness.Binary(t), "serve", "--settings", path}
+	if descriptors > 0 {
+		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, descriptors), "sh"}, command...)
+	}
+	process := harness.StartProcess(t, command[0], command[1:]...)
 	targets := map[string]target{
 		"callers": {
 			address: callers, process: process, method: http.MethodPost, path: "/once/x", header: "Authorization: Token k\r\n",
@@ -164,11 +208,17 @@
 
 // peakMemoryKB returns the largest resident memory that the process has had.
 func peakMemoryKB(t *testing.T, pid int) int {
+	t.Helper()
+	return memoryKB(t, pid, "VmHWM:")
+}
+
+// memoryKB returns a field of the process's memory.
+func memoryKB(t *testing.T, pid int, field string) int {
 	t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	require.NoError(t, err, "the process has ended")
 	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+		if value, found := strings.CutPrefix(line, field); found {
 			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
 			require.NoError(t, err)
 			return kilobytes
@@ -178,6 +228,34 @@
 	return 0
 }
 
+// unreadKB returns what the kernel has received on connections of the targets' listeners and the process has not read. It takes
+// memory of the machine.
+func unreadKB(t *testing.T, targets []target) int {
+	t.Helper()
+	data, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	ports := map[string]bool{}
+	for _, l := range targets {
+		address, err := net.ResolveTCPAddr("tcp", l.address)
+		require.NoError(t, err)
+		ports[fmt.Sprintf("%04X", address.Port)] = true
+	}
+	const listening = "0A"
+	unread := uint64(0)
+	for line := range strings.Lines(string(data)) {
+		// The fields are number, local address, remote address, state and "written:received".
+		fields := strings.Fields(line)
+		if _, port, found := strings.Cut(fields[1], ":"); !found || !ports[port] || fields[3] == listening {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseUint(received, 16, 64)
+		require.NoError(t, err)
+		unread += n
+	}
+	return int(unread >> 10)
+}
+
 // openDescriptors returns the number of open descriptors of the process.
 func openDescriptors(t *testing.T, pid int) int {
 	t.Helper()
