fix(connlimit): count the part of a head that came with a chunked body until the head is whole

Cause: net/http may hold up to 4 KB of such a head as map entries. The 64 KB that stand for it were counted when the response was complete, and forgotten when the first byte of the rest was read.

Change: they count until the head is whole, and with the request. TestHeadAfterChunkedBody failed before (20,488 bytes counted in place of 86,016).

--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -52,6 +52,8 @@
 	begun, passed, serving, used bool
 	// pipelined is set where a part of the head came with the head before.
 	pipelined bool
+	// early counts what net/http may hold of the head since the body before.
+	early int64
 	// left is the number of bytes of the body that were not read, or unknownBody, and tail what was read last of such a body.
 	left int64
 	tail []byte
@@ -123,10 +125,10 @@
 // Idle must be called when a response is complete, before net/http reads the next head.
 func (c *Conn) Idle() {
 	c.serving, c.used, c.pipelined = false, true, len(c.buffer) > 0
-	held := int64(connBytes + cap(c.buffer))
+	c.early = 0
 	if c.left == unknownBody {
 		// A part of the next head may be in the buffer of net/http. Its end shows whether a line is at its end.
-		held += chunkedBytes
+		c.early = chunkedBytes
 		c.head = scanner{}
 		if !bytes.HasSuffix(c.tail, []byte("\n")) {
 			c.head.scan(c.tail)
@@ -134,10 +136,13 @@
 		}
 		c.tail = nil
 	}
-	c.Limiter.grow(c, held, evictHead)
+	c.Limiter.grow(c, c.heldByHead(), evictHead)
 	c.enter(idles, false)
 }
 
+// heldByHead returns what the connection holds until its head is whole.
+func (c *Conn) heldByHead() int64 { return int64(connBytes+cap(c.buffer)) + c.early }
+
 // BodyRead must be called when the handler has read the body to its end.
 func (c *Conn) BodyRead() { c.enter(serves, false) }
 
@@ -231,7 +236,7 @@
 		if isLarge(c.head) {
 			upTo = evictHead
 		}
-		if !c.Limiter.grow(c, connBytes+int64(cap(c.buffer)), upTo) {
+		if !c.Limiter.grow(c, c.heldByHead(), upTo) {
 			return c.refuseHead("", CauseEvictedHead)
 		}
 		return nil
@@ -261,7 +266,7 @@
 		return nil
 	}
 	c.left = head.bodyLength(c.buffer[:c.ready])
-	need := int64(connBytes + requestBytes + cap(c.buffer) + 2*head.size + lineBytes*head.lines)
+	need := c.heldByHead() + int64(requestBytes+2*head.size+lineBytes*head.lines)
 	if c.left == unknownBody {
 		need += chunkedBytes
 	}
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -131,6 +131,27 @@
 	})
 }
 
+// Guards against a head whose beginning net/http has read with the chunked body before, and that counts without it.
+func TestHeadAfterChunkedBody(t *testing.T) {
+	l := &Limiter{}
+	c := newCaller(l)
+	require.True(t, c.Open())
+	c.parts <- "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	buffer := make([]byte, 4096)
+	_, err := c.Read(buffer)
+	require.NoError(t, err)
+	c.Serving()
+	c.parts <- "0\r\n\r\nGET / HTTP/1.1\r\n"
+	_, err = c.Read(buffer)
+	require.NoError(t, err)
+	c.Idle()
+	c.parts <- "a:\r\n"
+	close(c.aborted)
+	_, _ = c.Read(buffer)
+	require.GreaterOrEqual(t, l.Used(), int64(connBytes+chunkedBytes))
+	c.Close()
+}
+
 // Guards against a head over a limit that is passed on or refused without a response.
 func TestRefusedHeads(t *testing.T) {
 	for cause, head := range map[string]string{
