fix(connlimit): keep the reserve for ordinary requests free of large and waiting heads

Seen: beside 400 callers with whole heads of 15 KB whose requests go on, the ordinary request got 503 or a closed connection (TestHeldRequests/one_line).

Cause: whole heads wait up to 2 s for memory, cannot be evicted, and hold their buffers while they wait, up to 95 % of the memory together; a new connection then finds none within its second. Heads up to 16 KB counted as ordinary, so that 90 % could be theirs. The first of several pipelined requests did too.

Change: a head is large from 4,096 bytes on, also where more than the request was sent; a large one that does not fit the 70 % gets its 503 at once. Requests and all heads that wait hold 95 % at most, so that a new connection always finds memory.

TestLargeRequestsDoNotWait and TestWaitingHeadsAreBounded failed before: waits of minutes in simulated time, a request that was refused, a connection that was not opened.

--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -66,7 +66,7 @@
 	evicted bool
 	// admitted is set while what the connection holds counts as that of a request.
 	admitted bool
-	// waiting is set while a whole head waits for memory.
+	// waiting is set while a whole head waits for memory, and counted in Limiter.waiting.
 	waiting bool
 }
 
@@ -98,13 +98,6 @@
 	return !c.evicted
 }
 
-// setWaiting notes that a whole head waits for memory, or that it has it.
-func (c *Conn) setWaiting(waiting bool) {
-	c.Limiter.mu.Lock()
-	defer c.Limiter.mu.Unlock()
-	c.waiting = waiting
-}
-
 // Open reports whether there is memory for the connection. Close must be called once it is closed.
 func (c *Conn) Open() bool { return c.Limiter.open(c) }
 
@@ -274,17 +267,10 @@
 	if !c.enter(serves, pending) {
 		return c.refuseHead("", CauseEvictedHead)
 	}
-	percent, upTo := int64(requestPercent), evictYoung
-	if pending || c.pipelined {
-		percent = largePercent
-	}
-	if isLarge(head) {
-		percent, upTo = largePercent, evictIdle
-	}
-	c.setWaiting(true)
-	defer c.setWaiting(false)
-	for end := time.Now().Add(memoryWait); !c.Limiter.admit(c, need, percent, upTo); time.Sleep(memoryPollInterval) {
-		if time.Now().After(end) || percent == largePercent && c.Limiter.isFull() {
+	large := isLarge(head) || c.pipelined || c.isFollowed()
+	defer c.Limiter.endWait(c)
+	for end := time.Now().Add(memoryWait); !c.admit(need, large, pending); time.Sleep(memoryPollInterval) {
+		if large || time.Now().After(end) || !c.Limiter.wait(c) {
 			return c.refuseHead(statusNoMemory, CauseMemory)
 		}
 	}
@@ -292,6 +278,23 @@
 	return nil
 }
 
+// admit reports whether there is memory for a request, in the share that it may use.
+func (c *Conn) admit(need int64, large, pending bool) bool {
+	l := c.Limiter
+	switch {
+	case large:
+		return l.admit(c, need, largePercent, evictIdle)
+	case pending:
+		return l.admit(c, need, largePercent, evictYoung)
+	}
+	return l.admit(c, need, requestPercent, evictYoung)
+}
+
+// isFollowed reports whether the caller has sent more than the request, without a wait for its response.
+func (c *Conn) isFollowed() bool {
+	return c.left != unknownBody && int64(len(c.buffer)-c.ready) > c.left
+}
+
 const (
 	statusTooLarge = "431 Request Header Fields Too Large"
 	statusNoMemory = "503 Service Unavailable"
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -32,16 +32,18 @@
 	// chunkedBytes is what net/http may hold of the head that follows a body without a length, or of its trailer. It reads up
 	// to 4 KB beyond such a body, which may be a thousand short lines.
 	chunkedBytes = 64 << 10
-	// largePercent and requestPercent are the shares of the memory up to which requests are admitted, large and ordinary ones. What
-	// is left is the reserve for ordinary requests, and for connections that have not sent one.
+	// largePercent and requestPercent are the shares of the memory up to which requests are admitted: large ones and those whose
+	// body is missing, and ordinary ones. What is left is the reserve for ordinary requests, and for connections that have not
+	// sent one.
 	largePercent   = 70
 	requestPercent = 90
 	allPercent     = 100
-	// fullPercent is the share above which a large request does not wait for memory, so that new connections find some.
-	fullPercent = 95
-	// A request is large if its head is over these limits, if its body is missing, or if it was sent before the response of the
-	// one before.
-	ordinaryHeadBytes = 16 << 10
+	// waitPercent is the share that requests and the heads that wait for memory may hold together, so that new connections
+	// find some.
+	waitPercent = 95
+	// A request is large if its head is over these limits, or if more than the request was sent before its response. It does not
+	// wait for memory: a crowd of such heads would hold what is left for ordinary requests.
+	ordinaryHeadBytes = 4 << 10
 	ordinaryLines     = 128
 	// youngFor is the time within which a caller sends a head that it has at hand, with a lost packet.
 	youngFor = 400 * time.Millisecond
@@ -70,9 +72,10 @@
 	OnChange func(refusing bool, cause string)
 
 	mu sync.Mutex
-	// used is what all connections hold, and requests what those with admitted requests hold.
-	used, requests int64
-	conns          map[*Conn]struct{}
+	// used is what all connections hold, requests what those with admitted requests hold, and waiting what those hold whose whole
+	// heads wait for memory.
+	used, requests, waiting int64
+	conns                   map[*Conn]struct{}
 	// refusing is set from the first refusal until calmAfter has passed since the last one.
 	refusing    bool
 	lastRefusal time.Time
@@ -117,11 +120,33 @@
 	return true
 }
 
-// isFull reports whether there is no memory left for requests that wait.
-func (l *Limiter) isFull() bool {
+// wait lets a connection wait with its whole head for memory. It reports false if those that wait would leave too little for new
+// connections, or if the connection was evicted.
+func (l *Limiter) wait(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.used > l.limit(fullPercent)
+	if c.waiting || c.evicted {
+		return !c.evicted
+	}
+	if l.requests+l.waiting+c.held > l.limit(waitPercent) {
+		return false
+	}
+	c.waiting, l.waiting = true, l.waiting+c.held
+	return true
+}
+
+// endWait ends what wait began.
+func (l *Limiter) endWait(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopWaiting(c)
+}
+
+// stopWaiting must be called with l.mu held, and before what the connection holds is changed.
+func (l *Limiter) stopWaiting(c *Conn) {
+	if c.waiting {
+		c.waiting, l.waiting = false, l.waiting-c.held
+	}
 }
 
 // close returns what a connection holds.
@@ -182,6 +207,7 @@
 			return false
 		}
 	}
+	l.stopWaiting(c)
 	l.used += n - c.held
 	c.held = n
 	return true
@@ -190,6 +216,7 @@
 // release takes everything from a connection. l.mu must be held.
 func (l *Limiter) release(c *Conn) {
 	l.endRequest(c)
+	l.stopWaiting(c)
 	l.used -= c.held
 	c.held = 0
 	delete(l.conns, c)
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,6 +133,76 @@
 	})
 }
 
+// send sends a head in parts that fit a read, and reads it for net/http.
+func (c *caller) send(head string) error {
+	for part := range slices.Chunk([]byte(head), 4096) {
+		c.parts <- string(part)
+	}
+	_, err := c.Read(make([]byte, 4096))
+	return err
+}
+
+// Guards against whole requests with large heads, or sent before a response, which hold what is left for ordinary ones while they
+// wait for memory.
+func TestLargeRequestsDoNotWait(t *testing.T) {
+	for name, head := range map[string]string{
+		"many lines":  "GET / HTTP/1.1\r\n" + strings.Repeat("Usual: b\r\n", 200) + "\r\n",
+		"a long line": "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 10<<10) + "\r\n\r\n",
+		"pipelined":   ordinaryHead + ordinaryHead,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &Limiter{Memory: 4 << 20}
+				began, refused := time.Now(), 0
+				for range 200 {
+					c := newCaller(l)
+					require.True(t, c.Open())
+					if c.send(head) != nil {
+						require.Contains(t, c.refusal, "HTTP/1.1 503 ")
+						refused++
+						c.Close()
+					}
+				}
+				require.NotZero(t, refused)
+				ordinary := newCaller(l)
+				require.True(t, ordinary.Open())
+				require.NoError(t, ordinary.send(ordinaryHead))
+				require.Zero(t, time.Since(began))
+				time.Sleep(2 * calmAfter)
+			})
+		})
+	}
+}
+
+// Guards against whole heads that wait for memory and leave none for new connections, which then get no answer.
+func TestWaitingHeadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{Memory: 100 * (connBytes + requestBytes)}
+		began := time.Now()
+		var (
+			group   sync.WaitGroup
+			refused atomic.Int64
+		)
+		for range 300 {
+			c := newCaller(l)
+			require.True(t, c.Open())
+			require.Zero(t, time.Since(began))
+			group.Go(func() {
+				if c.send(ordinaryHead) != nil {
+					refused.Add(1)
+					c.Close()
+				}
+			})
+			synctest.Wait()
+		}
+		group.Wait()
+		require.NotZero(t, refused.Load())
+		require.LessOrEqual(t, time.Since(began), memoryWait+memoryPollInterval)
+		require.Zero(t, l.waiting)
+		time.Sleep(2 * calmAfter)
+	})
+}
+
 // Guards against a head whose beginning net/http has read with the chunked body before, and that counts without it.
 func TestHeadAfterChunkedBody(t *testing.T) {
 	l := &Limiter{}
