fix(daemon): bound the connections by the process's descriptors

Seen: with 400 descriptors, 800 callers that are silent, idle or hold a head open used up all of them. On a machine with 284 MB and 4,100 descriptors, 3,600 silent connections fit the memory, and requests need a second descriptor each.

Cause: the budget of connections is one of memory only. A failed accept is repeated by net/http, and a failed connection to an endpoint looks like a dead endpoint.

Change: three quarters of the descriptors, at 15 KB each, bound the budget too: that is the least that a connection counts as for each descriptor that it and its request use. The limit is that of the operating system or the new setting forward.max-descriptors, which the deploy template fills in. A crowd of whole requests still keeps the readiness check from its answer, which is the next fault.

--- a/daemon/conn_limiter.go
+++ b/daemon/conn_limiter.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"net"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"radishhollow/io/connlimit"
 	"radishhollow/io/settings"
@@ -17,12 +19,17 @@
 	// their requests. The shares of the bodies and this one stay below heapPercent, and what a connection holds is estimated
 	// high.
 	connMemoryPercent = 25
+	// connDescriptorPercent is the share of the process's descriptors for connections and those to endpoints that their requests
+	// need. The rest is for the store, peers, and idle connections to endpoints.
+	connDescriptorPercent = 75
 	// maxHeadLines lets a head of 16,384 bytes pass whose lines have 16 bytes on average. maxOddLines is far above what
 	// callers send, which is a few short lines.
 	maxHeadLines = 1024
 	maxOddLines  = 128
 	// internalHeaderBytes bounds the heads of peers, operators and readiness checks, which are below 2 KB.
 	internalHeaderBytes = 64 << 10
+	// unknownDescriptors is the usual limit of a process. It applies where neither the settings nor the operating system tell one.
+	unknownDescriptors = 1024
 	// headSlack is what net/http reads beyond MaxHeaderBytes.
 	headSlack = 4 << 10
 )
@@ -30,8 +37,9 @@
 // newConnLimiter returns the memory that the connections of all listeners share.
 func newConnLimiter(s settings.Settings, m *telemetry.Metrics, log *logrus.Logger) *connlimit.Limiter {
 	l := &connlimit.Limiter{
-		Memory: int64(s.Forward.MemoryMB) << 20 * connMemoryPercent / 100,
-		Count:  func(cause string) { m.Count(telemetry.RefusedConns, cause) },
+		Memory: min(int64(s.Forward.MemoryMB)<<20*connMemoryPercent/100,
+			maxDescriptors(s)*connDescriptorPercent/100*connlimit.BytesPerDescriptor),
+		Count: func(cause string) { m.Count(telemetry.RefusedConns, cause) },
 		OnChange: func(refusing bool, cause string) {
 			if refusing {
 				log.WithField("cause", cause).Warn("refusing connections or heads beyond the limits")
@@ -45,6 +53,16 @@
 	return l
 }
 
+// maxDescriptors returns the number of descriptors that the process may open.
+func maxDescriptors(s settings.Settings) int64 {
+	limit := int64(s.Forward.MaxDescriptors)
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err == nil && (limit == 0 || system.Cur < uint64(limit)) {
+		limit = int64(min(system.Cur, math.MaxInt32))
+	}
+	return cmp.Or(limit, unknownDescriptors)
+}
+
 // headLimits returns the limits of the heads of a server.
 func headLimits(server *http.Server) connlimit.Limits {
 	return connlimit.Limits{
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -26,6 +26,9 @@
 	connBytes = 20 << 10
 	// requestBytes is what a request holds beside its head: buffers, a second goroutine, and the state of its handler.
 	requestBytes = 10 << 10
+	// BytesPerDescriptor is the least that a connection counts as for each of its descriptors, which are two where its request is
+	// sent to an endpoint.
+	BytesPerDescriptor = (connBytes + requestBytes) / 2
 	// lineBytes is what a line holds beside its text, in the maps of the request and of its copy for the endpoint. net/http
 	// assumes 200 bytes for an entry of one map of which most values are shorter.
 	lineBytes = 256
--- a/io/settings/load_test.go
+++ b/io/settings/load_test.go
@@ -63,6 +63,7 @@
 		{"wrong type", `"liberia"`, "4", "place", "string in quotes"},
 		{"string for a count", "length = 3", `length = "3"`, "limits.queue-length", "an integer"},
 		{"count", "length = 3", "length = 0", "limits.queue-length", "not between"},
+		{"few descriptors", "[limits]", "[forward]\nmax-descriptors = 100\n[limits]", "forward.max-descriptors", "less than 256"},
 		{"short digest", "digest = \"22", "digest = \"2", "operator-key-digest", "64 hex"},
 		{"short cursor key", "[\"22", "[\"", "cursor-keys[0]", "32 bytes"},
 		{"short peer key", "cursor-keys", "peer-keys = [\"22\"]\ncursor-keys", "peer-keys[0]", "32 bytes"},
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -65,6 +65,9 @@
 	// MemoryMB is the memory of the instance in MiB. The Go heap, the buffered bodies and what all connections hold are
 	// limited to fixed shares of it.
 	MemoryMB int `toml:"memory-mb"`
+	// MaxDescriptors is the number of descriptors that the process may open, where that is less than the limit of the operating
+	// system. Zero means that it is not.
+	MaxDescriptors int `toml:"max-descriptors"`
 	// Rollouts turns on roll-outs of versions where the file has the table.
 	Rollouts Rollouts `toml:"rollouts"`
 }
--- a/io/settings/template_test.go
+++ b/io/settings/template_test.go
@@ -14,7 +14,7 @@
 	"zone": "a", "listen.frontend": "127.0.0.1:1", "listen.readiness": "127.0.0.1:2", "ip": "127.0.0.1", "port_range.0": "3",
 	"port_range.1": "4", "platform.address": "127.0.0.1:5", "bounds.grace_s": "8", "bounds.retry_budget_ratio": "0.1",
 	"bounds.budget_slack": "20", "bounds.retry_window_s": "10", "bounds.drain_ms": "2000", "bounds.config_apply_ms": "2000",
-	"limits.memory_mb": "88",
+	"limits.memory_mb": "88", "limits.max_fds": "4100",
 }
 
 // fillIn renders the template of the settings file as the platform does: a section is kept where its value is there.
@@ -44,6 +44,7 @@
 	s, err := loadText(t, fillIn(t, platformValues))
 	require.NoError(t, err)
 	require.False(t, s.Forward.Rollouts.Enabled())
+	require.Equal(t, 4100, s.Forward.MaxDescriptors)
 	values := map[string]string{"bounds.exposure_share": "0.1", "bounds.exposure_slack": "50", "bounds.rollback_ms": "5000"}
 	for name, value := range platformValues {
 		values[name] = value
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -42,6 +42,9 @@
 		c.checkAddress(fmt.Sprintf("peers[%d]", i), peer, false)
 	}
 	c.checkDistinct(s)
+	if s.Forward.MaxDescriptors != 0 && s.Forward.MaxDescriptors < minDescriptors {
+		c.addFault("forward.max-descriptors", fmt.Sprintf("%d is less than %d", s.Forward.MaxDescriptors, minDescriptors))
+	}
 	if s.Interface == InterfaceForward {
 		c.checkForward(s)
 	} else {
@@ -104,6 +107,9 @@
 // minMemoryMB is the memory in MiB that an idle daemon needs, with a reserve for requests.
 const minMemoryMB = 48
 
+// minDescriptors is what a daemon needs for its listeners, the store, some peers and endpoints, and a few callers.
+const minDescriptors = 256
+
 // checkOwnKeys checks the keys that are used only with InterfaceOwn.
 func (c *checker) checkOwnKeys(s Settings) {
 	if raw, err := hex.DecodeString(s.OperatorKeyDigest); err != nil || len(raw) != 32 {
