fix(connlimit): leave memory for peers, operators and readiness checks in an overload of callers

Seen: beside 1,200 callers whose ordinary requests go on, the readiness check got a closed connection, and with few descriptors no answer within 30 s (TestInternalListenersInOverload, TestDescriptors/whole_requests). The platform then takes the daemon out of rotation, and its peers miss its news, although both requests are small.

Cause: requests of all listeners share 90 % of the budget, and callers alone may use all of it.

Change: requests of internal connections find 5 % of the budget whatever callers use; beyond that they compete as before, so that a crowd at an internal listener takes no more than it could. TestShareOfInternalConnections tests it without a network.

--- a/daemon/conn_limiter.go
+++ b/daemon/conn_limiter.go
@@ -80,7 +80,8 @@
 			socket = wrap(socket)
 		}
 		return &connlimit.Listener{
-			Listener: socket, Limiter: limiter, Limits: headLimits(l.server), HeadTimeout: l.server.ReadHeaderTimeout, IsReadable: isReadable,
+			Listener: socket, Limiter: limiter, Limits: headLimits(l.server), Internal: true, HeadTimeout: l.server.ReadHeaderTimeout,
+			IsReadable: isReadable,
 		}
 	}
 }
--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -33,6 +33,8 @@
 type Conn struct {
 	Limiter *Limiter
 	Limits  Limits
+	// Internal is set where peers, operators or the platform connect.
+	Internal bool
 	// Source reads from the connection. OnHead is called when the first bytes of a head are there, with used set if a request
 	// was served before. Refuse writes a response, and Abort closes the connection at once.
 	Source func(p []byte) (int, error)
@@ -284,6 +286,8 @@
 	switch {
 	case large:
 		return l.admit(c, need, largePercent, evictIdle)
+	case c.Internal && l.admitInternal(c, need):
+		return true
 	case pending:
 		return l.admit(c, need, largePercent, evictYoung)
 	}
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -41,6 +41,9 @@
 	largePercent   = 70
 	requestPercent = 90
 	allPercent     = 100
+	// internalPercent is the share that requests of internal connections find also while those of callers use up theirs: the
+	// daemon must answer its peers and the platform's readiness checks in an overload.
+	internalPercent = 5
 	// waitPercent is the share that requests and the heads that wait for memory may hold together, so that new connections
 	// find some.
 	waitPercent = 95
@@ -75,10 +78,10 @@
 	OnChange func(refusing bool, cause string)
 
 	mu sync.Mutex
-	// used is what all connections hold, requests what those with admitted requests hold, and waiting what those hold whose whole
-	// heads wait for memory.
-	used, requests, waiting int64
-	conns                   map[*Conn]struct{}
+	// used is what all connections hold, requests what those with admitted requests hold, internal the part of it of internal
+	// connections, and waiting what those hold whose whole heads wait for memory.
+	used, requests, internal, waiting int64
+	conns                             map[*Conn]struct{}
 	// refusing is set from the first refusal until calmAfter has passed since the last one.
 	refusing    bool
 	lastRefusal time.Time
@@ -189,14 +192,38 @@
 	if !l.take(c, n, upTo) {
 		return false
 	}
-	c.admitted, l.requests = true, l.requests+n
+	l.beginRequest(c)
 	return true
 }
 
+// admitInternal is admit within the share of internal connections, for which the requests of callers do not count.
+func (l *Limiter) admitInternal(c *Conn, n int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endRequest(c)
+	if l.internal+n > l.limit(internalPercent) || !l.take(c, n, evictYoung) {
+		return false
+	}
+	l.beginRequest(c)
+	return true
+}
+
+// beginRequest must be called with l.mu held, after take.
+func (l *Limiter) beginRequest(c *Conn) {
+	c.admitted, l.requests = true, l.requests+c.held
+	if c.Internal {
+		l.internal += c.held
+	}
+}
+
 // endRequest must be called with l.mu held.
 func (l *Limiter) endRequest(c *Conn) {
-	if c.admitted {
-		c.admitted, l.requests = false, l.requests-c.held
+	if !c.admitted {
+		return
+	}
+	c.admitted, l.requests = false, l.requests-c.held
+	if c.Internal {
+		l.internal -= c.held
 	}
 }
 
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -203,6 +203,32 @@
 	})
 }
 
+// Guards against an overload of callers' requests in which peers and readiness checks get no answer.
+func TestShareOfInternalConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{Memory: 100 * (connBytes + requestBytes)}
+		refused := 0
+		for range 200 {
+			c := newCaller(l)
+			require.True(t, c.Open())
+			if c.send(ordinaryHead) != nil {
+				refused++
+				c.Close()
+			}
+		}
+		require.NotZero(t, refused)
+		began := time.Now()
+		peer := newCaller(l)
+		peer.Internal = true
+		require.True(t, peer.Open())
+		require.NoError(t, peer.send(ordinaryHead))
+		require.Zero(t, time.Since(began))
+		peer.Close()
+		require.Zero(t, l.internal)
+		time.Sleep(2 * calmAfter)
+	})
+}
+
 // Guards against a head whose beginning net/http has read with the chunked body before, and that counts without it.
 func TestHeadAfterChunkedBody(t *testing.T) {
 	l := &Limiter{}
--- a/io/connlimit/listener.go
+++ b/io/connlimit/listener.go
@@ -88,6 +88,8 @@
 	net.Listener
 	Limiter *Limiter
 	Limits  Limits
+	// Internal is that of Conn.
+	Internal bool
 	// HeadTimeout bounds the time from the first byte of a later head to its end. The server bounds the first head itself.
 	HeadTimeout time.Duration
 	// IsReadable reports whether the kernel has received something of a connection. It may be nil.
@@ -102,7 +104,10 @@
 			return nil, err
 		}
 		c := &limitedConn{Conn: conn}
-		c.limits = &Conn{Limiter: l.Limiter, Limits: l.Limits, Source: conn.Read, Refuse: RefuseFunc(conn), Abort: func() { _ = conn.Close() }}
+		c.limits = &Conn{
+			Limiter: l.Limiter, Limits: l.Limits, Internal: l.Internal, Source: conn.Read, Refuse: RefuseFunc(conn),
+			Abort: func() { _ = conn.Close() },
+		}
 		c.limits.OnHead = func(used bool) {
 			if used && l.HeadTimeout > 0 {
 				_ = conn.SetReadDeadline(time.Now().Add(l.HeadTimeout))
