fix(connlimit): count a request as 36 KB

Seen: beside 1,200 callers whose ordinary requests go on, a daemon with 88 MB used 1,392 descriptors of 1,408 and took 64 MB (TestInternalListenersInOverload): 43 MB for 640 requests, where the budget counted 20 MB for them.

Cause: 10 KB for a request beside its connection leave out its connection to the endpoint, and what is garbage until the next collection.

Change: 16 KB, so that 528 requests fit in place of 640, and a descriptor counts as 18 KB.

--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -25,7 +25,7 @@
 	// connBytes is what an open connection holds: its goroutine's stack, and the buffers of net/http for reads and writes.
 	connBytes = 20 << 10
 	// requestBytes is what a request holds beside its head: buffers, a second goroutine, and the state of its handler.
-	requestBytes = 10 << 10
+	requestBytes = 16 << 10
 	// BytesPerDescriptor is the least that a connection counts as for each of its descriptors, which are two where its request is
 	// sent to an endpoint.
 	BytesPerDescriptor = (connBytes + requestBytes) / 2
