fix(connlimit): count what callers send before their response

Cause: nobody reads what follows a request before its response. It stays in the kernel, up to 128 KB for each connection, and counted as nothing; these bytes take memory of the machine.

Change: the first byte beyond a request counts as 128 KB within the share of large requests. Where they do not fit, the connection is closed at once, with the cause ahead. Above that share, a request without a body on which more has arrived gets 503 in place of the reserve. A smaller receive buffer was weighed, but it slows uploads of distant callers.

TestCallersThatSendAhead tests it without a network.

--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -56,6 +56,8 @@
 	pipelined bool
 	// early counts what net/http may hold of the head since the body before.
 	early int64
+	// ahead is set while what the caller has sent beyond the request counts.
+	ahead bool
 	// left is the number of bytes of the body that were not read, or unknownBody, and tail what was read last of such a body.
 	left int64
 	tail []byte
@@ -187,6 +189,9 @@
 	case c.left > 0:
 		c.left -= int64(n)
 	case c.left == 0:
+		if n > 0 && !c.countAhead() {
+			return 0, refusalError(CauseAhead)
+		}
 		if c.head.scan(p[:n]); c.head.done {
 			c.head = scanner{}
 		}
@@ -200,6 +205,15 @@
 	return n, err
 }
 
+// countAhead counts what the kernel may keep of a caller that sends more before the response. It reports false if there is no
+// memory for it, and the connection is closed.
+func (c *Conn) countAhead() bool {
+	if !c.ahead {
+		c.ahead = c.Limiter.addWindow(c)
+	}
+	return c.ahead
+}
+
 // tailBytes is enough to tell the end of a line from an empty line.
 const tailBytes = 2
 
@@ -269,10 +283,14 @@
 	if !c.enter(serves, pending) {
 		return c.refuseHead("", CauseEvictedHead)
 	}
-	large := isLarge(head) || c.pipelined || c.isFollowed()
+	c.ahead = c.isFollowed()
+	if c.ahead {
+		need += windowBytes
+	}
+	large := isLarge(head) || c.pipelined || c.ahead
 	defer c.Limiter.endWait(c)
 	for end := time.Now().Add(memoryWait); !c.admit(need, large, pending); time.Sleep(memoryPollInterval) {
-		if large || time.Now().After(end) || !c.Limiter.wait(c) {
+		if large || c.sendsAhead() || time.Now().After(end) || !c.Limiter.wait(c) {
 			return c.refuseHead(statusNoMemory, CauseMemory)
 		}
 	}
@@ -290,10 +308,15 @@
 		return true
 	case pending:
 		return l.admit(c, need, largePercent, evictYoung)
+	case l.exceeds(need, largePercent) && c.sendsAhead():
+		return false
 	}
 	return l.admit(c, need, requestPercent, evictYoung)
 }
 
+// sendsAhead reports whether the kernel has received more than the request, which has no body.
+func (c *Conn) sendsAhead() bool { return c.left == 0 && c.hasArrived() }
+
 // isFollowed reports whether the caller has sent more than the request, without a wait for its response.
 func (c *Conn) isFollowed() bool {
 	return c.left != unknownBody && int64(len(c.buffer)-c.ready) > c.left
@@ -304,8 +327,7 @@
 	statusNoMemory = "503 Service Unavailable"
 )
 
-// refuseHead refuses a request that net/http has not seen, unless the status is empty, and returns an error for which net/http
-// closes the connection without a response of its own.
+// refuseHead refuses a request that net/http has not seen, unless the status is empty, and returns a refusalError.
 func (c *Conn) refuseHead(status, cause string) error {
 	c.buffer, c.scanned, c.ready = nil, 0, 0
 	if status != "" {
@@ -316,5 +338,10 @@
 		c.Abort()
 		c.Limiter.recordOnce(c, cause)
 	}
+	return refusalError(cause)
+}
+
+// refusalError returns an error for which net/http closes the connection without a response of its own.
+func refusalError(cause string) error {
 	return &net.OpError{Op: "read", Net: "tcp", Err: RefusedError{Cause: cause}}
 }
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -19,6 +19,7 @@
 	CauseEvictedHead = "evicted-head" // closed without a whole head
 	CauseEvictedBody = "evicted-body" // closed while its body did not arrive
 	CauseEvictedIdle = "evicted-idle" // closed between two requests
+	CauseAhead       = "ahead"        // closed because it sent more before the response
 )
 
 const (
@@ -29,6 +30,8 @@
 	// BytesPerDescriptor is the least that a connection counts as for each of its descriptors, which are two where its request is
 	// sent to an endpoint.
 	BytesPerDescriptor = (connBytes + requestBytes) / 2
+	// windowBytes is what the kernel keeps of what a caller sends while nobody reads it, by the default size of its buffer.
+	windowBytes = 128 << 10
 	// lineBytes is what a line holds beside its text, in the maps of the request and of its copy for the endpoint. net/http
 	// assumes 200 bytes for an entry of one map of which most values are shorter.
 	lineBytes = 256
@@ -81,7 +84,8 @@
 	// used is what all connections hold, requests what those with admitted requests hold, internal the part of it of internal
 	// connections, and waiting what those hold whose whole heads wait for memory.
 	used, requests, internal, waiting int64
-	conns                             map[*Conn]struct{}
+
+	conns map[*Conn]struct{}
 	// refusing is set from the first refusal until calmAfter has passed since the last one.
 	refusing    bool
 	lastRefusal time.Time
@@ -196,6 +200,30 @@
 	return true
 }
 
+// exceeds reports whether requests would hold more than a percentage of the memory with n more bytes.
+func (l *Limiter) exceeds(n, percent int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests+n > l.limit(percent)
+}
+
+// addWindow adds windowBytes to what a connection with an admitted request holds, within the share of large requests. Where they
+// do not fit, it closes the connection.
+func (l *Limiter) addWindow(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fits := l.requests+windowBytes <= l.limit(largePercent)
+	l.endRequest(c)
+	if fits && l.take(c, c.held+windowBytes, evictIdle) {
+		l.beginRequest(c)
+		return true
+	}
+	if !c.evicted {
+		l.evict(c, CauseAhead)
+	}
+	return false
+}
+
 // admitInternal is admit within the share of internal connections, for which the requests of callers do not count.
 func (l *Limiter) admitInternal(c *Conn, n int64) bool {
 	l.mu.Lock()
@@ -278,24 +306,29 @@
 	}
 	// Most evictions take the first one, for which there is no need to sort.
 	if first := slices.MinFunc(candidates, candidate.compare); !first.conn.hasArrived() {
-		l.evict(first.conn, first.class)
+		l.evict(first.conn, evictionCauses[first.class])
 		return true
 	}
 	slices.SortFunc(candidates, candidate.compare)
 	for _, next := range candidates[:min(len(candidates), maxReadable)] {
 		if !next.conn.hasArrived() {
-			l.evict(next.conn, next.class)
+			l.evict(next.conn, evictionCauses[next.class])
 			return true
 		}
 	}
 	return false
 }
 
-func (l *Limiter) evict(c *Conn, class evictionClass) {
+// evictionCauses are the causes by class.
+var evictionCauses = []string{
+	evictHead: CauseEvictedHead, evictBody: CauseEvictedBody, evictIdle: CauseEvictedIdle, evictYoung: CauseEvictedHead,
+}
+
+func (l *Limiter) evict(c *Conn, cause string) {
 	c.evicted = true
 	// What the connection held is free at once, although its goroutine ends a little later.
 	l.release(c)
-	l.refuse([]string{CauseEvictedHead, CauseEvictedBody, CauseEvictedIdle, CauseEvictedHead}[class])
+	l.refuse(cause)
 	c.Abort()
 }
 
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -229,6 +229,33 @@
 	})
 }
 
+// Guards against callers that go on sending before the response, whose unread bytes take memory that is not counted.
+func TestCallersThatSendAhead(t *testing.T) {
+	l := &Limiter{Memory: 4 << 20}
+	var list []*caller
+	kept := 0
+	for range 40 {
+		c := newCaller(l)
+		list = append(list, c)
+		require.True(t, c.Open())
+		require.NoError(t, c.send(ordinaryHead))
+		c.Serving()
+		c.parts <- "GET"
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			require.True(t, c.isAborted())
+			c.Close()
+			continue
+		}
+		kept++
+	}
+	require.NotZero(t, kept)
+	require.LessOrEqual(t, int64(kept*windowBytes), l.limit(largePercent))
+	for _, c := range list {
+		c.Close()
+	}
+	require.Zero(t, l.Used())
+}
+
 // Guards against a head whose beginning net/http has read with the chunked body before, and that counts without it.
 func TestHeadAfterChunkedBody(t *testing.T) {
 	l := &Limiter{}
