fix(daemon): serve single requests whose heads have many or odd lines

Cause: limits of 1,024 lines and 128 odd ones, whatever memory is free. They stood beside the budget, which counts 256 bytes for each line before net/http parses it.

Change: the limit of lines is 5,461, which no head of 16,384 bytes can have, and that of odd lines is gone, because no number of them tells such callers from others; they are counted as lines.

--- a/daemon/conn_limiter.go
+++ b/daemon/conn_limiter.go
@@ -22,10 +22,9 @@
 	// connDescriptorPercent is the share of the process's descriptors for connections and those to endpoints that their requests
 	// need. The rest is for the store, peers, and idle connections to endpoints.
 	connDescriptorPercent = 75
-	// maxHeadLines lets a head of 16,384 bytes pass whose lines have 16 bytes on average. maxOddLines is far above what
-	// callers send, which is a few short lines.
-	maxHeadLines = 1024
-	maxOddLines  = 128
+	// maxHeadLines is more than a head of 16,384 bytes can have, the largest that operators allow: a line has at least a
+	// name, a colon and its end.
+	maxHeadLines = 16384 / 3
 	// internalHeaderBytes bounds the heads of peers, operators and readiness checks, which are below 2 KB.
 	internalHeaderBytes = 64 << 10
 	// unknownDescriptors is the usual limit of a process. It applies where neither the settings nor the operating system tell one.
@@ -66,7 +65,7 @@
 // headLimits returns the limits of the heads of a server.
 func headLimits(server *http.Server) connlimit.Limits {
 	return connlimit.Limits{
-		Bytes: cmp.Or(server.MaxHeaderBytes, http.DefaultMaxHeaderBytes) + headSlack, Lines: maxHeadLines, OddLines: maxOddLines,
+		Bytes: cmp.Or(server.MaxHeaderBytes, http.DefaultMaxHeaderBytes) + headSlack, Lines: maxHeadLines,
 	}
 }
 
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -12,7 +12,6 @@
 // Causes of closed connections and refused heads, as passed to Limiter.Count.
 const (
 	CauseLines       = "lines"        // 431: a head has too many lines
-	CauseOddLines    = "odd-lines"    // 431: a head has too many odd lines
 	CauseHeadSize    = "head-size"    // 431: a head is too long
 	CauseMemory      = "memory"       // 503: no memory for a whole head
 	CauseConnection  = "connection"   // no memory for a new connection
--- a/io/connlimit/scanner.go
+++ b/io/connlimit/scanner.go
@@ -5,22 +5,15 @@
 	"strconv"
 )
 
-// Limits bounds one head. Zero values mean no limit.
-type Limits struct {
-	// Bytes bounds the size and Lines the number of lines. OddLines bounds the lines that are shorter than oddLineBytes, continue
-	// the line before, or have no colon.
-	Bytes, Lines, OddLines int
-}
-
-// oddLineBytes is the length below which a line is odd. The shortest usual lines, such as "Via: a", are rare in a head.
-const oddLineBytes = 8
+// Limits bounds the size of one head and the number of its lines. Zero values mean no limit.
+type Limits struct{ Bytes, Lines int }
 
 // unknownBody is the length of a body whose end net/http finds.
 const unknownBody = -1
 
 // scanner follows a head up to its end, in the way in which net/http reads it.
 type scanner struct {
-	size, lines, odd int
+	size, lines int
 	// line is the beginning of the current line, up to lineStart bytes, and length is its length so far.
 	line   []byte
 	length int
@@ -72,10 +65,7 @@
 
 func (s *scanner) endHeader() {
 	continued := s.line[0] == ' ' || s.line[0] == '\t'
-	name, value, found := bytes.Cut(s.line, []byte(":"))
-	if continued || !found && s.length <= lineStart || s.length < oddLineBytes {
-		s.odd++
-	}
+	name, value, _ := bytes.Cut(s.line, []byte(":"))
 	s.unframed = s.unframed || continued
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
@@ -106,8 +96,6 @@
 		return CauseHeadSize
 	case l.Lines > 0 && s.lines > l.Lines:
 		return CauseLines
-	case l.OddLines > 0 && s.odd > l.OddLines:
-		return CauseOddLines
 	}
 	return ""
 }
