--- a/test/forward_stop_mixed_caller_test.go
+++ b/test/forward_stop_mixed_caller_test.go
@@ -84,10 +84,12 @@
 	next *mixedRequest
 }
 
-// dial opens a connection to a daemon, and returns nil if that accepts none.
-func (c *mixedCaller) dial() *mixedConn {
+// dial opens a connection to any daemon, and returns nil if that accepts none.
+func (c *mixedCaller) dial() *mixedConn { return c.dialTo(c.random.IntN(len(c.play.daemons))) }
+
+func (c *mixedCaller) dialTo(daemon int) *mixedConn {
 	conn := &mixedConn{
-		caller: c, daemon: c.random.IntN(len(c.play.daemons)), slow: c.random.IntN(5) == 0, pipelines: c.random.IntN(4) == 0,
+		caller: c, daemon: daemon, slow: c.random.IntN(5) == 0, pipelines: c.random.IntN(4) == 0,
 		lineEnd: c.random.IntN(5) == 0,
 	}
 	dialer := &net.Dialer{Timeout: time.Second}
--- a/test/forward_stop_mixed_engine_test.go
+++ b/test/forward_stop_mixed_engine_test.go
@@ -39,12 +39,19 @@
 	refusesCopies bool
 }
 
+// longStreamPrefix begins the keys of the streams that outlast a planned stop.
+const longStreamPrefix = "long-"
+
 func newMixedStream(seed uint64, key string) mixedStream {
 	random := mixedRandom(seed, key)
 	s := mixedStream{
 		key: key, wait: mixedDuration(random, 1500*time.Millisecond, 2700*time.Millisecond), events: 140 + random.IntN(101),
 		pause: time.Second / time.Duration(27+random.IntN(11)), padding: random.IntN(200), refusesCopies: random.IntN(8) == 0,
 	}
+	if strings.HasPrefix(key, longStreamPrefix) {
+		s.events += 200
+		return s
+	}
 	switch random.IntN(10) {
 	case 0:
 		s.padding += 4000
