feat(version): tell which version has begun a stream

Callers that take a stream up again reach any daemon, also one that has just started. Nothing there tells which version of the engines' software began it, so it may go on at another one (ORDER).

core/version keeps a short history of each service's versions in the key-value service: a base, and the others. A stream of another version than the base is recorded there before its first event may be passed on, so that no record means the base, also after all daemons were killed. The base changes once no stream of it can be left. Streams of the base are recorded, too, while there are others, without a wait: in a new era of the key-value service, which may have lost records, no record means nothing for half of the retention. Records are written in batches under leases. Histories travel in the views that daemons exchange already. While a service has had one version, nothing is written or read.

No caller uses it yet.

--- a/core/kv/eras.go
+++ b/core/kv/eras.go
@@ -43,7 +43,7 @@
 func (e *Eras) Guard(store Store) Store {
 	g := &guard{eras: e, store: store}
 	return Store{
-		Get: g.get, Put: g.put, Delete: g.delete, List: g.list, Watch: g.watch, Grant: g.grant, Renew: g.renew, Revoke: g.revoke,
+		Get: g.get, Put: g.put, PutAll: g.putAll, Delete: g.delete, List: g.list, Watch: g.watch, Grant: g.grant, Renew: g.renew, Revoke: g.revoke,
 	}
 }
 
@@ -121,6 +121,21 @@
 	return revision, nil
 }
 
+// putAll fails like put if the write was made in another era than the lease.
+func (g *guard) putAll(ctx context.Context, values map[string][]byte, lease Lease) error {
+	if err := g.checkLease(lease); err != nil {
+		return err
+	}
+	if err := g.store.PutAll(ctx, values, lease); err != nil {
+		return err
+	}
+	if current := g.eras.Current(); !lease.IsZero() && lease.Era() != current {
+		err := errors.Trace(EraEndedError{Era: lease.Era(), Current: current})
+		return errors.Trace(UnavailableError{Call: "put", MayHaveTakenEffect: true, Cause: err})
+	}
+	return nil
+}
+
 func (g *guard) delete(ctx context.Context, key string, ifRevision Revision) error {
 	if err := g.checkSent(ifRevision); err != nil {
 		return err
--- a/core/kv/store.go
+++ b/core/kv/store.go
@@ -17,6 +17,9 @@
 	// ConflictError or LeaseLostError. A zero ifRevision creates the key. The entry is deleted when lease ends; an entry
 	// with a zero lease is kept.
 	Put func(ctx context.Context, key string, value []byte, ifRevision Revision, lease Lease) (Revision, error)
+	// PutAll writes up to 32 values by key, all or none, whatever the keys hold. It may fail with LeaseLostError. Only the
+	// operators' platform has it.
+	PutAll func(ctx context.Context, values map[string][]byte, lease Lease) error
 	// Delete deletes the key if its revision is ifRevision, or fails with ConflictError or NotFoundError.
 	Delete func(ctx context.Context, key string, ifRevision Revision) error
 	// List returns all entries whose keys start with prefix, and the store's revision. The entries may already contain
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -9,6 +9,7 @@
 	"radishhollow/core/quarantine"
 	"radishhollow/core/rollout"
 	"radishhollow/core/throttle"
+	"radishhollow/core/version"
 )
 
 // View is the message that daemons exchange. It contains ages at the time of sending instead of timestamps, so that the
@@ -38,6 +39,8 @@
 	Rollouts []rollout.State
 	// Observations are what daemons have seen of endpoints.
 	Observations []evidence.Report
+	// Histories are the histories of versions that the sender knows.
+	Histories []version.Report
 }
 
 // Demand is the demand of one workspace at one daemon.
--- a/core/route/criteria.go
+++ b/core/route/criteria.go
@@ -59,6 +59,9 @@
 	ExcludeSilent bool
 	// mayTry is set if the request may be the trial request of an endpoint that is set aside.
 	mayTry bool
+	// Version is the only version that the endpoint may have, if HasVersion is set.
+	Version    string
+	HasVersion bool
 	// Exclude holds the addresses on which this request has already failed. Pick never returns one of them.
 	Exclude map[string]bool
 
--- a/core/route/rollout.go
+++ b/core/route/rollout.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -51,6 +52,9 @@
 	if c.preferredOnly && e.listing.Address != c.PreferredAddress {
 		return false
 	}
+	if c.HasVersion && e.listing.Version != c.Version {
+		return false
+	}
 	return c.rule.Allows(e.listing.Version, e.listing.Incarnation)
 }
 
@@ -82,6 +86,48 @@
 	}
 }
 
+// VersionCounts returns the number of listed endpoints of a name by version.
+func (t *Table) VersionCounts(name string) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := map[string]int{}
+	for key, g := range t.groups {
+		if key.name != name {
+			continue
+		}
+		for _, e := range g.all {
+			counts[e.listing.Version]++
+		}
+	}
+	return counts
+}
+
+// ListsVersion reports whether an endpoint of a name that does not leave has a version.
+func (t *Table) ListsVersion(name, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	serves := func(e *endpoint) bool {
+		leaving, _ := t.markStatus(e, now)
+		return !leaving && e.listing.Version == version
+	}
+	for key, g := range t.groups {
+		if key.name == name && slices.ContainsFunc(g.all, serves) {
+			return true
+		}
+	}
+	return false
+}
+
+// VersionIsListed reports whether the version of a choice is still the listed one. An endpoint may have started again under the
+// same incarnation with another version. One that is not listed any more has not.
+func (t *Table) VersionIsListed(choice Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[choice.address]
+	return e == nil || e.listing.Incarnation != choice.incarnation || e.listing.Version == choice.version
+}
+
 // VersionedEndpoints returns the listed endpoints of a name, for the decisions about roll-outs.
 func (t *Table) VersionedEndpoints(name string) []rollout.Endpoint {
 	t.mu.Lock()
--- a/daemon/endpoint_list.go
+++ b/daemon/endpoint_list.go
@@ -15,6 +15,7 @@
 	"radishhollow/core/member"
 	"radishhollow/core/relay"
 	"radishhollow/core/route"
+	"radishhollow/core/version"
 	"radishhollow/io/peer"
 	"radishhollow/io/settings"
 	"radishhollow/io/telemetry"
@@ -111,12 +112,12 @@
 
 func newEndpointList(
 	s settings.Settings, store kv.Store, configs *config.Store, relayed *relay.Store, peers *peer.Exchanger, table *route.Table,
-	rollouts *rollouts, isolation *member.IsolationDetector, m *telemetry.Metrics, log *logrus.Logger,
+	rollouts *rollouts, versions *version.Register, isolation *member.IsolationDetector, m *telemetry.Metrics, log *logrus.Logger,
 ) *endpointList {
 	l := &endpointList{
 		parse: platform.DecodeListing, peers: peers, table: table, isolation: isolation, metrics: m, log: log,
 		registrations: map[string]route.Listing{}, missing: map[string]absence{}, own: newOwnAddresses(s),
-		configs: configs, onSync: rollouts.evaluate,
+		configs: configs, onSync: func() { rollouts.evaluate(); versions.Observe() },
 	}
 	l.follower = &kv.Follower{
 		Store: store, Prefix: platform.ListingPrefix, WatchWait: s.Timeouts.WatchWait.Duration,
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -20,6 +20,7 @@
 	"radishhollow/core/retry"
 	"radishhollow/core/route"
 	"radishhollow/core/throttle"
+	"radishhollow/core/version"
 	"radishhollow/io/connlimit"
 	"radishhollow/io/forward"
 	"radishhollow/io/keyvalue"
@@ -33,7 +34,7 @@
 
 // forwardProviders provides the components that forward requests along the routes of the operators' platform.
 var forwardProviders = fx.Provide(
-	newRelay, (*relay.Store).KV, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient,
+	newForwardStoreClient, newRelay, (*relay.Store).KV, newVersions, newForwardPolicy, newConfigFollower, newEndpointList, newRetryWindow, newForwardClient,
 	newRegister, newLimits, newRollouts, newJudging, newEvidenceJudge, newForwardServer, newForwardSupervisors,
 )
 
@@ -54,16 +55,22 @@
 	heapPercent = 65
 )
 
-// newRelay returns the daemon's access to the platform's store. Lists and watches of the followed prefixes go through
-// readers among the daemons.
-func newRelay(
-	s settings.Settings, id Identity, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics, log *logrus.Logger,
-) *relay.Store {
+// newForwardStoreClient returns the client of the platform's store.
+func newForwardStoreClient(s settings.Settings, m *telemetry.Metrics, log *logrus.Logger) *keyvalue.Client {
 	client := &keyvalue.Client{
 		Address: s.Platform, HTTP: keyvalue.NewHTTPClient(), Timeout: s.Timeouts.Platform.Duration, IsNotRun: platform.IsRefusal, ReadEra: platform.ReadEra,
 		OnCall: func(kind string) { m.Count(telemetry.KeyValueCalls, kind) },
 	}
 	reportEras(client, m, log)
+	return client
+}
+
+// newRelay returns the daemon's access to the platform's store. Lists and watches of the followed prefixes go through
+// readers among the daemons.
+func newRelay(
+	s settings.Settings, id Identity, client *keyvalue.Client, members *member.Table, peers *peer.Exchanger, m *telemetry.Metrics,
+	log *logrus.Logger,
+) *relay.Store {
 	return &relay.Store{
 		Direct: (&platform.Store{Client: client}).KV(), Self: id.address, Peers: members.ListedAddresses, Ask: peers.Changes,
 		MembersPrefix: peer.MembersPrefix,
@@ -228,8 +235,8 @@
 // announces no marks on endpoints to its peers.
 func newForwardSupervisors(
 	configuration *configFollower, revisions *revisionLogger, reload *peerKeyReloader, endpoints *endpointList,
-	registrar *peer.Registrar, exchanger *peer.Exchanger, judge *evidenceJudge, rollouts *rollouts, drain *Drain, m *telemetry.Metrics,
-	log *logrus.Logger,
+	registrar *peer.Registrar, exchanger *peer.Exchanger, judge *evidenceJudge, rollouts *rollouts, versions *version.Register,
+	drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
 ) supervisors {
 	return supervisors{
 		duties: newLoggingSupervisor(m, log, Component{Name: "registration", Run: registrar.Run}),
@@ -241,6 +248,7 @@
 			Component{Name: "daemons", Run: registrar.RunList},
 			Component{Name: "exchange", Run: exchanger.Run},
 			Component{Name: "evidence", Run: judge.Run},
+			Component{Name: "versions", Run: versions.Run},
 			Component{Name: "survey", Run: (&initMonitor{drain: drain}).Run},
 		)...),
 	}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -36,6 +36,7 @@
 	w.Limits = limitsToWire(v.Limits)
 	w.Rollouts = rolloutsToWire(v.Rollouts)
 	w.Observations = observationsToWire(v.Observations)
+	w.Histories = historiesToWire(v.Histories)
 	return w
 }
 
@@ -66,6 +67,7 @@
 	v.Limits = limitsFromWire(w.GetLimits())
 	v.Rollouts = rolloutsFromWire(w.GetRollouts())
 	v.Observations = observationsFromWire(w.GetObservations())
+	v.Histories = historiesFromWire(w.GetHistories())
 	return v
 }
 
--- a/io/peer/exchanger.go
+++ b/io/peer/exchanger.go
@@ -160,6 +160,7 @@
 	x.Node.mergeLimits(v.Limits)
 	x.Node.mergeRollouts(v.Rollouts)
 	x.Node.mergeObservations(v.Observations)
+	x.Node.mergeHistories(v.Histories)
 	if x.Node.observeRevisions(v) {
 		x.EnqueueFetch(address)
 	}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -12,6 +12,7 @@
 	"radishhollow/core/rollout"
 	"radishhollow/core/route"
 	"radishhollow/core/throttle"
+	"radishhollow/core/version"
 	"radishhollow/io/peer/rpc"
 	"radishhollow/io/telemetry"
 )
@@ -30,6 +31,9 @@
 	maxSentLimits = 32
 	// maxSentRollouts is the maximum number of roll-outs. Each takes about 60 bytes, and is sent in calm operation, too.
 	maxSentRollouts = 16
+	// maxSentHistories is the maximum number of histories of versions. Each takes about 50 bytes, and is sent in calm operation,
+	// too.
+	maxSentHistories = 16
 	// maxSentObservations is the maximum number of reports on endpoints, which evidence.Register also bounds in size. There
 	// are none in calm operation.
 	maxSentObservations = 64
@@ -77,6 +81,10 @@
 	// of each merged view that has any. They may be nil.
 	Observations      func(max int) []evidence.Report
 	MergeObservations func(reports []evidence.Report)
+	// Histories returns the histories of versions to send, and MergeHistories is called with those of each merged view that has
+	// any. They may be nil.
+	Histories      func() []version.Report
+	MergeHistories func(reports []version.Report)
 	// Keys signs the messages between peers.
 	Keys      Keys
 	Table     *member.Table
@@ -113,6 +121,7 @@
 		Members: n.Table.SampleMembers(maxSentMembers),
 
 		Evidence: evidence, Limits: limits, Rollouts: n.sentRollouts(), Observations: n.sentObservations(),
+		Histories: n.sentHistories(),
 	}
 }
 
@@ -134,7 +143,7 @@
 // the table.
 func isValidView(v *rpc.View) bool {
 	if len(v.GetMembers())+len(v.GetMarks())+len(v.GetDemand())+len(v.GetLimits())+len(v.GetRollouts())+len(v.GetObservations())+
-		evidenceItems(v) > maxReceivedItems {
+		len(v.GetHistories())+evidenceItems(v) > maxReceivedItems {
 		return false
 	}
 	ok := route.IsAddress(v.GetAddress()) && withinStringLimit(v.GetIncarnation(), v.GetPlace(), v.GetDigest())
@@ -152,7 +161,8 @@
 
 // isValidOfEndpoints reports whether what a view tells of endpoints and their versions is well-formed.
 func isValidOfEndpoints(v *rpc.View) bool {
-	return areValidLimits(v.GetLimits()) && areValidRollouts(v.GetRollouts()) && areValidObservations(v.GetObservations())
+	return areValidLimits(v.GetLimits()) && areValidRollouts(v.GetRollouts()) && areValidObservations(v.GetObservations()) &&
+		areValidHistories(v.GetHistories())
 }
 
 func withinStringLimit(texts ...string) bool {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -46,6 +46,7 @@
 	s.Node.mergeLimits(v.Limits)
 	s.Node.mergeRollouts(v.Rollouts)
 	s.Node.mergeObservations(v.Observations)
+	s.Node.mergeHistories(v.Histories)
 	s.Node.Isolation.RecordContact()
 	if s.Node.observeRevisions(v) {
 		s.OnNewerRevision(v.Address)
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -39,6 +39,7 @@
 	LocatedPrompts    = "located_prompts"     // looked for in the caches of engines; class is found or not-found
 	LoadHeaders       = "load_headers"        // class is four-figures, old-form or malformed
 	Rollouts          = "rollouts"            // phases that roll-outs have entered; class is the phase, as in package rollout
+	StreamVersions    = "stream_versions"     // class is as in package version, or gone, changed or unknown-REASON of a stream that does not go on
 	RolloutOrders     = "rollout_orders"      // class is malformed or withdrawn
 	RolloutStatus     = "rollout_status"      // class is written, conflict, failed or malformed
 	Evidence          = "evidence"            // endpoints set aside or returned; class is failing, slow or returned
