fix(forward): keep a stream at its version within a response

The version of a registration was used by roll-outs only.

From its first event on, a stream has the version of the endpoint that sent it; each later pick is limited to that version, and copies go only to endpoints of the run's version. Where no endpoint that serves has it, the response ends at once, with cause version-gone. A response of an endpoint that has started again under its id with another version since it was picked is not used.

Copies no longer move to the target of a roll-out: an engine of the target can't go on from them.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -148,6 +148,7 @@
 		LoadQueryCandidates: table.LoadQueryCandidates, RefreshLoad: loadRefresher(table, client, announced, log),
 		CacheCandidates: table.CacheCandidates, StatesSlowdown: table.StatesSlowdown, CachedTokens: cachedTokens(table, client, announced, log),
 		Usable: table.Usable, NewKVCopier: newKVCopiers(client, announced, log),
+		ListsVersion: table.ListsVersion, VersionIsListed: table.VersionIsListed,
 		ObserveHead: announced.observe, ObserveAttempt: streamObserver(table),
 		RecordRequest: window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
 		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -80,8 +80,7 @@
 	return r
 }
 
-// restrict makes a server count the requests of services and move copies of KV caches by the roll-outs, and the roll-outs judge
-// versions by the reports of a register, which exchanges what they need. Without a register no version is judged.
+// restrict makes a server count the requests of services for the roll-outs, and the roll-outs judge versions by the reports of a register, which exchanges what they need. Without a register no version is judged.
 func (r *rollouts) restrict(server *forward.Server, register *evidence.Register) {
 	if r == nil {
 		return
@@ -91,7 +90,6 @@
 		record(service)
 		r.controller.RecordRequest(service)
 	}
-	server.CopyTarget = r.controller.CopyTarget
 	if register != nil {
 		r.controller.Reports = register.Reports
 		register.Target, register.InFlight = r.target, r.inFlight
--- a/io/forward/error.go
+++ b/io/forward/error.go
@@ -153,13 +153,3 @@
 func (e TimeoutError) Code() string { return "timeout" }
 
 func (e TimeoutError) Outcome() failure.Outcome { return e.Result }
-
-// KeptError reports a copy of a KV cache that stays at its engine, because it need not move or no engine of the target version
-// of a roll-out takes it.
-type KeptError struct{ Endpoint string }
-
-func (e KeptError) Error() string { return fmt.Sprintf("copy stays at endpoint %s", e.Endpoint) }
-
-func (e KeptError) Code() string { return "copy-kept" }
-
-func (e KeptError) Outcome() failure.Outcome { return failure.NotRun }
--- a/io/forward/evidence.go
+++ b/io/forward/evidence.go
@@ -26,6 +26,9 @@
 	if err != nil && !h.mustContinue() {
 		return err
 	}
+	if err := h.checkVersion(); err != nil {
+		return err
+	}
 	for range maxAdmitCalls {
 		err = h.server.Admit(h.request.parts)
 		suspect, refused := errors.AsType[quarantine.SuspectError](err)
@@ -45,6 +48,9 @@
 	if err := h.checkTimeForMove(); err != nil {
 		return err
 	}
+	if err := h.checkVersion(); err != nil {
+		return err
+	}
 	return h.server.Admit(h.request.parts)
 }
 
--- a/io/forward/kv_copy.go
+++ b/io/forward/kv_copy.go
@@ -73,6 +73,8 @@
 		source.Address(): true, avoidAddress: true,
 	}, source.Place(), ""
 	criteria.PromptTokens, criteria.KVCopyHolder = 0, true
+	// Only an engine of the same version can go on from the copy.
+	criteria.Version, criteria.HasVersion = source.Version(), true
 	if !h.locatesPrompt() {
 		// With the key, a daemon to which the caller connects again can find the copy.
 		criteria.AffinityKey = ""
@@ -92,7 +94,7 @@
 	}
 	source, engine := h.choice, h.request.service.Engine
 	r := &replicator{
-		server: h.server, service: h.request.service.Name, runID: h.request.id, source: source, movesSupported: engine.KVCopiesOnRequest,
+		server: h.server, runID: h.request.id, source: source, movesSupported: engine.KVCopiesOnRequest,
 		copyLifetime: engine.KeepFor(), current: firstCopy,
 		pickHolder: func(ctx context.Context, avoidAddress string) (route.Choice, error) {
 			return h.pickCopyHolder(ctx, source, avoidAddress)
--- a/io/forward/replicator.go
+++ b/io/forward/replicator.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"radishhollow/core/clock"
@@ -25,23 +23,14 @@
 	releaseTimeout = 2500 * time.Millisecond
 	// maxFailedMoves bounds the failed attempts to replace a lost copy.
 	maxFailedMoves = 4
-	// keptInterval is the interval between attempts to move a copy that is still usable to an endpoint of the target of a
-	// roll-out.
-	keptInterval = 500 * time.Millisecond
-	// moveSpread is the time over which the runs of a service move their copies to the target. Without it, all engines would
-	// copy all KV caches at once. The old engines stop no earlier than about 3 s after the start of the shift.
-	moveSpread = time.Second
 )
 
 // replicator maintains a copy of a run's KV cache outside the run's place. The run's engine sends the first copy by
 // itself. When the engine that holds the copy is lost, the replicator has the KV cache copied to another engine (a
 // move). Without moves, the loss of the copies' place followed by the loss of the runs' place would force a new prefill
-// of all their prompts. A copy at an engine whose version a roll-out replaces is moved to an engine of the target, because the
-// old engines stop at the end of the roll-out.
+// of all their prompts.
 type replicator struct {
 	server *Server
-	// service is the service of the run.
-	service string
 	// runID is the id of the run at its engine: the id of the request, which all its runs share. source is that engine.
 	runID  string
 	source route.Choice
@@ -74,7 +63,7 @@
 	resumeCopy kvCopy
 }
 
-// check starts to replace the copy in the background if its engine is lost or is to stop.
+// check starts to replace the copy in the background if its engine is lost.
 func (r *replicator) check() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -83,16 +72,11 @@
 		return
 	}
 	r.checkedAt = now
-	usable := r.copyUsable()
-	if usable && !r.server.isOutdated(r.service, r.current.holder) {
+	if r.copyUsable() {
 		return
 	}
 	r.started = true
-	delay := time.Duration(0)
-	if usable {
-		delay = rand.N(moveSpread)
-	}
-	r.server.startBackground(func(ctx context.Context) { r.loop(ctx, delay) })
+	r.server.startBackground(r.loop)
 }
 
 // copyUsable reports whether the copy's engine may still hold it. The caller must hold mu.
@@ -100,75 +84,47 @@
 	return r.current.reference != "" && r.server.Usable(r.current.holder.Address(), r.current.holder.Incarnation())
 }
 
-// loop moves the KV cache after a delay and renews the moved copy before it expires, until the run ends or maxFailedMoves is
+// loop moves the KV cache and renews the moved copy before it expires, until the run ends or maxFailedMoves is
 // reached.
-func (r *replicator) loop(ctx context.Context, delay time.Duration) {
+func (r *replicator) loop(ctx context.Context) {
 	// A run whose handler has not ended must not keep the daemon from ending.
 	defer context.AfterFunc(ctx, r.cancel)()
 	r.copier = r.server.NewKVCopier()
 	defer r.copier.Close()
 	defer r.releaseUnused(ctx)
 	for failures := 0; failures < maxFailedMoves; {
-		if clock.Sleep(r.ctx, delay) != nil {
-			return
-		}
-		switch r.move(ctx) {
-		case copyMoved:
-			delay = r.copyLifetime / 2
-		case copyKept:
-			delay = keptInterval
-		case copyMissing:
-			delay = checkInterval
+		pause := r.copyLifetime / 2
+		if !r.move(ctx) {
+			pause = checkInterval
 			failures++
 		}
+		if clock.Sleep(r.ctx, pause) != nil {
+			return
+		}
 	}
 }
 
-// moveResult is the result of a move.
-type moveResult int
-
-// Results of a move. With copyKept, there is still the copy that was to be replaced.
-const (
-	copyMoved moveResult = iota
-	copyKept
-	copyMissing
-)
-
-// move renews the copy at its engine, or makes a new one at another engine. A call in
+// move renews the copy at its engine, or makes a new one at another engine, and reports whether it succeeded. A call in
 // progress is not canceled when the run ends, because the copy could not be freed without its handle. It ends with ctx.
-func (r *replicator) move(ctx context.Context) moveResult {
+func (r *replicator) move(ctx context.Context) bool {
 	holder, avoidAddress, err := r.pickTarget(r.ctx)
 	if err != nil {
-		return r.failedMove()
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	handle, err := r.copier.Copy(ctx, r.source.Address(), r.runID, holder.Address())
 	if err != nil && r.ctx.Err() != nil {
-		return copyMissing
-	}
-	r.recordMove(holder, avoidAddress, err)
-	if err != nil && avoidAddress != "" && r.failedMove() == copyKept {
-		return copyKept
+		return false
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.current, r.handle = kvCopy{holder: holder}, handle
-	if err != nil {
-		return copyMissing
+	if err == nil {
+		r.current.reference = r.source.Address() + "/" + handle
 	}
-	r.current.reference = r.source.Address() + "/" + handle
-	return copyMoved
-}
-
-// failedMove returns the result of a move to another engine that has failed.
-func (r *replicator) failedMove() moveResult {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.copyUsable() {
-		return copyKept
-	}
-	return copyMissing
+	r.mu.Unlock()
+	r.recordMove(holder, avoidAddress, err)
+	return err == nil
 }
 
 // recordMove counts a move, and logs it unless it only renewed a copy, for which avoidAddress is empty.
@@ -189,33 +145,17 @@
 }
 
 // pickTarget returns the engine of the current copy if that is a moved copy which is still usable. Otherwise it returns
-// another engine and the address that was avoided: that of the lost engine, of the engine of a failed move, or of an engine
-// that is to stop. It returns KeptError if the engine's own copy is usable and is not to move, or can't.
+// another engine and the address that was avoided: that of the lost engine, or of the engine of a failed move.
 func (r *replicator) pickTarget(ctx context.Context) (holder route.Choice, avoidAddress string, err error) {
 	r.mu.Lock()
-	current, usable, moved := r.current, r.copyUsable(), r.handle != ""
+	current, usable := r.current, r.handle != "" && r.copyUsable()
 	r.mu.Unlock()
-	outdated := usable && r.server.isOutdated(r.service, current.holder)
-	avoidAddress = current.holder.Address()
-	if !usable || outdated {
-		holder, err = r.pickHolder(ctx, avoidAddress)
-		if !usable || err == nil && !r.server.isOutdated(r.service, holder) {
-			return holder, avoidAddress, err
-		}
-	}
-	if moved {
+	if usable {
 		return current.holder, "", nil
 	}
-	return route.Choice{}, "", errors.Trace(KeptError{Endpoint: current.holder.Incarnation()})
-}
-
-// isOutdated reports whether an endpoint that holds a copy is not of the version that copies should go to.
-func (s *Server) isOutdated(service string, holder route.Choice) bool {
-	if s.CopyTarget == nil {
-		return false
-	}
-	version, exists := s.CopyTarget(service)
-	return exists && holder.Version() != version
+	avoidAddress = current.holder.Address()
+	holder, err = r.pickHolder(ctx, avoidAddress)
+	return holder, avoidAddress, err
 }
 
 // stop ends the replication and returns the copy from which the next run can resume. It does not wait for a move in
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -141,6 +141,14 @@
 	}
 }
 
+// maxRuns returns the number of endpoints that may run a stream.
+func (q *request) maxRuns() int {
+	if !q.route.Resumable {
+		return 1
+	}
+	return q.route.Attempts
+}
+
 // criteria returns the criteria by which an endpoint is picked for the request. For the attempts of a stream, the
 // Driver replaces MaxTokens by 0, because its Sampling has no limit.
 func (s *Server) criteria(q *request) route.Criteria {
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -88,9 +88,10 @@
 	RecordLived func(parts []quarantine.Part)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
-	// CopyTarget returns the version of a service whose endpoints copies of KV caches should go to, and false if any will do.
-	// It may be nil.
-	CopyTarget func(service string) (version string, exists bool)
+	// ListsVersion reports whether a version of a service has endpoints that serve, and VersionIsListed whether the endpoint of a
+	// choice still has its version.
+	ListsVersion    func(service, version string) bool
+	VersionIsListed func(choice route.Choice) bool
 	// NewKVCopier returns the calls that keep a copy of one run's KV cache.
 	NewKVCopier func() KVCopier
 	// ObserveHead receives the head of each response of a stream's endpoint and the id of the request; it may be nil.
@@ -215,7 +216,7 @@
 	revision, age := s.InstanceListRevision()
 	return logrus.Fields{
 		"endpoint": choice.Incarnation(), "address": choice.Address(), "load": choice.Load(), "prefill": choice.PrefillTokens(),
-		"candidates": choice.EligibleCount(), "listing": revision.String(), "listing-age-ms": age.Milliseconds(),
+		"candidates": choice.EligibleCount(), "listing": revision.String(), "listing-age-ms": age.Milliseconds(), "version": choice.Version(),
 	}
 }
 
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -80,6 +80,8 @@
 	// the copy that an attempt was sent with last. No other attempt can resume from that copy.
 	resumeCopy    kvCopy
 	sentReference string
+	// version is that of the stream.
+	version streamVersion
 	// probeLimiter limits the probes of the current attempt's engine.
 	probeLimiter probeLimiter
 	// header is the response header of the first engine.
@@ -122,16 +124,12 @@
 	h.ctx = ctx
 	defer h.stopTracking()
 	defer h.dropErrorResponse()
-	maxRuns := 1
-	if q.route.Resumable {
-		maxRuns = q.route.Attempts
-	}
 	d := &generation.Driver{
 		Admit: h.admit, AdmitMove: h.admitMove, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
 		TakeRetry:   func() bool { return s.TakeRetry(q.service.Name) },
 		ReturnRetry: func() { s.ReturnRetry(q.service.Name) },
 		// No resume is exempt, so each takes a retry from the service's budget.
-		ExemptResumes: -1, MaxRuns: maxRuns, FirstPickBound: q.route.Target() * firstPickPercent / 100,
+		ExemptResumes: -1, MaxRuns: q.maxRuns(), FirstPickBound: q.route.Target() * firstPickPercent / 100,
 		Log: generation.NewEventLog(q.id, q.lastEventID), Criteria: s.criteria(q), Timeouts: silenceTimeouts,
 		// The bound grows with the route's objectives for the first event and for the gap between events.
 		WaitBound: max(2*time.Second, 4*q.route.Target(), 8*q.route.EventGapTarget()),
@@ -176,6 +174,7 @@
 	avoidPlace, resumeCopy := h.resumeTarget()
 	criteria.AvoidPlace, criteria.PreferredAddress = avoidPlace, resumeCopy.holder.Address()
 	criteria.Spec, criteria.Prompt = "", nil
+	h.restrictVersion(&criteria)
 	criteria.Reconnected = avoidPlace == "" && h.request.lastEventID > 0
 	if criteria.Reconnected && criteria.PreferredAddress == "" && h.locatesPrompt() {
 		criteria.PreferredAddress = h.locatePrompt(ctx, criteria)
@@ -240,7 +239,11 @@
 		}
 		return generation.Stream{}, err
 	}
-	if err := h.checkStreamHead(ctx, address, response); err != nil {
+	err = h.checkStreamHead(ctx, address, response)
+	if err == nil {
+		err = h.checkEndpointVersion()
+	}
+	if err != nil {
 		cancel()
 		return generation.Stream{}, err
 	}
@@ -360,6 +363,7 @@
 	if h.replicator != nil {
 		h.replicator.check()
 	}
+	h.beginVersion()
 	if err := h.beginResponse(); err != nil {
 		return err
 	}
--- a/io/forward/stream_test.go
+++ b/io/forward/stream_test.go
@@ -21,6 +21,7 @@
 	router.NoRoute(func(c *gin.Context) {
 		h := &streamHandler{
 			c: c, controller: http.NewResponseController(c.Writer), attemptState: attemptState{start: &startTracker{onLived: func() {}}},
+			request: &request{},
 		}
 		if h.deliver(generation.NewEventChunk("g", 1, 1, []byte("id: 1\ndata: x\n\n"))) == nil {
 			time.Sleep(writeTimeout + 500*time.Millisecond)
