fix(forward): a taken-up stream goes on at the version that began it

No code read Resumes, and a daemon that did not begin a stream could not know its version; after the loss of all daemons nobody did.

A stream belongs to the version that its record names, or to the base version of the service if it has none (core/version). Its first event is passed on only after the record is kept where one is needed. A take-up is limited to that version; one whose version is unknown or gone gets 503 at once, marked as not run. A caller that names no request, or several, is served only while the service has one version.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -132,7 +132,7 @@
 func newForwardServer(
 	s settings.Settings, documents *config.Store, table *route.Table, members *member.Table, client *service.Client,
 	window *retry.Window, endpoints *endpointList, register *quarantine.Register, _ *throttle.Limits, judge *evidenceJudge,
-	rollouts *rollouts, drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
+	rollouts *rollouts, versions *version.Register, drain *Drain, m *telemetry.Metrics, log *logrus.Logger,
 ) *forward.Server {
 	format := platform.Format()
 	announced := newAnnouncements(table, m, log)
@@ -148,7 +148,7 @@
 		LoadQueryCandidates: table.LoadQueryCandidates, RefreshLoad: loadRefresher(table, client, announced, log),
 		CacheCandidates: table.CacheCandidates, StatesSlowdown: table.StatesSlowdown, CachedTokens: cachedTokens(table, client, announced, log),
 		Usable: table.Usable, NewKVCopier: newKVCopiers(client, announced, log),
-		ListsVersion: table.ListsVersion, VersionIsListed: table.VersionIsListed,
+		BeginStream: versions.Begin, FindVersion: versions.Find, ListsVersion: table.ListsVersion, VersionIsListed: table.VersionIsListed,
 		ObserveHead: announced.observe, ObserveAttempt: streamObserver(table),
 		RecordRequest: window.RecordRequest, TakeRetry: window.TakeRetry, ReturnRetry: window.ReturnRetry,
 		DaemonCount: func() int { return members.Count() + 1 }, TimeLeft: drain.TimeLeft, Ending: drain.Ending(),
--- a/io/forward/format.go
+++ b/io/forward/format.go
@@ -17,6 +17,8 @@
 	Deadline string
 	// LastEventID holds the id of the last event that the caller has received.
 	LastEventID string
+	// ResumedRequest holds the id of the request that brought the first event of the stream that the caller takes up again.
+	ResumedRequest string
 	// Signature marks a response as produced by an endpoint.
 	Signature string
 	// NotRun marks the response of an endpoint that did not run the request.
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -35,6 +35,7 @@
 	method          string
 	target          string // the request target as the caller sent it
 	lastEventID     int
+	resumed         string // id of the request that began the stream, or empty if the caller names none or several
 	promptTokens    int
 	maxOutputTokens int
 	// parts are the parts of the prompt that other requests may share.
@@ -73,6 +74,9 @@
 	q.deadline = s.requestDeadline(q, r.Header)
 	q.header = s.endpointHeader(q, r.Header)
 	q.lastEventID = max(headerNumber(r.Header.Get(s.Format.LastEventID)), 0)
+	if ids := r.Header.Values(s.Format.ResumedRequest); len(ids) == 1 {
+		q.resumed = strings.TrimSpace(ids[0])
+	}
 	q.promptTokens, q.maxOutputTokens = s.Format.TokenCounts(r.Header)
 	q.parts = s.Format.Parts(r.Header)
 	var err error
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -20,6 +20,7 @@
 	"radishhollow/core/kv"
 	"radishhollow/core/quarantine"
 	"radishhollow/core/route"
+	"radishhollow/core/version"
 	"radishhollow/io/memory"
 	"radishhollow/io/telemetry"
 )
@@ -88,6 +89,10 @@
 	RecordLived func(parts []quarantine.Part)
 	// Usable reports whether requests may be sent to an incarnation of an endpoint.
 	Usable func(address, incarnation string) bool
+	// BeginStream returns once the first event of a stream that a version has sent may be passed on. FindVersion then returns
+	// that version, or an error with the outcome failure.NotRun.
+	BeginStream func(ctx context.Context, stream version.Stream, version string) error
+	FindVersion func(ctx context.Context, stream version.Stream) (string, error)
 	// ListsVersion reports whether a version of a service has endpoints that serve, and VersionIsListed whether the endpoint of a
 	// choice still has its version.
 	ListsVersion    func(service, version string) bool
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -124,6 +124,9 @@
 	h.ctx = ctx
 	defer h.stopTracking()
 	defer h.dropErrorResponse()
+	if err := h.findVersion(ctx); err != nil {
+		return h.explainEnd(err)
+	}
 	d := &generation.Driver{
 		Admit: h.admit, AdmitMove: h.admitMove, Pick: h.pick, Open: h.open, Deliver: h.deliver, Observe: h.observe, Health: h.health, Stalled: h.stalled,
 		TakeRetry:   func() bool { return s.TakeRetry(q.service.Name) },
@@ -363,7 +366,9 @@
 	if h.replicator != nil {
 		h.replicator.check()
 	}
-	h.beginVersion()
+	if err := h.beginVersion(); err != nil {
+		return err
+	}
 	if err := h.beginResponse(); err != nil {
 		return err
 	}
--- a/io/forward/stream_version.go
+++ b/io/forward/stream_version.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/juju/errors"
@@ -34,11 +35,40 @@
 // keepsVersion reports whether the stream may be continued after a loss, and so belongs to a version.
 func (h *streamHandler) keepsVersion() bool { return h.request.route.Resumable }
 
-// beginVersion makes the version of the endpoint that has sent the first event that of the stream.
-func (h *streamHandler) beginVersion() {
-	if h.keepsVersion() && !h.currentVersion().known {
-		h.setVersion(h.choice.Version())
+// findVersion finds the version of a stream that the caller takes up again, and returns an error if it is not known or has no
+// endpoint.
+func (h *streamHandler) findVersion(ctx context.Context) error {
+	q := h.request
+	if q.lastEventID == 0 || !h.keepsVersion() {
+		return nil
+	}
+	found, err := h.server.FindVersion(ctx, h.streamName(q.resumed))
+	if err != nil {
+		if unknown, ok := errors.AsType[version.UnknownError](err); ok {
+			h.server.Metrics.Count(telemetry.StreamVersions, "unknown-"+string(unknown.Reason))
+		}
+		return err
+	}
+	h.setVersion(found)
+	return h.checkVersion()
+}
+
+func (h *streamHandler) streamName(id string) version.Stream {
+	return version.Stream{Service: h.request.service.Name, Workspace: h.request.workspace.Name, ID: id}
+}
+
+// beginVersion returns once the first event of the stream may be passed on. Its endpoint's version is that of the stream from
+// then on.
+func (h *streamHandler) beginVersion() error {
+	if !h.keepsVersion() || h.currentVersion().known {
+		return nil
+	}
+	h.setVersion(h.choice.Version())
+	if h.request.id == "" {
+		// No caller can name the stream.
+		return nil
 	}
+	return h.server.BeginStream(h.ctx, h.streamName(h.request.id), h.choice.Version())
 }
 
 // checkVersion returns an error if the stream's version has no endpoint that serves.
