--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -80,7 +80,8 @@
 	return r
 }
 
-// restrict makes a server count the requests of services for the roll-outs, and the roll-outs judge versions by the reports of a register, which exchanges what they need. Without a register no version is judged.
+// restrict makes a server count the requests of services for the roll-outs, and the roll-outs judge versions by the reports of a
+// register, which exchanges what they need. Without a register no version is judged.
 func (r *rollouts) restrict(server *forward.Server, register *evidence.Register) {
 	if r == nil {
 		return
