feat(daemon): account for each request of a planned stop in warnings

All lines shown have an error or are warnings, so a request that was complete for the daemon looks like one whose process was gone.

In a planned stop, 'request ended' is now a warning and has its bytes. The end of each connection with a request has a line with the request, who ended it, and what was not acknowledged or not read. A daemon that replaces a registration at its start says so, because a planned stop removes it.

--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -45,8 +45,8 @@
 	// be nil. headerTimeout is the time limit of a request's header.
 	idleTimeout   func() time.Duration
 	headerTimeout time.Duration
-	// onUndelivered is called when the connection is closed before its caller has acknowledged that many bytes. It may be nil.
-	onUndelivered func(caller net.Addr, bytes int)
+	// onClose is called when the connection is closed. It may be nil.
+	onClose func(end connEnd)
 	// limits bounds what the connection holds. It may be nil.
 	limits *connlimit.Conn
 
@@ -61,6 +61,15 @@
 	readDeadline time.Time
 	// resets is set while Close is to reset the connection, and closed once Close need not wait.
 	resets, closed bool
+	// closedBy is who has ended the connection, or empty while that is the daemon in the course of its work.
+	closedBy connCloser
+	// reported is set when onClose has been called.
+	reported bool
+	// requestID is that of the latest request, and requests counts them.
+	requestID string
+	requests  int
+	// stopping is set if a request was in flight during a planned stop.
+	stopping bool
 }
 
 // Read reads from the connection, within its limits.
@@ -87,12 +96,21 @@
 	_ = c.TCPConn.SetReadDeadline(c.readDeadline)
 }
 
-// abort closes the connection without a wait for what was written.
+// abort closes the connection without a wait for what was written, because of the limits.
 func (c *callerConn) abort() {
-	c.closeAtOnce()
+	c.closeAtOnce(closedByLimits)
+	c.reportClose()
 	_ = c.TCPConn.Close()
 }
 
+// SetRequestID sets the id of the request that is being served.
+func (c *callerConn) SetRequestID(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestID = id
+	c.requests++
+}
+
 // readSocket reads from the connection. While the connection is idle, the read fails only if the kernel has received
 // nothing, so that net/http closes the connection without having read a request.
 func (c *callerConn) readSocket(p []byte) (int, error) {
@@ -109,6 +127,7 @@
 	if n > 0 {
 		c.setBusy()
 	}
+	c.noteEnd(err)
 	return n, err
 }
 
--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -34,14 +34,19 @@
 	if c.beginClose() && (isReadable(c.TCPConn) || unacknowledged(c.TCPConn) > 0) {
 		c.awaitDelivery()
 	}
-	if bytes := unacknowledged(c.TCPConn); bytes > 0 && c.onUndelivered != nil {
-		c.onUndelivered(c.RemoteAddr(), bytes)
-	}
+	c.reportClose()
 	return c.TCPConn.Close()
 }
 
 // closeAtOnce makes Close return without a wait.
-func (c *callerConn) closeAtOnce() { _ = c.beginClose() }
+func (c *callerConn) closeAtOnce(by connCloser) {
+	_ = c.beginClose()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closedBy == "" {
+		c.closedBy = by
+	}
+}
 
 // beginClose reports whether Close may wait, which it may only once.
 func (c *callerConn) beginClose() bool {
@@ -86,13 +91,19 @@
 
 // unacknowledged returns the number of written bytes that the peer has not acknowledged, including the end of the
 // connection, or zero if that is unknown.
-func unacknowledged(conn syscall.Conn) int {
+func unacknowledged(conn syscall.Conn) int { return queued(conn, unix.SIOCOUTQ) }
+
+// unread returns the number of bytes that the kernel has received and nobody has read, or zero if that is unknown.
+func unread(conn syscall.Conn) int { return queued(conn, unix.SIOCINQ) }
+
+// queued returns the number of bytes in a queue of a socket.
+func queued(conn syscall.Conn, queue uint) int {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return 0
 	}
 	count := 0
 	// After an error, the count is zero.
-	_ = raw.Control(func(fd uintptr) { count, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	_ = raw.Control(func(fd uintptr) { count, _ = unix.IoctlGetInt(int(fd), queue) })
 	return count
 }
--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,8 +44,12 @@
 	// limiter bounds what the connections hold. It may be nil and must be set before Start.
 	limiter *connlimit.Limiter
 
-	// draining reports whether a planned stop has begun. It may be nil and must be set before Start.
-	draining func() bool
+	// draining reports whether a planned stop has begun, and countClosed counts the connections that end in it. They may be nil
+	// and must be set before Start.
+	draining    func() bool
+	countClosed func(class string)
+	// closeLines counts the lines of recordClose.
+	closeLines atomic.Int32
 
 	socket *net.TCPListener
 	// ended is closed when the server accepts no more connections.
@@ -103,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{TCPConn: conn, idleTimeout: l.idleTimeout, headerTimeout: l.server.ReadHeaderTimeout, onUndelivered: l.logUndelivered}
+		c := &callerConn{TCPConn: conn, idleTimeout: l.idleTimeout, headerTimeout: l.server.ReadHeaderTimeout, onClose: l.recordClose}
 		if l.limiter == nil {
 			return c, nil
 		}
@@ -145,14 +150,6 @@
 // Close closes the socket.
 func (l *callerListener) Close() error { return l.socket.Close() }
 
-// logUndelivered logs that a planned stop has closed a connection whose caller may not get the end of its last response, which
-// was complete for the daemon unless it was cut.
-func (l *callerListener) logUndelivered(caller net.Addr, bytes int) {
-	if l.draining != nil && l.draining() {
-		l.log.WithFields(logrus.Fields{"caller": caller.String(), "bytes": bytes}).Warn("connection closed with undelivered bytes")
-	}
-}
-
 func (l *callerListener) acceptTimedOut() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -173,11 +170,13 @@
 		defer l.mu.Unlock()
 		l.conns[c] = struct{}{}
 		if l.closing {
-			c.closeAtOnce()
+			c.closeAtOnce(closedByStop)
 		}
 	case http.StateActive:
 		c.setBusy()
+		c.noteStop(l.isDraining())
 	case http.StateIdle:
+		c.noteStop(l.isDraining())
 		c.setIdle(true)
 	case http.StateHijacked, http.StateClosed:
 		l.mu.Lock()
@@ -258,7 +257,7 @@
 	defer l.mu.Unlock()
 	l.closing = true
 	for c := range l.conns {
-		c.closeAtOnce()
+		c.closeAtOnce(closedByStop)
 	}
 }
 
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -294,7 +294,7 @@
 	httpServer := server.NewHTTPServer()
 	httpServer.Handler = drain.closeWhenDraining(httpServer.Handler)
 	l := newCallerListener(s.Listen, httpServer, log)
-	l.idleTimeout, l.limiter, l.draining = server.IdleTimeout, limiter, drain.Draining
+	l.idleTimeout, l.limiter, l.draining, l.countClosed = server.IdleTimeout, limiter, drain.Draining, closeCounter(m)
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
 		defer server.Close()
 		server.LogInFlight()
--- a/daemon/peer.go
+++ b/daemon/peer.go
@@ -113,6 +113,9 @@
 				"lost": what, "before": before.String(), "revision": revision.String(),
 			}).Warn("store has lost an entry of the daemons; writing it again")
 		},
+		OnReplaced: func(revision kv.Revision) {
+			log.WithField("revision", revision.String()).Warn("an earlier daemon at this address has left its registration")
+		},
 	}
 	if s.Interface == settings.InterfaceForward {
 		// The relay batches the changes. A further pause would let shared keys reach some daemons later than others, which
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -14,6 +14,7 @@
 	"radishhollow/io/operator"
 	"radishhollow/io/peer"
 	"radishhollow/io/settings"
+	"radishhollow/io/telemetry"
 )
 
 // Timeouts of the internal listeners, which serve only short requests.
@@ -60,7 +61,7 @@
 // shutdownTimeout each; registerForwardListeners closes them at once.
 func registerListeners(
 	lifecycle fx.Lifecycle, s settings.Settings, log *logrus.Logger, drain *Drain,
-	callers *caller.Server, operators *operator.Server, peers *peer.Server, limiter *connlimit.Limiter,
+	callers *caller.Server, operators *operator.Server, peers *peer.Server, limiter *connlimit.Limiter, m *telemetry.Metrics,
 ) {
 	for _, l := range []*listener{
 		{address: s.PeerListen, log: log, server: &http.Server{
@@ -80,12 +81,17 @@
 	server := callers.NewHTTPServer()
 	server.Handler = drain.closeWhenDraining(server.Handler)
 	l := newCallerListener(s.Listen, server, log)
-	l.limiter, l.draining = limiter, drain.Draining
+	l.limiter, l.draining, l.countClosed = limiter, drain.Draining, closeCounter(m)
 	lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error {
 		return drain.stop(ctx, l, log)
 	}})
 }
 
+// closeCounter returns a function that counts the connections that end in a planned stop.
+func closeCounter(m *telemetry.Metrics) func(class string) {
+	return func(class string) { m.Count(telemetry.ClosedConns, class) }
+}
+
 // closeTimeout bounds the wait for the handlers of connections that are closed at the end of a planned stop, which log
 // the end of their requests. It is a part of killMargin.
 const closeTimeout = 200 * time.Millisecond
--- a/io/forward/abort.go
+++ b/io/forward/abort.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/gin-gonic/gin"
 )
@@ -32,6 +33,17 @@
 	_ = conn.SetLinger(seconds)
 }
 
+// maxLoggedID bounds the length of the id that a connection keeps.
+const maxLoggedID = 64
+
+// setRequestID tells the connection of a request its id, for the line of the connection's end.
+func setRequestID(r *http.Request, id string) {
+	if conn, ok := r.Context().Value(connContextKey{}).(interface{ SetRequestID(id string) }); ok {
+		// A part of the string would keep the whole head.
+		conn.SetRequestID(strings.Clone(id[:min(len(id), maxLoggedID)]))
+	}
+}
+
 // abort ends the handler and the connection, so that the caller does not take a partial response for a complete one.
 func abort(c *gin.Context) {
 	setResetOnClose(c.Request, true)
--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -49,6 +49,8 @@
 	delegation *reach.Delegation
 	// counted is set if the request counts for this daemon's retry budget.
 	counted bool
+	// ended is set when its end has been counted. It is guarded by openRequests.mu.
+	ended bool
 }
 
 // parse determines the route, the workspace and the service of a request and reads its body. With an error it returns
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -204,6 +204,7 @@
 func (s *Server) serve(c *gin.Context) {
 	// gin presets status 404 for paths without a handler.
 	c.Status(http.StatusOK)
+	setRequestID(c.Request, c.Request.Header.Get(s.Format.RequestID))
 	q, err := s.parse(c.Writer, c.Request)
 	s.open.add(q)
 	defer s.open.remove(q)
@@ -318,7 +319,7 @@
 			discardBody(c.Writer, c.Request)
 		}
 	}
-	s.observeRequest(q, status, callerGone, err)
+	s.observeRequest(q, observedEnd{status: status, bytes: max(c.Writer.Size(), 0), started: started, callerGone: callerGone, err: err})
 	if err != nil && started {
 		s.recordCut(q, c.Writer.Size(), callerGone, err)
 		abort(c)
@@ -355,17 +356,32 @@
 
 func jitteredRetryAfter() time.Duration { return meanRetryAfter/2 + rand.N(meanRetryAfter) }
 
-// observeRequest logs a request and updates its metrics.
-func (s *Server) observeRequest(q *request, status int, callerGone bool, err error) {
-	code := s.endCode(callerGone, err)
+// observedEnd is the end of a request.
+type observedEnd struct {
+	// status and bytes are those of the response, which started before the error if that is set.
+	status, bytes       int
+	started, callerGone bool
+	err                 error
+}
+
+// observeRequest logs a request and updates its metrics. In a planned stop the line is a warning, so that a record that keeps
+// only warnings tells a request that was complete for the daemon from one that the daemon does not know.
+func (s *Server) observeRequest(q *request, end observedEnd) {
+	code := s.endCode(end.callerGone, end.err)
 	s.Metrics.Count(telemetry.Requests, code)
 	s.Metrics.Observe(telemetry.RequestTime, q.workspace.Name, time.Since(q.arrivedAt))
-	entry := s.Log.WithFields(logrus.Fields{
+	s.open.recordEnd(q, endOf(end.err, end.started))
+	fields := logrus.Fields{
 		"request": q.id, "route": q.route.Name, "service": q.service.Name, "workspace": q.workspace.Name,
-		"revision": q.document.Revision(), "status": status, "outcome": code, "ms": time.Since(q.arrivedAt).Milliseconds(),
-	}).WithFields(q.logFields)
-	if err != nil {
-		entry = entry.WithError(err)
+		"revision": q.document.Revision(), "status": end.status, "outcome": code, "ms": time.Since(q.arrivedAt).Milliseconds(),
+	}
+	level := logrus.InfoLevel
+	if _, stopping := s.timeLeft(); stopping {
+		level, fields["bytes"] = logrus.WarnLevel, end.bytes
+	}
+	entry := s.Log.WithFields(fields).WithFields(q.logFields)
+	if end.err != nil {
+		entry = entry.WithError(end.err)
 	}
-	entry.Info("request ended")
+	entry.Log(level, "request ended")
 }
--- a/io/peer/registrar.go
+++ b/io/peer/registrar.go
@@ -44,10 +44,15 @@
 	// OnLost is called when the store is seen to have lost what this daemon had written or knew: "registration" or
 	// "keys". The revision before is that of the lost entry. Calls come from the goroutine of RunList. It may be nil.
 	OnLost func(what string, before, revision kv.Revision)
+	// OnReplaced is called when the first write of the registration replaces that of an earlier daemon at this address, which has ended
+	// without a planned stop or could not reach the store then. It may be nil.
+	OnReplaced func(revision kv.Revision)
 
 	shared *sharedKeys
 	// registration is what runRegister has written, for runList to notice that the store has lost it.
 	registration registrationState
+	// wrote is set from the first write of the registration on. Only runRegister uses it.
+	wrote bool
 }
 
 // Run keeps the registration alive until ctx ends, and then removes it.
--- a/io/peer/registration.go
+++ b/io/peer/registration.go
@@ -143,9 +143,15 @@
 	if err != nil {
 		return kv.Revision{}, errors.Trace(err)
 	}
+	// After a write whose response was lost, the registration there may be this daemon's own.
+	first := !r.wrote
+	r.wrote = true
 	revision, err := r.KV.Put(ctx, key, value, kv.Revision{}, lease)
 	if conflict, taken := errors.AsType[kv.ConflictError](err); taken {
 		revision, err = r.KV.Put(ctx, key, value, conflict.Current, lease)
+		if first && err == nil && r.OnReplaced != nil {
+			r.OnReplaced(conflict.Current)
+		}
 	}
 	return revision, errors.Trace(err)
 }
--- a/io/telemetry/name.go
+++ b/io/telemetry/name.go
@@ -45,6 +45,7 @@
 	Evidence          = "evidence"            // endpoints set aside or returned; class is failing, slow or returned
 	Quarantine        = "quarantine"          // class is end, lived, refused, quarantined or released
 	RefusedConns      = "refused_connections" // class is the cause, as in package connlimit
+	ClosedConns       = "closed_connections"  // of callers, in planned stops; class is daemon, caller, reset, limits or stop
 	Delegations       = "delegations"         // sends to a peer, with class sent, refused or lost, and requests of peers, served or rejected
 	Transfers         = "transfers"           // of lists and configurations; class is store, reader or peer, with -ok or -failed
 	TransferBytes     = "transfer_bytes"      // class is as for Transfers
