fix(daemon): keep a connection for relays that hold its last response

Callers behind a relay lost the end of responses that were complete for the daemon, mostly around a planned stop, where the daemon ends connections.

Cause: a connection was closed as soon as everything was acknowledged. A relay acknowledges what it has not passed on. Bytes that the caller sends after that, such as its next request, meet a closed connection, whose kernel answers with a reset; relays drop what they hold at a reset. The daemon's log has 'ok' and no undelivered bytes: the picture of the operators' records.

Why it works: after its own end and the acknowledgement, the daemon reads on until the caller ends its side, which it does once it has everything, or for 800 ms. The connection may be evicted meanwhile.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"io"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -15,6 +17,9 @@
 	deliveryTimeout = 5 * time.Second
 	// deliveryPollInterval is the interval at which Close looks for what the caller has not acknowledged.
 	deliveryPollInterval = 10 * time.Millisecond
+	// relayTimeout is the time after which a relay between the caller and the daemon has passed on what it has acknowledged.
+	// Callers end their side as soon as they see the end of the daemon's, so few connections take so long.
+	relayTimeout = 800 * time.Millisecond
 	// maxDiscardedBytes bounds what Close reads. It is the bound of net/http for the rest of a body that a handler has left.
 	maxDiscardedBytes = 256 << 10
 )
@@ -27,11 +32,13 @@
 	return c.TCPConn.SetLinger(seconds)
 }
 
-// Close closes the connection after the caller has acknowledged everything that was written. The kernel would reset a
-// connection with unread bytes, or one that gets more after it is closed, and drop what it has not delivered. A call
-// during another one, or after closeAtOnce, does not wait.
+// Close closes the connection after the caller has acknowledged everything that was written, and has ended its side or had the
+// time to receive it. The kernel would reset a connection with unread bytes, or one that gets more after it is closed, and
+// drop what it has not delivered; a relay would drop what it holds. A call during another one, or after closeAtOnce, does
+// not wait.
 func (c *callerConn) Close() error {
-	if c.beginClose() && (isReadable(c.TCPConn) || unacknowledged(c.TCPConn) > 0) {
+	first, resets := c.beginClose()
+	if first && !resets {
 		c.awaitDelivery()
 	}
 	c.reportClose()
@@ -40,7 +47,7 @@
 
 // closeAtOnce makes Close return without a wait.
 func (c *callerConn) closeAtOnce(by connCloser) {
-	_ = c.beginClose()
+	_, _ = c.beginClose()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closedBy == "" {
@@ -48,47 +55,83 @@
 	}
 }
 
-// beginClose reports whether Close may wait, which it may only once.
-func (c *callerConn) beginClose() bool {
+// beginClose reports whether this is the first call, so that Close may wait, and whether Close is to reset the connection.
+func (c *callerConn) beginClose() (first, resets bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := !c.closed
+	first = !c.closed
 	c.closed = true
-	return first && !c.resets
+	return first, c.resets
 }
 
-// awaitDelivery ends the sending side and waits until the caller has ended its side or acknowledged everything, or until
-// deliveryTimeout has passed. Until then it discards what the caller sends, which are requests that nobody serves, up to
-// maxDiscardedBytes. After that the caller can't send more, but still receives.
-//
-// What is acknowledged is in the caller's kernel. A reset, which follows if the caller sends after the close, doesn't take
-// it from a caller on Linux, but other systems may drop what was not read. Therefore the bytes that have arrived are read
-// before the close, within the bound.
+// awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, or until
+// the time is over: deliveryTimeout, or relayTimeout once everything is acknowledged. Until then it discards what the caller
+// sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller can't send more, but
+// still receives.
 func (c *callerConn) awaitDelivery() {
+	heldUntil, delivered := c.heldUntil()
+	if delivered && time.Now().After(heldUntil) && !isReadable(c.TCPConn) {
+		return
+	}
+	if c.limits != nil {
+		c.limits.Linger()
+	}
 	// An error means that the connection has ended, which the read reports.
 	_ = c.CloseWrite()
-	buffer := make([]byte, 4<<10)
-	discarded := 0
+	d := &discarder{conn: c.TCPConn, buffer: make([]byte, 4<<10)}
 	for end := time.Now().Add(deliveryTimeout); time.Now().Before(end); {
-		if discarded >= maxDiscardedBytes {
-			if unacknowledged(c.TCPConn) == 0 {
+		until := time.Now().Add(deliveryPollInterval)
+		if unacknowledged(c.TCPConn) == 0 {
+			if !delivered {
+				heldUntil, delivered = time.Now().Add(relayTimeout), true
+			}
+			if d.ended || time.Now().After(heldUntil) {
 				return
 			}
-			time.Sleep(deliveryPollInterval)
-			continue
-		}
-		_ = c.TCPConn.SetReadDeadline(time.Now().Add(deliveryPollInterval))
-		n, err := c.TCPConn.Read(buffer)
-		discarded += n
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
+			until = heldUntil
 		}
-		if n < len(buffer) && unacknowledged(c.TCPConn) == 0 {
+		if !d.discard(until) {
 			return
 		}
 	}
 }
 
+// heldUntil returns the time until which a relay may hold a part of the last response, and false if that is not known yet, as the
+// caller has not acknowledged everything, or a response may have been written just now.
+func (c *callerConn) heldUntil() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.idleSince.IsZero() || unacknowledged(c.TCPConn) > 0:
+		return time.Time{}, false
+	case !c.used:
+		return time.Time{}, true
+	}
+	return c.idleSince.Add(relayTimeout), true
+}
+
+// discarder reads what a caller sends on a connection that ends.
+type discarder struct {
+	conn   *net.TCPConn
+	buffer []byte
+	count  int
+	// ended is set when the caller has ended its side.
+	ended bool
+}
+
+// discard reads once, with a wait up to the given time, or waits where nothing more may be read. It reports false after an error.
+func (d *discarder) discard(until time.Time) bool {
+	if d.ended || d.count >= maxDiscardedBytes {
+		time.Sleep(deliveryPollInterval)
+		return true
+	}
+	_ = d.conn.SetReadDeadline(until)
+	n, err := d.conn.Read(d.buffer)
+	d.count += n
+	d.ended = errors.Is(err, io.EOF)
+	return err == nil || d.ended || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // unacknowledged returns the number of written bytes that the peer has not acknowledged, including the end of the
 // connection, or zero if that is unknown.
 func unacknowledged(conn syscall.Conn) int { return queued(conn, unix.SIOCOUTQ) }
--- /dev/null
+++ b/daemon/relayed_close_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishhollow/platform/platformtest"
+)
+
+// relayHold is the time for which the relay of a test holds what it has acknowledged.
+const relayHold = 300 * time.Millisecond
+
+// dialRelay opens a connection to a listener through a relay.
+func dialRelay(t *testing.T, l *callerListener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	relay := &platformtest.Relay{Target: l.Addr().String(), Hold: relayHold}
+	require.NoError(t, relay.Start())
+	t.Cleanup(relay.Close)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", relay.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
+
+// Guards against a complete answer that is lost in a relay: it has acknowledged everything, and drops what it holds when the
+// caller's next bytes meet a connection that is closed, which resets it.
+func TestLastAnswerPassesARelayBeforeTheConnectionIsReset(t *testing.T) {
+	for name, more := range map[string]string{
+		"nothing more": "", "line end": "\r\n", "next request": testRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestListener(t)
+			written := make(chan struct{})
+			l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Connection", "close")
+				_, _ = w.Write(largeAnswer)
+				close(written)
+			})
+			require.NoError(t, l.Start(t.Context()))
+			conn, reader := dialRelay(t, l)
+			_, err := io.WriteString(conn, testRequest)
+			require.NoError(t, err)
+			<-written
+			time.Sleep(relayHold / 3)
+			_, err = io.WriteString(conn, more)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err, "%d of %d bytes arrived", len(body), len(largeAnswer))
+			require.Equal(t, largeAnswer, body)
+		})
+	}
+}
--- a/test/forward_stop_mixed_caller_test.go
+++ b/test/forward_stop_mixed_caller_test.go
@@ -78,6 +78,8 @@
 	// slow callers pause while they read, pipelining ones send the next request before the response is complete, and others
 	// send a line end after the body.
 	slow, pipelines, lineEnd bool
+	// relayed is set if a relay is between the caller and the daemon.
+	relayed bool
 
 	mu sync.Mutex
 	// next is a request that has been sent before the response to the one before it was complete.
@@ -101,8 +103,12 @@
 		}
 	}
 	d := c.play.daemons[conn.daemon]
+	address := d.address
+	if len(d.relays) > 0 && c.random.IntN(2) == 0 {
+		address, conn.relayed = d.relays[c.random.IntN(len(d.relays))].Address(), true
+	}
 	var err error
-	if conn.Conn, err = dialer.DialContext(c.play.t.Context(), "tcp", d.address); err != nil {
+	if conn.Conn, err = dialer.DialContext(c.play.t.Context(), "tcp", address); err != nil {
 		return nil
 	}
 	// The process before has ended when the next one starts.
@@ -171,7 +177,7 @@
 
 func (c *mixedConn) send(q *mixedRequest) {
 	q.daemon, q.process, q.sentAt = c.daemon, c.process, time.Now()
-	q.habits = fmt.Sprintf("slow %t, pipelines %t, line end %t", c.slow, c.pipelines, c.lineEnd)
+	q.habits = fmt.Sprintf("slow %t, pipelines %t, line end %t, relayed %t", c.slow, c.pipelines, c.lineEnd, c.relayed)
 	end := ""
 	if c.lineEnd {
 		end = "\r\n"
--- a/test/forward_stop_mixed_test.go
+++ b/test/forward_stop_mixed_test.go
@@ -47,6 +47,8 @@
 type mixedDaemon struct {
 	address, ready, settings string
 	gate                     *storeGate
+	// relays are between the daemon and a part of its callers.
+	relays []*platformtest.Relay
 
 	mu        sync.Mutex
 	processes []*mixedProcess
