fix(daemon): deliver what was written before a forced close

Callers that had sent their next request lost events that the daemon had passed on, when a planned stop cut their stream.

Cause: the forced close at the end of a stop closes connections with unread bytes. The kernel then resets them and drops what it has not delivered.

The caller now gets every byte and the end of an incomplete response.

Why it works: the daemon ends its side and takes what has arrived out of the kernel before it closes, without a wait, so that the kernel goes on to deliver. Responses whose end is the end of their connection are still reset.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -38,8 +38,12 @@
 // not wait.
 func (c *callerConn) Close() error {
 	first, resets := c.beginClose()
-	if first && !resets {
+	switch {
+	case resets:
+	case first:
 		c.awaitDelivery()
+	default:
+		c.endInOrder()
 	}
 	c.reportClose()
 	return c.TCPConn.Close()
@@ -110,6 +114,27 @@
 	return c.idleSince.Add(relayTimeout), true
 }
 
+// endInOrder ends the sending side and discards what has been received, without a wait, so that the kernel goes on to deliver
+// after the close.
+func (c *callerConn) endInOrder() {
+	_ = c.CloseWrite()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	buffer := make([]byte, 4<<10)
+	// Unlike a Read, it does not wait for one that net/http has begun.
+	_ = raw.Control(func(fd uintptr) {
+		for discarded := 0; discarded < maxDiscardedBytes; {
+			n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			discarded += n
+		}
+	})
+}
+
 // discarder reads what a caller sends on a connection that ends.
 type discarder struct {
 	conn   *net.TCPConn
--- a/daemon/caller_conn_close_test.go
+++ b/daemon/caller_conn_close_test.go
@@ -291,3 +291,39 @@
 	require.Zero(t, l.openCount())
 	<-ended
 }
+
+// Guards against events that were passed on and that the forced close of a connection takes back: with unread bytes of a next
+// request, the kernel resets the connection and drops what it has not delivered.
+func TestForcedCloseDeliversWhatWasWritten(t *testing.T) {
+	l := newTestListener(t)
+	l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(largeAnswer)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	l.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		_ = conn.(*callerConn).SetWriteBuffer(2 * len(largeAnswer))
+		return ctx
+	}
+	require.NoError(t, l.Start(t.Context()))
+	conn := dialSlowly(t, l)
+	_, err := io.WriteString(conn, testRequest+testRequest)
+	require.NoError(t, err)
+	c := onlyConnSoon(t, l)
+	require.Eventually(t, func() bool { return unacknowledged(c) > len(largeAnswer)/2 }, 10*time.Second, time.Millisecond)
+	// More than net/http has read.
+	_, err = io.WriteString(conn, testRequest)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unread(c) > 0 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, l.closeConns())
+	l.waitClosed(10 * time.Second)
+	body, err := readSlowly(conn)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF, "the response must not look complete")
+	require.Equal(t, largeAnswer, body, "%d of %d bytes arrived", len(body), len(largeAnswer))
+}
+
+func onlyConnSoon(t *testing.T, l *callerListener) *callerConn {
+	t.Helper()
+	require.Eventually(t, func() bool { return l.openCount() == 1 }, 10*time.Second, time.Millisecond)
+	return onlyConn(t, l)
+}
