fix(daemon): complete the responses of internal listeners in a planned stop

Callers of a daemon that reaches no endpoint could lose the end of a stream that a stopping peer served in its place.

Cause: a request of a peer's caller counts as served when its handler returns. net/http writes the end of the response after that, and the listener for peers was closed in between.

Why it works: the listener ends like a server that shuts down, within 50 ms, unless the time of the stop is over. Calls that wait for changes are cut after that, as before.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -275,7 +275,7 @@
 }
 
 // registerForwardListeners registers the listeners. fx stops them in reverse order, so the listener for callers drains
-// first. The other listeners are closed at once, unlike in registerListeners, which shuts them down with a timeout.
+// first. The other listeners are closed soon, unlike in registerListeners, which waits longer for their requests.
 func registerForwardListeners(
 	lifecycle fx.Lifecycle, s settings.Settings, log *logrus.Logger, drain *Drain, server *forward.Server,
 	peers *peer.Server, relayed *relay.Store, limiter *connlimit.Limiter, m *telemetry.Metrics,
@@ -288,7 +288,7 @@
 		{address: s.ReadinessListen, log: log, server: newInternalServer(readyHandler(drain))},
 	} {
 		limitInternal(l, limiter)
-		lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(context.Context) error { return l.server.Close() }})
+		lifecycle.Append(fx.Hook{OnStart: l.Start, OnStop: func(ctx context.Context) error { return l.stop(ctx, drain) }})
 	}
 	server.Closing = drain.Closing
 	httpServer := server.NewHTTPServer()
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -56,9 +56,25 @@
 	}
 }
 
+// responseEndTimeout bounds the wait for the ends of responses in stop, which net/http writes after their handlers have returned.
+const responseEndTimeout = 50 * time.Millisecond
+
+// stop closes the listener. If there is time, the responses whose handlers have returned are complete before: those of requests of
+// peers' callers count as served from then on. Calls that wait for changes are cut.
+func (l *listener) stop(ctx context.Context, drain *Drain) error {
+	if left, limited := drain.TimeLeft(); !limited || left > 0 {
+		ctx, cancel := context.WithTimeout(ctx, responseEndTimeout)
+		defer cancel()
+		if l.server.Shutdown(ctx) == nil {
+			return nil
+		}
+	}
+	return l.server.Close()
+}
+
 // registerListeners registers the listeners. fx stops them in reverse order, so the listener for callers drains first,
 // while peers and operators are still served. Their listeners then wait for the requests in flight, up to
-// shutdownTimeout each; registerForwardListeners closes them at once.
+// shutdownTimeout each; registerForwardListeners closes them soon.
 func registerListeners(
 	lifecycle fx.Lifecycle, s settings.Settings, log *logrus.Logger, drain *Drain,
 	callers *caller.Server, operators *operator.Server, peers *peer.Server, limiter *connlimit.Limiter, m *telemetry.Metrics,
