test: play stops with relays, leaving engines, changed settings and several builds

TestForwardStopRelays lets engines leave and settings change in the middle of each stop. Its processes can run several builds in turn, with less memory.

--- a/test/forward_stop_mixed_engine_test.go
+++ b/test/forward_stop_mixed_engine_test.go
@@ -132,6 +132,9 @@
 	play                  *mixedStops
 	service, place, phase string
 
+	// leaveMu is held while the endpoint leaves.
+	leaveMu sync.Mutex
+
 	mu          sync.Mutex
 	silentUntil time.Time
 	leaving     bool
@@ -264,8 +267,13 @@
 	e.silentUntil = time.Now().Add(duration)
 }
 
-// leave reports that the endpoint leaves, serves on for a while, ends with the runs that are left and starts again.
+// leave reports that the endpoint leaves, serves on for a while, ends with the runs that are left and starts again. It does
+// nothing while the endpoint leaves.
 func (e *mixedEndpoint) leave(announces bool, servesOn time.Duration) {
+	if !e.leaveMu.TryLock() {
+		return
+	}
+	defer e.leaveMu.Unlock()
 	e.mu.Lock()
 	e.leaving = announces
 	e.mu.Unlock()
--- a/test/forward_stop_mixed_test.go
+++ b/test/forward_stop_mixed_test.go
@@ -20,10 +20,12 @@
 )
 
 var (
-	mixedRounds  = flag.Int("mixed-rounds", 0, "number of series in which the test of mixed stops starts the daemons again, before the last stops")
-	mixedCallers = flag.Int("mixed-callers", 60, "number of callers in the test of mixed stops")
-	mixedDelay   = flag.Duration("mixed-kill-delay", killDelay, "time after the grace at which the test of mixed stops kills a daemon; 0 as on the platform")
-	mixedLogs    = flag.String("mixed-logs", "", "folder for the logs of the test of mixed stops, in place of a temporary one")
+	mixedRounds   = flag.Int("mixed-rounds", 0, "number of series in which the test of mixed stops starts the daemons again, before the last stops")
+	mixedCallers  = flag.Int("mixed-callers", 60, "number of callers in the test of mixed stops")
+	mixedDelay    = flag.Duration("mixed-kill-delay", killDelay, "time after the grace at which the test of mixed stops kills a daemon; 0 as on the platform")
+	mixedBinaries = flag.String("mixed-binaries", "", "paths of builds of the daemon, separated by commas, that its processes run in turn in the test of mixed stops")
+	mixedMemory   = flag.Int("mixed-memory", 134, "memory in MB of a daemon in the test of mixed stops")
+	mixedLogs     = flag.String("mixed-logs", "", "folder for the logs of the test of mixed stops, in place of a temporary one")
 )
 
 const (
@@ -46,7 +48,9 @@
 // mixedDaemon is a daemon that is stopped and started again at the same address.
 type mixedDaemon struct {
 	address, ready, settings string
-	gate                     *storeGate
+	// text is that of the settings file at the start.
+	text string
+	gate *storeGate
 	// relays are between the daemon and a part of its callers.
 	relays []*platformtest.Relay
 
@@ -71,9 +75,14 @@
 	plain   []*mixedEndpoint
 	daemons []*mixedDaemon
 	logs    string
+	// together is set if engines leave and settings change while a daemon stops.
+	together bool
 	// done is closed when the stops are over.
 	done chan struct{}
 
+	// leaves are the endpoints that leave while a daemon stops.
+	leaves sync.WaitGroup
+
 	mu       sync.Mutex
 	requests []*mixedRequest
 	// runs holds the runs by request id.
@@ -109,8 +118,9 @@
 	}
 	text := fmt.Sprintf("interface = \"forward\"\nplace = \"a\"\nlisten = %q\nreadiness-listen = %q\npeer-listen = %q\n"+
 		"operator-listen = %q\nplatform = %q\n[timeouts]\nwatch-wait = \"2s\"\nconnect = \"250ms\"\ndrain-delay = \"2500ms\"\n"+
-		"drain = %q\n[forward]\nretry-slack = 400\nretry-ratio = 0.8\nstop-grace = %q\nmemory-mb = 134\n", d.address, d.ready,
-		harness.FreeAddress(p.t), harness.FreeAddress(p.t), d.gate.listener.Addr(), seriesGrace, seriesGrace)
+		"drain = %q\n[forward]\nretry-slack = 400\nretry-ratio = 0.8\nstop-grace = %q\nmemory-mb = %d\n", d.address, d.ready,
+		harness.FreeAddress(p.t), harness.FreeAddress(p.t), d.gate.listener.Addr(), seriesGrace, seriesGrace, *mixedMemory)
+	d.text = text
 	require.NoError(p.t, os.WriteFile(d.settings, []byte(text), 0o600))
 	p.start(i, d)
 	require.Eventually(p.t, func() bool { return isReady(p.t, d.ready) }, 20*time.Second, 10*time.Millisecond)
@@ -127,7 +137,16 @@
 	d.mu.Lock()
 	d.processes = append(d.processes, process)
 	d.mu.Unlock()
-	process.Process = harness.StartLoggedProcess(p.t, log, harness.Binary(p.t), "serve", "--settings", d.settings)
+	process.Process = harness.StartLoggedProcess(p.t, log, mixedBinary(p.t, i+len(d.processes)), "serve", "--settings", d.settings)
+}
+
+// mixedBinary returns the build that the n-th process runs.
+func mixedBinary(t *testing.T, n int) string {
+	if *mixedBinaries == "" {
+		return harness.Binary(t)
+	}
+	paths := strings.Split(*mixedBinaries, ",")
+	return paths[n%len(paths)]
 }
 
 // publish stores a version of the configuration. All versions serve the streams, bookings and reads, and a part of the
@@ -248,6 +267,9 @@
 	process.stoppedAt = time.Now()
 	p.mu.Unlock()
 	process.Terminate()
+	if p.together {
+		defer p.disturbStop(d, process)()
+	}
 	kill := time.AfterFunc(seriesGrace+*mixedDelay, process.Kill)
 	for _, signal := range signals {
 		_ = syscall.Kill(process.PID(), signal)
@@ -257,6 +279,30 @@
 	assert.Contains(p.t, []int{0, 1}, code, "%s: exit code", process.name)
 }
 
+// disturbStop lets engines leave, and changes the settings of a daemon, while its process stops. The returned function waits for
+// the end of the changes.
+func (p *mixedStops) disturbStop(d *mixedDaemon, process *mixedProcess) (wait func()) {
+	random := mixedRandom(p.seed, process.name)
+	leaving := append([]*mixedEndpoint{}, p.engines[random.IntN(len(p.engines))], p.engines[random.IntN(len(p.engines))], p.plain[random.IntN(len(p.plain))])
+	for _, e := range leaving {
+		announces, servesOn := random.IntN(2) == 0, mixedDuration(random, 0, seriesGrace)
+		p.leaves.Go(func() { e.leave(announces, servesOn) })
+	}
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for range 3 {
+			time.Sleep(mixedDuration(random, 0, 2*time.Second))
+			text := fmt.Sprintf("# change %d\n%s", random.IntN(1000), strings.Replace(d.text, `connect = "250ms"`, fmt.Sprintf(`connect = "%dms"`, 200+random.IntN(100)), 1))
+			assert.NoError(p.t, os.WriteFile(d.settings+".new", []byte(text), 0o600))
+			assert.NoError(p.t, os.Rename(d.settings+".new", d.settings))
+			if !process.Exited() {
+				_ = syscall.Kill(process.PID(), syscall.SIGHUP)
+			}
+		}
+	})
+	return changes.Wait
+}
+
 // restart stops a daemon, starts it again, and at times stops the new process at once.
 func (p *mixedStops) restart(i int, random *rand.Rand) {
 	d := p.daemons[i]
--- a/test/forward_stop_relay_test.go
+++ b/test/forward_stop_relay_test.go
@@ -27,13 +27,14 @@
 }
 
 // Guards against a stream that is complete for a stopping daemon and lost on its way: relays have acknowledged it, and drop what they
-// hold when the daemon resets the connection.
+// hold when the daemon resets the connection. Engines leave and settings change in the middle of the stops.
 func TestForwardStopRelays(t *testing.T) {
 	for n := range *soakSeeds {
 		seed := *soakFirstSeed + uint64(n)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			p := newMixedStops(t, seed)
 			p.addRelays()
+			p.together = true
 			ended := make(chan struct{})
 			go func() { defer close(ended); p.runFaults() }()
 			random := rand.New(rand.NewPCG(seed, 10))
@@ -44,6 +45,7 @@
 			p.stopAll(random)
 			close(p.done)
 			<-ended
+			p.leaves.Wait()
 			p.check()
 		})
 	}
