fix(daemon): close idle connections without a wait for their callers' end

Since the daemon kept an idle connection open for up to 800 ms after its own end, and read a request that crossed it. The caller then can't know that the request has not run, and does not repeat one that must run once.

The wait has no use there: the caller of an idle connection has its last response if it sends the next request. Such a connection is closed at once again, and the crossing request is left unread. TestIdleConnectionIsClosedWithoutAWait guards it.

TestCloseIfIdleServesARequestThatWasRead is as it was before.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -73,8 +73,9 @@
 // sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller can't send more, but
 // still receives.
 func (c *callerConn) awaitDelivery() {
-	heldUntil, delivered := c.heldUntil()
-	if delivered && time.Now().After(heldUntil) && !isReadable(c.TCPConn) {
+	// The caller of an idle connection has its last response if it sends the next request.
+	idle := c.isIdleAndDelivered()
+	if idle && !isReadable(c.TCPConn) {
 		return
 	}
 	if c.limits != nil {
@@ -83,13 +84,14 @@
 	// An error means that the connection has ended, which the read reports.
 	_ = c.CloseWrite()
 	d := &discarder{conn: c.TCPConn, buffer: make([]byte, 4<<10)}
+	var heldUntil time.Time
 	for end := time.Now().Add(deliveryTimeout); time.Now().Before(end); {
 		until := time.Now().Add(deliveryPollInterval)
 		if unacknowledged(c.TCPConn) == 0 {
-			if !delivered {
-				heldUntil, delivered = time.Now().Add(relayTimeout), true
+			if heldUntil.IsZero() {
+				heldUntil = time.Now().Add(relayTimeout)
 			}
-			if d.ended || time.Now().After(heldUntil) {
+			if idle || d.ended || time.Now().After(heldUntil) {
 				return
 			}
 			until = heldUntil
@@ -100,18 +102,11 @@
 	}
 }
 
-// heldUntil returns the time until which a relay may hold a part of the last response, and false if that is not known yet, as the
-// caller has not acknowledged everything, or a response may have been written just now.
-func (c *callerConn) heldUntil() (time.Time, bool) {
+// isIdleAndDelivered reports whether the connection is idle and its caller has acknowledged everything.
+func (c *callerConn) isIdleAndDelivered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.idleSince.IsZero() || unacknowledged(c.TCPConn) > 0:
-		return time.Time{}, false
-	case !c.used:
-		return time.Time{}, true
-	}
-	return c.idleSince.Add(relayTimeout), true
+	return !c.idleSince.IsZero() && unacknowledged(c.TCPConn) == 0
 }
 
 // endInOrder ends the sending side and discards what has been received, without a wait, so that the kernel goes on to deliver
--- a/daemon/relayed_close_test.go
+++ b/daemon/relayed_close_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,3 +60,22 @@
 		})
 	}
 }
+
+// Guards against an idle connection that waits for its caller's end, and reads a request that crosses its own: the caller can't
+// know that it has not run.
+func TestIdleConnectionIsClosedWithoutAWait(t *testing.T) {
+	l := newTestListener(t)
+	require.NoError(t, l.Start(t.Context()))
+	conn, reader := dialListener(t, l)
+	_, err := io.WriteString(conn, testRequest)
+	require.NoError(t, err)
+	require.NoError(t, readDone(reader))
+	require.Eventually(t, func() bool { return l.count((*callerConn).isIdle) == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return l.closeIdle() == 0 }, 10*time.Second, time.Millisecond)
+	_, err = io.WriteString(conn, testRequest)
+	require.NoError(t, err)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.WriteString(conn, testRequest)
+	require.ErrorIs(t, err, syscall.EPIPE, "the request must not be read")
+}
