fix(daemon): answer requests that came early in a planned stop

Callers that send their next request before the response to the one before got no answer to it: it was read, and the connection ended with the response before.

Cause: in a planned stop, each response asks the caller to close, also one on whose connection the next request has arrived. net/http then closes the connection, and what was read is dropped.

Why it works: the daemon knows that a request is followed by more, as it counts that memory. It then asks in the response to the next request, for as long as it accepts new connections and its stop has a time limit, so that a caller that is always one request ahead does not keep it running.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -9,6 +9,7 @@
 	"radishhollow/core/config"
 	"radishhollow/core/member"
 	"radishhollow/core/route"
+	"radishhollow/io/connlimit"
 	"radishhollow/io/settings"
 )
 
@@ -132,17 +133,26 @@
 
 // closeWhenDraining wraps a handler to ask clients to close their connections during a planned stop, so that no client
 // sends a request on a connection that is about to be closed. It also asks in responses to requests that arrived before
-// the stop, unless their header has been sent.
+// the stop, unless their header has been sent. A client that has sent its next request already is asked in the response to
+// that one.
 func (d *Drain) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&drainWriter{ResponseWriter: w, drain: d}, r)
+		next.ServeHTTP(&drainWriter{ResponseWriter: w, drain: d, request: r}, r)
 	})
 }
 
+// servesNext reports whether the connection of a request is kept for the next one. That is so only while new connections are
+// accepted, too, so that a client that is always one request ahead does not keep the daemon running.
+func (d *Drain) servesNext(r *http.Request) bool {
+	left, limited := d.TimeLeft()
+	return limited && left >= minAcceptTime && connlimit.IsFollowed(r.Context())
+}
+
 // drainWriter is the ResponseWriter of a request that may be in flight during a planned stop.
 type drainWriter struct {
 	http.ResponseWriter
-	drain *Drain
+	drain   *Drain
+	request *http.Request
 }
 
 // Unwrap is for http.ResponseController.
@@ -169,7 +179,7 @@
 
 // askToClose has no effect after the header has been written.
 func (w *drainWriter) askToClose() {
-	if w.drain.Draining() {
+	if w.drain.Draining() && !w.drain.servesNext(w.request) {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,6 +59,8 @@
 	early int64
 	// ahead is set while what the caller has sent beyond the request counts.
 	ahead bool
+	// followed is set while the caller is known to have sent more than the request that is served. The handler may read it.
+	followed atomic.Bool
 	// left is the number of bytes of the body that were not read, or unknownBody, and tail what was read last of such a body.
 	left int64
 	tail []byte
@@ -216,6 +219,7 @@
 func (c *Conn) countAhead() bool {
 	if !c.ahead {
 		c.ahead = c.Limiter.addWindow(c)
+		c.followed.Store(c.ahead)
 	}
 	return c.ahead
 }
@@ -290,6 +294,7 @@
 		return c.refuseHead("", CauseEvictedHead)
 	}
 	c.ahead = c.isFollowed()
+	c.followed.Store(c.ahead)
 	if c.ahead {
 		need += windowBytes
 	}
--- a/io/connlimit/listener.go
+++ b/io/connlimit/listener.go
@@ -50,6 +50,13 @@
 	})
 }
 
+// IsFollowed reports whether the caller of a request has sent more on its connection, which is mostly its next request. The context
+// is that of the request. Nothing is known of what follows a body without a length.
+func IsFollowed(ctx context.Context) bool {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c != nil && c.followed.Load()
+}
+
 func connOf(conn net.Conn) *Conn {
 	if c, ok := conn.(limited); ok {
 		return c.Limited()
