--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -98,9 +98,9 @@
 }
 
 // awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, or until
-// the time is over: deliveryTimeout, relayTimeout once everything is acknowledged, or that of closeAtOnce. Until then it discards what the caller
-// sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller can't send more, but
-// still receives.
+// the time is over: deliveryTimeout, relayTimeout once everything is acknowledged, or that of closeAtOnce. Until then it
+// discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller
+// can't send more, but still receives.
 func (c *callerConn) awaitDelivery() {
 	// The caller of an idle connection has its last response if it sends the next request.
 	idle := c.isIdleAndDelivered()
