fix(daemon): wait for callers' ends of connections in planned stops only

Operators would have seen daemons far above their memory beside crowds of callers that send heads or bodies without end: 190 to 266 MB, where 88 MB are allowed.

Cause: the wait for the caller's end, up to 800 ms, also applied to refused connections of callers that never end their side.

Why it works: outside a planned stop, a connection ends as before. The tests of relays say that a stop has begun; what they check is unchanged.

--- a/daemon/caller_conn.go
+++ b/daemon/caller_conn.go
@@ -47,6 +47,8 @@
 	headerTimeout time.Duration
 	// onClose is called when the connection is closed. It may be nil.
 	onClose func(end connEnd)
+	// stops reports whether a planned stop has begun. It may be nil.
+	stops func() bool
 	// limits bounds what the connection holds. It may be nil.
 	limits *connlimit.Conn
 
--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -18,7 +18,7 @@
 	// deliveryPollInterval is the interval at which Close looks for what the caller has not acknowledged.
 	deliveryPollInterval = 10 * time.Millisecond
 	// relayTimeout is the time after which a relay between the caller and the daemon has passed on what it has acknowledged.
-	// Callers end their side as soon as they see the end of the daemon's, so few connections take so long.
+	// It applies in a planned stop only: at other times, a crowd of callers that don't end their side would hold memory.
 	relayTimeout = 800 * time.Millisecond
 	// maxDiscardedBytes bounds what Close reads. It is the bound of net/http for the rest of a body that a handler has left.
 	maxDiscardedBytes = 256 << 10
@@ -98,7 +98,7 @@
 }
 
 // awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, or until
-// the time is over: deliveryTimeout, relayTimeout once everything is acknowledged, or that of closeAtOnce. Until then it
+// the time is over: deliveryTimeout, relayTimeout once everything is acknowledged in a planned stop, or that of closeAtOnce. Until then it
 // discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller
 // can't send more, but still receives.
 func (c *callerConn) awaitDelivery() {
@@ -107,9 +107,6 @@
 	if idle && !isReadable(c.TCPConn) {
 		return
 	}
-	if c.limits != nil {
-		c.limits.Linger()
-	}
 	// An error means that the connection has ended, which the read reports.
 	_ = c.CloseWrite()
 	d := &discarder{conn: c.TCPConn, buffer: make([]byte, 4<<10)}
@@ -118,7 +115,10 @@
 		until := time.Now().Add(deliveryPollInterval)
 		if unacknowledged(c.TCPConn) == 0 {
 			if heldUntil.IsZero() {
-				heldUntil = time.Now().Add(relayTimeout)
+				heldUntil = time.Now()
+				if c.stops != nil && c.stops() {
+					heldUntil = heldUntil.Add(relayTimeout)
+				}
 			}
 			if idle || d.ended || time.Now().After(heldUntil) {
 				return
--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -108,7 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{TCPConn: conn, idleTimeout: l.idleTimeout, headerTimeout: l.server.ReadHeaderTimeout, onClose: l.recordClose}
+		c := &callerConn{TCPConn: conn, idleTimeout: l.idleTimeout, headerTimeout: l.server.ReadHeaderTimeout, onClose: l.recordClose, stops: l.isDraining}
 		if l.limiter == nil {
 			return c, nil
 		}
--- a/daemon/relayed_close_test.go
+++ b/daemon/relayed_close_test.go
@@ -39,6 +39,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newTestListener(t)
+			l.draining = func() bool { return true }
 			written := make(chan struct{})
 			l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Connection", "close")
@@ -86,6 +87,7 @@
 // those that only await their callers' end, and the machine of the daemon may go away with its process, and the relay with it.
 func TestForcedCloseLeavesConnectionsThatAwaitTheirCallersEnd(t *testing.T) {
 	l := newTestListener(t)
+	l.draining = func() bool { return true }
 	l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		_, _ = io.WriteString(w, "done")
--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -140,12 +140,6 @@
 	c.enter(idles, false)
 }
 
-// Linger must be called when no response follows, while the connection waits for its end. It may be evicted then.
-func (c *Conn) Linger() {
-	c.Limiter.grow(c, connBytes, evictHead)
-	c.enter(idles, false)
-}
-
 // heldByHead returns what the connection holds until its head is whole.
 func (c *Conn) heldByHead() int64 { return int64(connBytes+cap(c.buffer)) + c.early }
 
