fix(daemon): close acknowledged connections at once outside a stop

Callers saw: in an overload of 1,200 callers with whole requests, a request to the listeners for the platform, for peers or for operators was closed without an answer or refused with 503.

A caller that sends nothing acknowledges it only after the delay of its kernel, 41 ms.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -102,9 +102,10 @@
 // discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller
 // can't send more, but still receives.
 func (c *callerConn) awaitDelivery() {
-	// The caller of an idle connection has its last response if it sends the next request.
+	// The caller of an idle connection has its last response if it sends the next request. Outside a planned stop, a relay lives on,
+	// and a connection that waits for its caller would keep its memory from others.
 	idle := c.isIdleAndDelivered()
-	if idle && !isReadable(c.TCPConn) {
+	if (idle || !c.inStop()) && !isReadable(c.TCPConn) && unacknowledged(c.TCPConn) == 0 {
 		return
 	}
 	// An error means that the connection has ended, which the read reports.
@@ -116,7 +117,7 @@
 		if unacknowledged(c.TCPConn) == 0 {
 			if heldUntil.IsZero() {
 				heldUntil = time.Now()
-				if c.stops != nil && c.stops() {
+				if c.inStop() {
 					heldUntil = heldUntil.Add(relayTimeout)
 				}
 			}
@@ -131,6 +132,9 @@
 	}
 }
 
+// inStop reports whether a planned stop has begun.
+func (c *callerConn) inStop() bool { return c.stops != nil && c.stops() }
+
 // isIdleAndDelivered reports whether the connection is idle and its caller has acknowledged everything.
 func (c *callerConn) isIdleAndDelivered() bool {
 	c.mu.Lock()
--- a/daemon/caller_conn_close_test.go
+++ b/daemon/caller_conn_close_test.go
@@ -327,3 +327,27 @@
 	require.Eventually(t, func() bool { return l.openCount() == 1 }, 10*time.Second, time.Millisecond)
 	return onlyConn(t, l)
 }
+
+// Guards against connections that hold memory after their last response: a refused request's connection counts until it is closed,
+// and in an overload those that wait for their callers leave none for peers and readiness checks.
+func TestCloseDoesNotWaitForAnAcknowledgedResponse(t *testing.T) {
+	l := newTestListener(t)
+	l.draining = func() bool { return false }
+	socket, err := listen(t.Context(), l.address)
+	require.NoError(t, err)
+	l.socket = socket.(*net.TCPListener)
+	t.Cleanup(func() { _ = l.socket.Close() })
+	shortest := deliveryTimeout
+	for range 20 {
+		_, _ = dialListener(t, l)
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "done")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return unacknowledged(conn.(*callerConn).TCPConn) == 0 }, 10*time.Second, time.Millisecond)
+		began := time.Now()
+		require.NoError(t, conn.Close())
+		shortest = min(shortest, time.Since(began))
+	}
+	require.Less(t, shortest, deliveryPollInterval/2)
+}
