fix(connlimit): keep young internal connections in an overload

Callers saw: in an overload of callers' requests, a readiness check or a call of a peer was closed without an answer, now and then.

Cause: the share of internal connections held only for their requests. In the moment between its start and its first bytes such a connection counted like a caller's, and a new caller's connection closed it as the oldest one on which nothing had arrived. In both traced failures of TestInternalListenersInOverload it was 3 ms old.

Now young internal connections are passed over as long as they stay within the share together, so a crowd on an internal listener takes no more than before.

--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -43,8 +43,8 @@
 	largePercent   = 70
 	requestPercent = 90
 	allPercent     = 100
-	// internalPercent is the share that requests of internal connections find also while those of callers use up theirs: the
-	// daemon must answer its peers and the platform's readiness checks in an overload.
+	// internalPercent is the share that requests of internal connections, and those connections before their first request, find
+	// also while those of callers use up theirs: the daemon must answer its peers and the platform's readiness checks in an overload.
 	internalPercent = 5
 	// waitPercent is the share that requests and the heads that wait for memory may hold together, so that new connections
 	// find some.
@@ -291,15 +291,25 @@
 }
 
 // evictOne closes the least advanced connection within the classes other than c, and the oldest of these. It passes over connections
-// on which something has arrived, as that may complete a request.
+// on which something has arrived, as that may complete a request, and young internal connections within their share.
 func (l *Limiter) evictOne(c *Conn, from, upTo evictionClass) bool {
-	var candidates []candidate
+	var candidates, internal []candidate
+	internalHeld := int64(0)
 	now := time.Now()
 	for other := range l.conns {
-		if class := other.class(now); other != c && class >= from && class <= upTo {
+		class := other.class(now)
+		switch {
+		case other == c || class < from || class > upTo:
+		case class == evictYoung && other.Internal:
+			internal = append(internal, candidate{other, class})
+			internalHeld += other.held
+		default:
 			candidates = append(candidates, candidate{other, class})
 		}
 	}
+	if internalHeld > l.limit(internalPercent) {
+		candidates = append(candidates, internal...)
+	}
 	if len(candidates) == 0 {
 		return false
 	}
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -229,6 +229,41 @@
 	})
 }
 
+// Guards against an overload in which the connection of a peer or a readiness check is closed in the moment between its start and
+// its first bytes, and against internal connections without a request that take more than their share.
+func TestYoungInternalConnectionsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{Memory: 100 * connBytes}
+		var checks []*caller
+		for range 4 {
+			check := newCaller(l)
+			check.Internal = true
+			require.True(t, check.Open())
+			checks = append(checks, check)
+		}
+		open(t, l, 300)
+		for _, check := range checks {
+			require.False(t, check.isAborted())
+			require.NoError(t, check.send(ordinaryHead))
+			check.Close()
+		}
+		require.Zero(t, l.internal)
+		began := time.Now()
+		for range 200 {
+			more := newCaller(l)
+			more.Internal = true
+			require.True(t, more.Open())
+		}
+		require.Zero(t, time.Since(began), "they must leave room for each other")
+		time.Sleep(time.Millisecond)
+		kept := open(t, l, 90)
+		for _, c := range kept {
+			require.False(t, c.isAborted())
+		}
+		time.Sleep(2 * calmAfter)
+	})
+}
+
 // Guards against callers that go on sending before the response, whose unread bytes take memory that is not counted.
 func TestCallersThatSendAhead(t *testing.T) {
 	l := &Limiter{Memory: 4 << 20}
