fix(connlimit): give the memory of lingering connections to others

Callers would see: in a planned stop beside much traffic, requests that still come are refused with 503 or their connections closed, and peers get no answer.

From the acknowledgement of its last response on, such a connection counts as an open one only and is the first to be closed for others, counted by cause evicted-last. One with unacknowledged bytes keeps its place, as its close might drop them.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -119,6 +119,7 @@
 				heldUntil = time.Now()
 				if c.inStop() {
 					heldUntil = heldUntil.Add(relayTimeout)
+					c.linger()
 				}
 			}
 			if idle || d.ended || d.isFull() || time.Now().After(heldUntil) {
@@ -132,6 +133,13 @@
 	}
 }
 
+// linger lets the limits close the connection for others, as its caller, or a relay, has everything.
+func (c *callerConn) linger() {
+	if c.limits != nil {
+		c.limits.Linger()
+	}
+}
+
 // inStop reports whether a planned stop has begun.
 func (c *callerConn) inStop() bool { return c.stops != nil && c.stops() }
 
--- a/daemon/relayed_close_test.go
+++ b/daemon/relayed_close_test.go
@@ -105,3 +105,24 @@
 	require.GreaterOrEqual(t, time.Since(began), finalDeliveryTimeout, "the caller has not ended its side")
 	require.Less(t, time.Since(began), relayTimeout, "the wait is bounded")
 }
+
+// Guards against connections that only await their callers' ends in a planned stop, and leave no memory for requests that still come.
+func TestRequestsInAStopFindTheMemoryOfConnectionsThatAwaitTheirCallersEnd(t *testing.T) {
+	l := newTestListener(t)
+	l.limiter.Memory = 1 << 20
+	l.draining = func() bool { return true }
+	l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "done")
+	})
+	require.NoError(t, l.Start(t.Context()))
+	began := time.Now()
+	const requests = 200
+	for range requests {
+		conn, reader := dialListener(t, l)
+		_, err := io.WriteString(conn, testRequest)
+		require.NoError(t, err)
+		require.NoError(t, readDone(reader))
+	}
+	require.Less(t, time.Since(began), 4*relayTimeout, "the memory is that of fewer than 60 connections")
+}
--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -13,11 +13,12 @@
 
 // The classes begin with the least advanced.
 const (
-	evictHead  evictionClass = iota // no whole head
-	evictBody                       // a body that does not arrive
-	evictIdle                       // between two requests
-	evictYoung                      // as the first two, but there was little time for the rest
-	keep                            // a whole request
+	evictLingering evictionClass = iota // only the caller's end is awaited
+	evictHead                           // no whole head
+	evictBody                           // a body that does not arrive
+	evictIdle                           // between two requests
+	evictYoung                          // as the two before, but there was little time for the rest
+	keep                                // a whole request
 )
 
 // phase is what a connection does.
@@ -27,6 +28,7 @@
 	readsHead phase = iota // from the start, or the first byte of a head, until it is whole
 	serves                 // from a whole head until the response is complete
 	idles                  // until the first byte of the next head
+	lingers                // from the end of the last response until the connection is closed
 )
 
 // Conn is what the Limiter knows of one connection. Its Read passes a head on only when it is whole and has its memory. The
@@ -83,6 +85,8 @@
 // class returns the class of the connection. Limiter.mu must be held.
 func (c *Conn) class(now time.Time) evictionClass {
 	switch {
+	case c.phase == lingers:
+		return evictLingering
 	case c.phase == readsHead && now.Sub(c.since) < youngFor:
 		return evictYoung
 	case c.phase == readsHead:
@@ -143,6 +147,10 @@
 // heldByHead returns what the connection holds until its head is whole.
 func (c *Conn) heldByHead() int64 { return int64(connBytes+cap(c.buffer)) + c.early }
 
+// Linger must be called when the connection only awaits its caller's end, and the caller has acknowledged its last response. It then
+// holds what an open connection does, and is the first to be closed for others.
+func (c *Conn) Linger() { c.Limiter.linger(c) }
+
 // BodyRead must be called when the handler has read the body to its end.
 func (c *Conn) BodyRead() { c.enter(serves, false) }
 
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -18,6 +18,7 @@
 	CauseEvictedHead = "evicted-head" // closed without a whole head
 	CauseEvictedBody = "evicted-body" // closed while its body did not arrive
 	CauseEvictedIdle = "evicted-idle" // closed between two requests
+	CauseEvictedLast = "evicted-last" // closed after its last response, before its caller has ended its side
 	CauseAhead       = "ahead"        // closed because it sent more before the response
 )
 
@@ -260,7 +261,7 @@
 		return false
 	}
 	for n > c.held && l.used+n-c.held > l.limit(allPercent) {
-		if !l.evictOne(c, evictHead, upTo) {
+		if !l.evictOne(c, evictLingering, upTo) {
 			return false
 		}
 	}
@@ -270,6 +271,16 @@
 	return true
 }
 
+// linger makes a connection the first to be closed for others.
+func (l *Limiter) linger(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endRequest(c)
+	// It holds no more than before, so this evicts nothing.
+	_ = l.take(c, min(c.held, connBytes), evictLingering)
+	c.phase, c.pending, c.since = lingers, false, time.Now()
+}
+
 // release takes everything from a connection. l.mu must be held.
 func (l *Limiter) release(c *Conn) {
 	l.endRequest(c)
@@ -285,6 +296,9 @@
 	class evictionClass
 }
 
+// mayComplete reports whether something has arrived that may complete a request.
+func (a candidate) mayComplete() bool { return a.class != evictLingering && a.conn.hasArrived() }
+
 // compare orders the least advanced and then the oldest first.
 func (a candidate) compare(b candidate) int {
 	return cmp.Or(cmp.Compare(a.class, b.class), a.conn.since.Compare(b.conn.since))
@@ -314,13 +328,13 @@
 		return false
 	}
 	// Most evictions take the first one, for which there is no need to sort.
-	if first := slices.MinFunc(candidates, candidate.compare); !first.conn.hasArrived() {
+	if first := slices.MinFunc(candidates, candidate.compare); !first.mayComplete() {
 		l.evict(first.conn, evictionCauses[first.class])
 		return true
 	}
 	slices.SortFunc(candidates, candidate.compare)
 	for _, next := range candidates[:min(len(candidates), maxReadable)] {
-		if !next.conn.hasArrived() {
+		if !next.mayComplete() {
 			l.evict(next.conn, evictionCauses[next.class])
 			return true
 		}
@@ -330,7 +344,7 @@
 
 // evictionCauses are the causes by class.
 var evictionCauses = []string{
-	evictHead: CauseEvictedHead, evictBody: CauseEvictedBody, evictIdle: CauseEvictedIdle, evictYoung: CauseEvictedHead,
+	evictLingering: CauseEvictedLast, evictHead: CauseEvictedHead, evictBody: CauseEvictedBody, evictIdle: CauseEvictedIdle, evictYoung: CauseEvictedHead,
 }
 
 func (l *Limiter) evict(c *Conn, cause string) {
