--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -8,19 +8,6 @@
 	"time"
 )
 
-// evictionClass orders the connections that may be closed before they have a whole request.
-type evictionClass int
-
-// The classes begin with the least advanced.
-const (
-	evictLingering evictionClass = iota // only the caller's end is awaited
-	evictHead                           // no whole head
-	evictBody                           // a body that does not arrive
-	evictIdle                           // between two requests
-	evictYoung                          // as the two before, but there was little time for the rest
-	keep                                // a whole request
-)
-
 // phase is what a connection does.
 type phase int
 
@@ -82,25 +69,6 @@
 // hasArrived reports whether the kernel has received something.
 func (c *Conn) hasArrived() bool { return c.IsReadable != nil && c.IsReadable() }
 
-// class returns the class of the connection. Limiter.mu must be held.
-func (c *Conn) class(now time.Time) evictionClass {
-	switch {
-	case c.phase == lingers:
-		return evictLingering
-	case c.phase == readsHead && now.Sub(c.since) < youngFor:
-		return evictYoung
-	case c.phase == readsHead:
-		return evictHead
-	case c.phase == idles:
-		return evictIdle
-	case c.pending && now.Sub(c.since) >= bodyPause:
-		return evictBody
-	case c.pending && c.waiting:
-		return evictYoung
-	}
-	return keep
-}
-
 // enter changes the phase, unless the connection was evicted.
 func (c *Conn) enter(next phase, pending bool) bool {
 	c.Limiter.mu.Lock()
--- a/io/connlimit/limiter.go
+++ b/io/connlimit/limiter.go
@@ -2,9 +2,7 @@
 package connlimit
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
@@ -290,71 +288,6 @@
 	delete(l.conns, c)
 }
 
-// candidate is a connection that may be closed.
-type candidate struct {
-	conn  *Conn
-	class evictionClass
-}
-
-// mayComplete reports whether something has arrived that may complete a request.
-func (a candidate) mayComplete() bool { return a.class != evictLingering && a.conn.hasArrived() }
-
-// compare orders the least advanced and then the oldest first.
-func (a candidate) compare(b candidate) int {
-	return cmp.Or(cmp.Compare(a.class, b.class), a.conn.since.Compare(b.conn.since))
-}
-
-// evictOne closes the least advanced connection within the classes other than c, and the oldest of these. It passes over connections
-// on which something has arrived, as that may complete a request, and young internal connections within their share.
-func (l *Limiter) evictOne(c *Conn, from, upTo evictionClass) bool {
-	var candidates, internal []candidate
-	internalHeld := int64(0)
-	now := time.Now()
-	for other := range l.conns {
-		class := other.class(now)
-		switch {
-		case other == c || class < from || class > upTo:
-		case class == evictYoung && other.Internal:
-			internal = append(internal, candidate{other, class})
-			internalHeld += other.held
-		default:
-			candidates = append(candidates, candidate{other, class})
-		}
-	}
-	if internalHeld > l.limit(internalPercent) {
-		candidates = append(candidates, internal...)
-	}
-	if len(candidates) == 0 {
-		return false
-	}
-	// Most evictions take the first one, for which there is no need to sort.
-	if first := slices.MinFunc(candidates, candidate.compare); !first.mayComplete() {
-		l.evict(first.conn, evictionCauses[first.class])
-		return true
-	}
-	slices.SortFunc(candidates, candidate.compare)
-	for _, next := range candidates[:min(len(candidates), maxReadable)] {
-		if !next.mayComplete() {
-			l.evict(next.conn, evictionCauses[next.class])
-			return true
-		}
-	}
-	return false
-}
-
-// evictionCauses are the causes by class.
-var evictionCauses = []string{
-	evictLingering: CauseEvictedLast, evictHead: CauseEvictedHead, evictBody: CauseEvictedBody, evictIdle: CauseEvictedIdle, evictYoung: CauseEvictedHead,
-}
-
-func (l *Limiter) evict(c *Conn, cause string) {
-	c.evicted = true
-	// What the connection held is free at once, although its goroutine ends a little later.
-	l.release(c)
-	l.refuse(cause)
-	c.Abort()
-}
-
 // recordOnce counts a refusal, unless the connection was evicted, which has been counted.
 func (l *Limiter) recordOnce(c *Conn, cause string) {
 	l.mu.Lock()
