fix(connlimit): keep connections whose request was read but not counted

Callers saw: beside a crowd, a connection was closed without a response although the request on it was whole.

Cause: before an eviction, the limiter asked the kernel whether something had arrived. Between a read and its account under the limiter's lock, the kernel has nothing and the limiter knows nothing, so the connection counted as silent. Many connections that wait for this lock make the moment long. The same holds for a request that was read together with the one before: its connection was closed as idle.

Fix: the limiter compares the number of bytes that the kernel has received, which reads don't change, with the number that it has taken into account.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -202,6 +202,22 @@
 // unread returns the number of bytes that the kernel has received and nobody has read, or zero if that is unknown.
 func unread(conn syscall.Conn) int { return queued(conn, unix.SIOCINQ) }
 
+// received returns the number of bytes that the kernel has received, including the end of the connection, or zero if that is
+// unknown. Unlike unread, it also counts what was read.
+func received(conn syscall.Conn) int64 {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := int64(0)
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			count = int64(info.Bytes_received)
+		}
+	})
+	return count
+}
+
 // queued returns the number of bytes in a queue of a socket.
 func queued(conn syscall.Conn, queue uint) int {
 	raw, err := conn.SyscallConn()
--- a/daemon/caller_listener.go
+++ b/daemon/caller_listener.go
@@ -114,7 +114,7 @@
 		}
 		c.limits = &connlimit.Conn{
 			Limiter: l.limiter, Limits: headLimits(l.server), Source: c.readSocket, OnHead: c.beginHead,
-			Refuse: connlimit.RefuseFunc(conn), Abort: c.abort, IsReadable: func() bool { return isReadable(conn) },
+			Refuse: connlimit.RefuseFunc(conn), Abort: c.abort, Received: func() int64 { return received(conn) },
 		}
 		if c.limits.Open() {
 			return c, nil
--- a/daemon/conn_limiter.go
+++ b/daemon/conn_limiter.go
@@ -80,7 +80,7 @@
 		}
 		return &connlimit.Listener{
 			Listener: socket, Limiter: limiter, Limits: headLimits(l.server), Internal: true, HeadTimeout: l.server.ReadHeaderTimeout,
-			IsReadable: isReadable,
+			Received: received,
 		}
 	}
 }
--- a/io/connlimit/conn.go
+++ b/io/connlimit/conn.go
@@ -31,14 +31,16 @@
 	OnHead func(used bool)
 	Refuse func(response string)
 	Abort  func()
-	// IsReadable reports whether the kernel has received something. It may be nil.
-	IsReadable func() bool
+	// Received returns the number of bytes that the kernel has received, whether they were read or not. It may be nil.
+	Received func() int64
 
 	// The next fields are used by the goroutine that reads, which net/http never lets overlap with another read or a change of
 	// state. buffer holds what was read and not passed on. The head has seen scanned bytes of it, and net/http may read ready ones.
 	buffer         []byte
 	scanned, ready int
 	head           scanner
+	// read is the number of bytes that were read.
+	read int64
 	// begun is set from the first byte of a head, passed while net/http has a head with its memory, serving while a request is
 	// served, and used after the first request.
 	begun, passed, serving, used bool
@@ -60,14 +62,27 @@
 	phase   phase
 	pending bool
 	evicted bool
+	// known is the number of received bytes that phase and held account for. What was read but is not yet accounted for must keep
+	// the connection from being evicted, as what the kernel still has.
+	known int64
 	// admitted is set while what the connection holds counts as that of a request.
 	admitted bool
 	// waiting is set while a whole head waits for memory, and counted in Limiter.waiting.
 	waiting bool
 }
 
-// hasArrived reports whether the kernel has received something.
-func (c *Conn) hasArrived() bool { return c.IsReadable != nil && c.IsReadable() }
+// hasReceived reports whether more than n bytes have been received.
+func (c *Conn) hasReceived(n int64) bool { return c.Received != nil && c.Received() > n }
+
+// hasArrived reports whether something was received that is not accounted for. Limiter.mu must be held.
+func (c *Conn) hasArrived() bool { return c.hasReceived(c.known) }
+
+// setKnown changes the number of received bytes that are accounted for.
+func (c *Conn) setKnown(n int64) {
+	c.Limiter.mu.Lock()
+	defer c.Limiter.mu.Unlock()
+	c.known = n
+}
 
 // enter changes the phase, unless the connection was evicted.
 func (c *Conn) enter(next phase, pending bool) bool {
@@ -90,6 +105,7 @@
 		// A part of the head came with the body before.
 		c.left, c.head = unknownBody, scanner{}
 		c.enter(serves, true)
+		c.setKnown(c.read)
 	}
 	c.passed = false
 }
@@ -109,6 +125,8 @@
 		c.tail = nil
 	}
 	c.Limiter.grow(c, c.heldByHead(), evictHead)
+	// What is buffered may be a whole request.
+	c.setKnown(c.read - int64(len(c.buffer)))
 	c.enter(idles, false)
 }
 
@@ -153,6 +171,13 @@
 	return n
 }
 
+// readSource reads from the connection.
+func (c *Conn) readSource(p []byte) (int, error) {
+	n, err := c.Source(p)
+	c.read += int64(n)
+	return n, err
+}
+
 // readBody reads no further than the end of the body, as far as that is known. After it, one byte at a time is enough to find
 // out whether the caller has left.
 func (c *Conn) readBody(p []byte) (int, error) {
@@ -162,7 +187,7 @@
 	var err error
 	n := c.takeBuffered(p)
 	if n == 0 {
-		n, err = c.Source(p)
+		n, err = c.readSource(p)
 	}
 	switch {
 	case c.left > 0:
@@ -201,13 +226,13 @@
 func (c *Conn) touch() {
 	c.Limiter.mu.Lock()
 	defer c.Limiter.mu.Unlock()
-	c.since = time.Now()
+	c.since, c.known = time.Now(), c.read
 }
 
 // readHead reads a part of a head. Once the head is whole it makes it ready.
 func (c *Conn) readHead(p []byte) error {
 	if c.scanned == len(c.buffer) {
-		n, err := c.Source(p)
+		n, err := c.readSource(p)
 		if n == 0 {
 			return err
 		}
@@ -228,6 +253,7 @@
 		if !c.Limiter.grow(c, c.heldByHead(), upTo) {
 			return c.refuseHead("", CauseEvictedHead)
 		}
+		c.setKnown(c.read)
 		return nil
 	}
 	return c.finishHead()
@@ -252,6 +278,7 @@
 	c.ready, c.begun, c.head = c.scanned, false, scanner{}
 	if head.lines == 1 {
 		// Only an empty line. net/http skips it or refuses it.
+		c.setKnown(c.read)
 		return nil
 	}
 	c.left = head.bodyLength(c.buffer[:c.ready])
@@ -263,6 +290,7 @@
 	if !c.enter(serves, pending) {
 		return c.refuseHead("", CauseEvictedHead)
 	}
+	c.setKnown(c.read)
 	c.ahead = c.isFollowed()
 	c.followed.Store(c.ahead)
 	if c.ahead {
@@ -296,7 +324,7 @@
 }
 
 // sendsAhead reports whether the kernel has received more than the request, which has no body.
-func (c *Conn) sendsAhead() bool { return c.left == 0 && c.hasArrived() }
+func (c *Conn) sendsAhead() bool { return c.left == 0 && c.hasReceived(c.read) }
 
 // isFollowed reports whether the caller has sent more than the request, without a wait for its response.
 func (c *Conn) isFollowed() bool {
--- a/io/connlimit/limiter_test.go
+++ b/io/connlimit/limiter_test.go
@@ -19,7 +19,8 @@
 	parts   chan string
 	aborted chan struct{}
 	refusal string
-	arrived bool
+	// received is the number of bytes that the kernel has received.
+	received int64
 }
 
 func newCaller(l *Limiter) *caller {
@@ -27,7 +28,7 @@
 	c.Conn = &Conn{
 		Limiter: l, Limits: Limits{Bytes: 64 << 10, Lines: 1024}, OnHead: func(bool) {},
 		Refuse: func(response string) { c.refusal = response }, Abort: func() { close(c.aborted) },
-		IsReadable: func() bool { return c.arrived },
+		Received: func() int64 { return c.received },
 		Source: func(p []byte) (int, error) {
 			select {
 			case part := <-c.parts:
@@ -40,6 +41,9 @@
 	return c
 }
 
+// receive makes the kernel receive text, which is read later.
+func (c *caller) receive(text string) { c.received += int64(len(text)) }
+
 // open opens n connections, one each millisecond.
 func open(t *testing.T, l *Limiter, n int) []*caller {
 	t.Helper()
@@ -81,7 +85,7 @@
 		idle.Idle()
 		old := open(t, l, 7)
 		time.Sleep(2 * youngFor)
-		old[0].arrived = true
+		old[0].received = 1
 		young := open(t, l, 6)
 		require.False(t, served.isAborted())
 		require.False(t, idle.isAborted())
--- a/io/connlimit/listener.go
+++ b/io/connlimit/listener.go
@@ -99,8 +99,8 @@
 	Internal bool
 	// HeadTimeout bounds the time from the first byte of a later head to its end. The server bounds the first head itself.
 	HeadTimeout time.Duration
-	// IsReadable reports whether the kernel has received something of a connection. It may be nil.
-	IsReadable func(conn syscall.Conn) bool
+	// Received returns the number of bytes that the kernel has received on a connection. It may be nil.
+	Received func(conn syscall.Conn) int64
 }
 
 // Accept returns the next connection for which there is memory.
@@ -120,8 +120,8 @@
 				_ = conn.SetReadDeadline(time.Now().Add(l.HeadTimeout))
 			}
 		}
-		if raw, ok := conn.(syscall.Conn); ok && l.IsReadable != nil {
-			c.limits.IsReadable = func() bool { return l.IsReadable(raw) }
+		if raw, ok := conn.(syscall.Conn); ok && l.Received != nil {
+			c.limits.Received = func() int64 { return l.Received(raw) }
 		}
 		if c.limits.Open() {
 			return c, nil
