fix(daemon): end the close of a connection whose caller has reset it

Callers and operators saw: when a caller left in the middle of a stream, its handler stayed for 5 s more, with its engine's slot and its memory, and the engine's run was canceled 15 s after the caller had left in place of 10 s. In a planned stop, such a request counted as in flight for as long.

After a failed write of a chunk, net/http calls Close in the handler's goroutine. The close waited for the caller's end and for all acknowledgements. After a reset that was reported to the write, reads report the caller's end, but the kernel still counts what was not acknowledged, so the wait took its whole 5 s.

A trace of a failed run shows a close that begins with the caller's end and takes 5.01 s, and the cancel call 10 s after it.

Fix: the wait ends when the kernel's state of the connection is closed. Nothing can be delivered then.

--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -97,8 +97,8 @@
 	return time.Now().Before(c.waitEnd)
 }
 
-// awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, or until
-// the time is over: deliveryTimeout, relayTimeout once everything is acknowledged in a planned stop, or that of closeAtOnce. Until then it
+// awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, until the
+// connection is over, or until the time is over: deliveryTimeout, relayTimeout once everything is acknowledged in a planned stop, or that of closeAtOnce. Until then it
 // discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller
 // can't send more, but still receives, and only its acknowledgement is awaited.
 func (c *callerConn) awaitDelivery() {
@@ -112,7 +112,9 @@
 	_ = c.CloseWrite()
 	d := &discarder{conn: c.TCPConn, buffer: make([]byte, 4<<10)}
 	var heldUntil time.Time
-	for {
+	// After a reset that was reported to a write, reads report the end of the caller's side, and the kernel still counts what was
+	// not acknowledged.
+	for !isOver(c.TCPConn) {
 		until := time.Now().Add(deliveryPollInterval)
 		if unacknowledged(c.TCPConn) == 0 {
 			if heldUntil.IsZero() {
@@ -205,17 +207,31 @@
 // received returns the number of bytes that the kernel has received, including the end of the connection, or zero if that is
 // unknown. Unlike unread, it also counts what was read.
 func received(conn syscall.Conn) int64 {
+	info, ok := tcpInfo(conn)
+	if !ok {
+		return 0
+	}
+	return int64(info.Bytes_received)
+}
+
+// tcpClosed is the state of a connection that was reset, or that both sides have ended.
+const tcpClosed = 7
+
+// isOver reports whether nothing can be received or delivered any more.
+func isOver(conn syscall.Conn) bool {
+	info, ok := tcpInfo(conn)
+	return ok && info.State == tcpClosed
+}
+
+// tcpInfo returns the kernel's state of a connection, and false if that is unknown.
+func tcpInfo(conn syscall.Conn) (info *unix.TCPInfo, ok bool) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return 0
+		return nil, false
 	}
-	count := int64(0)
-	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			count = int64(info.Bytes_received)
-		}
-	})
-	return count
+	infoErr := error(nil)
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, err == nil && infoErr == nil
 }
 
 // queued returns the number of bytes in a queue of a socket.
