--- a/daemon/caller_conn_close.go
+++ b/daemon/caller_conn_close.go
@@ -98,9 +98,9 @@
 }
 
 // awaitDelivery ends the sending side and waits until the caller has ended its side and acknowledged everything, until the
-// connection is over, or until the time is over: deliveryTimeout, relayTimeout once everything is acknowledged in a planned stop, or that of closeAtOnce. Until then it
-// discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes. After that the caller
-// can't send more, but still receives, and only its acknowledgement is awaited.
+// connection is over, or until the time is over: deliveryTimeout, relayTimeout once everything is acknowledged in a planned stop, or
+// that of closeAtOnce. Until then it discards what the caller sends, which are requests that nobody serves, up to maxDiscardedBytes.
+// After that the caller can't send more, but still receives, and only its acknowledgement is awaited.
 func (c *callerConn) awaitDelivery() {
 	// The caller of an idle connection has its last response if it sends the next request. Outside a planned stop, a relay lives on,
 	// and a connection that waits for its caller would keep its memory from others.
