--- a/daemon/conn_end.go
+++ b/daemon/conn_end.go
@@ -82,7 +82,7 @@
 
 // recordClose counts a connection that ends in a planned stop, and logs it if a request was in flight meanwhile. Its caller may
 // not get the end of its last response, which was complete for the daemon unless it was cut, if bytes are not acknowledged. The
-// lines are warnings, as a record that keeps only warnings would not tell such a response from a lost one.
+// lines are warnings, so that a log collector that keeps only warnings tells such a response from a lost one.
 func (l *callerListener) recordClose(end connEnd) {
 	if !l.isDraining() {
 		return
--- a/daemon/conn_end_test.go
+++ b/daemon/conn_end_test.go
@@ -39,7 +39,7 @@
 	return c.requests > 0
 }
 
-// Guards against a record that does not tell who has ended the connection of a request in a planned stop, nor whether its caller
+// Guards against a log that does not tell who has ended the connection of a request in a planned stop, nor whether its caller
 // has everything: a request that was complete for the daemon and lost on its way then has no line at all.
 func TestPlannedStopLogsWhoEndsAConnection(t *testing.T) {
 	for by, test := range map[connCloser]struct {
--- a/io/forward/open_requests.go
+++ b/io/forward/open_requests.go
@@ -67,8 +67,8 @@
 }
 
 // LogInFlight logs the requests that are being served when a planned stop begins. If the process is killed later, no other
-// line may name them. The line of the stop itself is a warning, as is that of its end, because records of many daemons may
-// keep only warnings.
+// line may name them. The line of the stop itself is a warning, as is that of its end, because log collectors of many
+// daemons may keep only warnings.
 func (s *Server) LogInFlight() {
 	inFlight := s.logOpen(logrus.InfoLevel, "request is in flight in a planned stop", s.open.beginStop())
 	s.Log.WithField("in-flight", inFlight).Warn("planned stop begins")
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -364,8 +364,8 @@
 	err                 error
 }
 
-// observeRequest logs a request and updates its metrics. In a planned stop the line is a warning, so that a record that keeps
-// only warnings tells a request that was complete for the daemon from one that the daemon does not know.
+// observeRequest logs a request and updates its metrics. In a planned stop the line is a warning, so that a log collector that
+// keeps only warnings tells a request that was complete for the daemon from one that the daemon does not know.
 func (s *Server) observeRequest(q *request, end observedEnd) {
 	code := s.endCode(end.callerGone, end.err)
 	s.Metrics.Count(telemetry.Requests, code)
--- a/io/forward/stop_counts_test.go
+++ b/io/forward/stop_counts_test.go
@@ -13,8 +13,8 @@
 	"radishhollow/io/telemetry"
 )
 
-// Guards against a record of a planned stop, which may keep only warnings, that does not tell a request that was complete for the
-// daemon from one that it never finished: each request has its line, and the counts of the last line add up.
+// Guards against a log of a planned stop, of which a collector may keep only warnings, that does not tell a request that was
+// complete for the daemon from one that it never finished: each request has its line, and the counts of the last line add up.
 func TestPlannedStopAccountsForItsRequests(t *testing.T) {
 	var out bytes.Buffer
 	log := logrus.New()
